--- /dev/null
+++ b/features/support/mesh.py
@@ -0,0 +1,347 @@
+"""A whole mesh of real processes on loopback, with faults on request."""
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from features.support.builders import Layout, NodeSpec, create_full_configuration
+from features.support.history import Execution, read_executions
+from features.support.http import Reply, call, call_or_none
+from features.support.processes import (
+    Child,
+    Ports,
+    Usage,
+    create_loopback_host,
+    wait_for,
+)
+from knapweedrock.configuration import Configuration
+
+START_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 30.0
+
+
+class Vm:
+    """A node and the target beside it, with their addresses."""
+
+    def __init__(self, spec: NodeSpec, ports: Ports) -> None:
+        self.spec = spec
+        self.caller = ports.take()
+        self.peer = ports.take()
+        self.announce = ports.take()
+        self.operator = ports.take()
+        self.target_address = ports.take()
+        self.node: Child
+        self.target: Child
+
+    def move(self, ports: Ports) -> None:
+        """Give the node other addresses for its next start."""
+        self.caller, self.peer = ports.take(), ports.take()
+        self.announce, self.operator = ports.take(), ports.take()
+
+
+class Mesh:
+    """Platform stand-in, nodes and targets of a layout as separate processes."""
+
+    def __init__(
+        self,
+        layout: Layout,
+        node_flags: tuple[str, ...] = (),
+        target_flags: tuple[str, ...] = ("--work-ms", "2", "--cold-s", "1"),
+        platform_flags: tuple[str, ...] = (),
+        cell: str = "cell-1",
+    ) -> None:
+        self.layout = layout
+        self.cell = cell
+        self.node_flags = node_flags
+        self.target_flags = target_flags
+        self.directory = Path(tempfile.mkdtemp(prefix="knapweedrock-"))
+        self.ports = Ports(create_loopback_host())
+        self.platform_address = self.ports.take()
+        self.platform = Child(
+            "platform",
+            ["emulate", "platform", "--listen", self.platform_address, *platform_flags],
+            self.directory,
+        )
+        self.vms = {spec.node_id: Vm(spec, self.ports) for spec in layout.nodes}
+        self.children: list[Child] = [self.platform]
+        self.past_executions: list[Execution] = []
+        self.ticket_number = 0
+
+    # Start and stop
+
+    def start(self, configure: bool = True) -> None:
+        """Start everything, apply the layout's configuration, wait until ready."""
+        self.start_platform()
+        for name in self.vms:
+            self.start_node(name)
+        for name in self.vms:
+            self.start_target(name)
+        if configure:
+            self.put_configuration(create_full_configuration(self.layout))
+        self.wait_until_ready()
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and wait until it answers."""
+        self.platform.start()
+        wait_for(
+            lambda: call_or_none(self.platform_address, "GET", "/emulator/stats"),
+            START_TIMEOUT_S,
+            f"platform answers\n{self.platform.read_tail()}",
+        )
+
+    def start_node(self, name: str) -> None:
+        """Start the node of a VM, also again, at the VM's present addresses."""
+        vm = self.vms[name]
+        vm.node = self._create_child(f"node-{name}", self._node_arguments(vm))
+        vm.node.start()
+
+    def start_target(self, name: str) -> None:
+        """Start the target of a VM, also again."""
+        vm = self.vms[name]
+        vm.target = self._create_child(f"target-{name}", self._target_arguments(vm))
+        vm.target.start()
+
+    def restart_node(self, name: str, other_address: bool = False) -> None:
+        """Kill the node where it still runs and start it again."""
+        self.vms[name].node.kill()
+        if other_address:
+            self.vms[name].move(self.ports)
+        self.start_node(name)
+
+    def kill_target(self, name: str) -> None:
+        """Keep the target's log as read now, then kill the target."""
+        self.past_executions += self.fetch_executions(name)
+        self.vms[name].target.kill()
+
+    def stop(self) -> None:
+        """End every child by its pid, stopped ones too."""
+        for child in self.children:
+            child.kill()
+
+    def _create_child(self, name: str, arguments: list[str]) -> Child:
+        child = Child(name, arguments, self.directory)
+        self.children.append(child)
+        return child
+
+    def _node_arguments(self, vm: Vm) -> list[str]:
+        options = {
+            "--node-id": vm.spec.node_id,
+            "--cell": self.cell,
+            "--group": self.layout.group,
+            "--zone": vm.spec.zone,
+            "--region": self.layout.region,
+            "--caller": vm.caller,
+            "--peer": vm.peer,
+            "--target": vm.announce,
+            "--operator": vm.operator,
+            "--platform-kind": "http",
+            "--platform": self.platform_address,
+        }
+        pairs = [part for pair in options.items() for part in pair]
+        return ["node", *pairs, "--faults-enabled", *self.node_flags]
+
+    def _target_arguments(self, vm: Vm) -> list[str]:
+        options = {
+            "--listen": vm.target_address,
+            "--node": vm.announce,
+            "--service": vm.spec.service,
+            "--zone": vm.spec.zone,
+            "--slots": str(vm.spec.slots),
+            "--connections": str(vm.spec.connections),
+        }
+        pairs = [part for pair in options.items() for part in pair]
+        fenced = "--fenced" if vm.spec.fenced else "--no-fenced"
+        return ["emulate", "target", *pairs, fenced, *self.target_flags]
+
+    # Readiness
+
+    def wait_until_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until all running nodes are ready and the targets' members serve."""
+        try:
+            wait_for(self.is_ready, timeout_s, "mesh is ready", 0.1)
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}\n{self.describe()}") from None
+
+    def is_ready(self) -> bool:
+        """Tell whether all running nodes are ready and know all serving members."""
+        running = [vm for vm in self.vms.values() if vm.node.is_running()]
+        return all(self.node_is_ready(vm, len(running)) for vm in running)
+
+    def node_is_ready(self, vm: Vm, expected: int) -> bool:
+        """Tell whether a node is ready and sees this many serving members."""
+        ready = call_or_none(vm.operator, "GET", "/readyz")
+        if ready is None or ready.status != 200:
+            return False
+        return len(self.list_serving(vm.spec.node_id)) >= expected
+
+    def list_serving(self, name: str) -> list[str]:
+        """List the node ids that serve, in the eyes of one node."""
+        members = self.read_view(name).get("members", {})
+        return [
+            node_id
+            for node_id, member in members.items()
+            if member["state"] == "serving"
+        ]
+
+    def read_view(self, name: str) -> dict[str, Any]:
+        """Read the view of the cell that a node holds."""
+        reply = call_or_none(self.vms[name].operator, "GET", "/status")
+        if reply is None or reply.status != 200:
+            return {}
+        status = reply.json()
+        return status.get("view", status)
+
+    # Configuration
+
+    def put_configuration(self, value: Configuration) -> int:
+        """Write the configuration by a conditional update; return its version."""
+        path = f"/objects/config/{self.layout.group}"
+        found = call(self.platform_address, "GET", path)
+        version = found.json()["version"] if found.status == 200 else 0
+        headers = {"If-Version": str(version), "Client": "harness"}
+        reply = call(self.platform_address, "PUT", path, value, headers)
+        if reply.status != 200:
+            raise RuntimeError(f"configuration refused: {reply}")
+        return reply.json()["version"]
+
+    def set_zones_out(self, *zones: str) -> int:
+        """Take exactly these availability zones out; return the version."""
+        return self.put_configuration(create_full_configuration(self.layout, zones))
+
+    def run_command(self, *arguments: str, timeout_s: float = 30.0) -> tuple[int, str]:
+        """Run a command of the program; return its exit status and output."""
+        name = f"command-{len(self.children)}"
+        child = self._create_child(name, list(arguments))
+        child.start()
+        try:
+            status = child.process.wait(timeout_s)
+        finally:
+            child.kill()
+        return status, child.log.read_text(errors="replace")
+
+    def apply_ticket(self, ticket: str, *options: str) -> tuple[int, str]:
+        """Apply a ticket's text through the command line at the first live node."""
+        self.ticket_number += 1
+        path = self.directory / f"ticket-{self.ticket_number}.toml"
+        path.write_text(ticket)
+        node = next(vm for vm in self.vms.values() if vm.node.is_running())
+        return self.run_command(
+            "ticket", "apply", str(path), "--node", node.operator, *options
+        )
+
+    # Faults
+
+    def cut(
+        self,
+        name: str,
+        send: tuple[str, ...] = (),
+        receive: tuple[str, ...] = (),
+        platform_send: bool = False,
+        platform_receive: bool = False,
+    ) -> None:
+        """Set a node's cuts; `*` means every peer, nothing at all heals it."""
+        value = {
+            "send": list(send),
+            "receive": list(receive),
+            "platform_send": platform_send,
+            "platform_receive": platform_receive,
+        }
+        self._expect(call(self.vms[name].operator, "POST", "/faults", value))
+
+    def heal(self, name: str) -> None:
+        """Remove a node's cuts."""
+        self.cut(name)
+
+    def fault_platform(self, **faults: Any) -> None:
+        """Set faults of the platform stand-in; nothing at all heals it."""
+        self._expect(call(self.platform_address, "POST", "/emulator/faults", faults))
+
+    def change_target(self, name: str, **behaviour: Any) -> None:
+        """Change how a target stand-in behaves."""
+        address = self.vms[name].target_address
+        self._expect(call(address, "POST", "/emulator/behaviour", behaviour))
+
+    def _expect(self, reply: Reply) -> None:
+        if reply.status >= 300:
+            raise RuntimeError(f"refused: {reply}")
+
+    # What is known
+
+    def fetch_executions(self, name: str) -> list[Execution]:
+        """Fetch what a target truly ran."""
+        address = self.vms[name].target_address
+        reply = call(address, "GET", "/emulator/log", timeout_s=10.0)
+        return read_executions(name, reply.json()["entries"])
+
+    def fetch_all_executions(self) -> list[Execution]:
+        """Fetch what all targets ran, those killed by the harness included."""
+        found = list(self.past_executions)
+        for name, vm in self.vms.items():
+            if vm.target.is_running():
+                found += self.fetch_executions(name)
+        return found
+
+    def fetch_dump(self, name: str) -> dict[str, Any]:
+        """Fetch a node's whole state."""
+        return call(self.vms[name].operator, "GET", "/dump").json()
+
+    def fetch_platform_stats(self) -> dict[str, Any]:
+        """Fetch the platform's calls by client and method."""
+        return call(self.platform_address, "GET", "/emulator/stats").json()
+
+    def fetch_object(self, name: str) -> dict[str, Any] | None:
+        """Fetch an object of the platform with its version."""
+        reply = call(self.platform_address, "GET", f"/objects/{name}")
+        return reply.json() if reply.status == 200 else None
+
+    def find_owner(self, service: str, key: str, at: str = "") -> str:
+        """Find the node that owns a key, in the eyes of one node."""
+        vm = self.vms[at] if at else self.list_running()[0]
+        path = f"/owner?service={service}&key={key}"
+        reply = call(vm.operator, "GET", path)
+        return reply.json().get("owner", "") if reply.status == 200 else ""
+
+    def find_coordinator(self) -> str:
+        """Find the cell's coordinator in the platform's object."""
+        stored = self.fetch_object(f"cells/{self.cell}")
+        return stored["value"].get("coordinator", "") if stored else ""
+
+    def list_running(self) -> list[Vm]:
+        """List the VMs whose node runs."""
+        return [vm for vm in self.vms.values() if vm.node.is_running()]
+
+    def read_usage(self, name: str) -> Usage:
+        """Read processor time and memory of a node."""
+        return self.vms[name].node.read_usage()
+
+    def describe(self) -> str:
+        """Describe each child that ended and the tails of all logs."""
+        lines = [f"logs in {self.directory}"]
+        for child in self.children:
+            state = "runs" if child.is_running() else "ended"
+            lines.append(f"--- {child.name} {state}\n{child.read_tail()}")
+        return "\n".join(lines)
+
+
+def create_mesh(context, layout: Layout, **options: Any) -> Mesh:
+    """Create a mesh that ends with behave's scenario; keep its logs on failure."""
+    mesh = Mesh(layout, **options)
+
+    def end() -> None:
+        failed = context.scenario.status.name not in ("passed", "skipped")
+        text = mesh.describe() if failed else ""
+        mesh.stop()
+        if failed:
+            print(text)
+        else:
+            remove_directory(mesh.directory)
+
+    context.add_cleanup(end)
+    return mesh
+
+
+def remove_directory(directory: Path) -> None:
+    """Remove a directory of logs."""
+    for path in directory.iterdir():
+        path.unlink()
+    directory.rmdir()
--- /dev/null
+++ b/knapweedrock/load/client.py
@@ -0,0 +1,24 @@
+"""HTTP client of callers: no delay for small writes and no hidden retries."""
+
+from geventhttpclient import HTTPClient
+
+from knapweedrock.sockets import disable_delay
+
+NO_RETRIES_SIZE = -1
+
+
+def create_client(address: str, timeout_s: float, concurrency: int = 1) -> HTTPClient:
+    """Create a client of one `host:port` that sends each request exactly once."""
+    host, _, port = address.rpartition(":")
+    client = HTTPClient(
+        host,
+        int(port),
+        concurrency=concurrency,
+        connection_timeout=timeout_s,
+        network_timeout=timeout_s,
+    )
+    pool = client._connection_pool
+    pool.after_connect = disable_delay
+    # The library sends an idempotent request again `size + 1` times by itself.
+    pool.size = NO_RETRIES_SIZE
+    return client
