Prove the checkers on hand-made histories

An order that is sent again keeps its path, so that a stored answer can be compared with the request.

--- /dev/null
+++ b/features/steps/history.py
@@ -0,0 +1,151 @@
+"""Steps about the checks of histories."""
+
+import uuid
+
+from behave import given, then, when
+
+from features.support.builders import create_call, create_execution
+from features.support.history import (
+    check_all,
+    check_silence,
+    measure_churn,
+    measure_imbalance,
+    measure_key_gap,
+    read_tag,
+)
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.load.orders import create_order_id
+
+QUARTER = 1 << 62
+
+
+@given("these executions")
+def read_rows_of_executions(context):
+    """Build executions from the table."""
+    context.executions = [
+        create_execution(
+            target=row["target"],
+            order_id=row["order"],
+            key=row["key"],
+            token=int(row["token"]),
+            start_ms=float(row["start"]),
+            end_ms=float(row["end"]),
+        )._replace(tag=row["tag"])
+        for row in context.table
+    ]
+
+
+@given("these calls")
+def read_rows_of_calls(context):
+    """Build calls from the table."""
+    context.calls = [
+        create_call(
+            tag=row["tag"],
+            order_id=row["order"],
+            key=row["key"],
+            outcome=row["outcome"],
+            answered=row["answered"] == "yes",
+            own_answer=row["own"] == "yes",
+        )
+        for row in context.table
+    ]
+
+
+@given("calls for one key")
+def read_calls_of_one_key(context):
+    """Build calls with times from the table."""
+    context.calls = [
+        create_call(
+            intended_ms=float(row["intended"]),
+            end_ms=float(row["end"]),
+            outcome=row["outcome"],
+        )
+        for row in context.table
+    ]
+
+
+@given('a table that gives quarters to "{owners}"')
+def build_table(context, owners):
+    """Build the first table."""
+    context.before = create_quarters(owners)
+
+
+@when('the table gives quarters to "{owners}"')
+def build_other_table(context, owners):
+    """Build the second table."""
+    context.after = create_quarters(owners)
+
+
+@when("the history is checked")
+def check_history(context):
+    """Run all checks."""
+    calls = getattr(context, "calls", [])
+    executions = getattr(context, "executions", [])
+    context.violations = check_all(calls, executions)
+
+
+@when('target "{target}" must be silent from {start:d} to {end:d} ms')
+def check_silent_target(context, target, start, end):
+    """Run the check of silence."""
+    context.violations = check_silence(
+        context.executions, [target], start * NS_PER_MS, end * NS_PER_MS
+    )
+
+
+@then("nothing is found")
+def expect_nothing(context):
+    """Expect no breach."""
+    assert not context.violations, context.violations
+
+
+@then('{count:d} breaches of "{promise}" are found')
+def expect_breaches(context, count, promise):
+    """Expect this many breaches of this promise and of no other."""
+    found = [violation.promise for violation in context.violations]
+    assert found == [promise] * count, context.violations
+
+
+@then("the longest gap is {longest:d} ms and the total {total:d} ms")
+def expect_gap(context, longest, total):
+    """Expect the gap of the key."""
+    gap = measure_key_gap("k1", context.calls)
+    assert (gap.longest_ms, gap.total_ms) == (longest, total), gap
+
+
+@then("the churn is {share:f}")
+def expect_churn(context, share):
+    """Expect the share of the key space that moved."""
+    assert measure_churn(context.before, context.after) == share
+
+
+@then('the imbalance over "{targets}" is {ratio:f}')
+def expect_imbalance(context, targets, ratio):
+    """Expect the greatest load over the mean."""
+    assert measure_imbalance(context.executions, targets.split()) == ratio
+
+
+@then('the tag of "{path}" is "{tag}"')
+def expect_tag(context, path, tag):
+    """Expect the caller's name of the request."""
+    assert read_tag(path) == tag
+
+
+@then(
+    "order ids made at {first:d} and {second:d} ms are version 7 and sort by their time"
+)
+def expect_order_ids(context, first, second):
+    """Expect UUIDv7 ids that carry their time."""
+    for wall_ms in (first, second):
+        found = uuid.UUID(create_order_id(wall_ms))
+        assert found.version == 7
+        assert found.variant == uuid.RFC_4122
+        assert found.int >> 80 == wall_ms
+    assert create_order_id(first) < create_order_id(second)
+
+
+def create_quarters(owners: str) -> list[dict]:
+    """Create a table of four equal ranges."""
+    return [
+        {"start": index * QUARTER, "owner": owner}
+        for index, owner in enumerate(owners.split())
+    ]
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -47,7 +47,7 @@
         node = node or self.random.choice(sorted(self.nodes))
         sent_ns = self.clock.now_ns()
         intended_ns = intended_ns or sent_ns
-        tag = self._create_tag()
+        tag = request.order_id or self._create_tag()
         method = "POST" if request.order_id else "GET"
         try:
             reply = self._exchange(node, method, tag, request)
