Add the load program with open-loop arrivals and reports

A task for each arrival, so that a stall delays no later one; latency counts from the intended send time: a feature with a server that stalls for 400 ms sees it in at least 10 requests.

--- /dev/null
+++ b/features/load.feature
@@ -0,0 +1,26 @@
+Feature: Load program
+  Load is offered open-loop and counted from the intended send time.
+
+  Scenario: Arrivals and keys repeat with their seed
+    Then arrivals at 500 a second for 2 s are the same for seed 3 and differ for seed 4
+    And keys drawn with seed 3 are the same again and "key-0" is the most frequent
+
+  Scenario: A stall of the server is not hidden
+    Given a plain server that stalls once for 400 ms
+    When load is offered at 100 a second for 2 s
+    Then all requests are done and at least 10 took over 200 ms
+
+  Scenario: The report stands as text and as JSON
+    Given a plain server that stalls once for 0 ms
+    When load is offered at 100 a second for 1 s
+    Then the text and the JSON of the report give the same count of requests done
+
+  Scenario: An address where nobody listens counts as not run
+    Given an address where nobody listens
+    When load is offered at 50 a second for 1 s
+    Then every request counts as not run
+
+  Scenario: Requests beyond the limit in flight are counted as unsent
+    Given a plain server that stalls once for 600 ms
+    When load is offered at 100 a second for 1 s with 5 in flight
+    Then requests are unsent and every request is accounted for
--- /dev/null
+++ b/features/steps/load.py
@@ -0,0 +1,121 @@
+"""Steps about the load program."""
+
+import json
+import time
+from collections import Counter
+
+from behave import given, then, when
+
+from features.support.processes import Ports, create_loopback_host
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.load.arrivals import create_arrivals
+from knapweedrock.load.keys import create_keys
+from knapweedrock.load.program import LoadOptions, run_load
+from knapweedrock.load.report import FORMATTERS
+from knapweedrock.sockets import create_http_server
+
+DRAWS = 2000
+
+
+@given("a plain server that stalls once for {stall_ms:d} ms")
+def start_server(context, stall_ms):
+    """Start a server in this process; all wait for the end of its stall."""
+    free_at_s = 0.0
+
+    def answer(environ, start_response):
+        nonlocal free_at_s
+        free_at_s = free_at_s or time.monotonic() + stall_ms / 1000
+        time.sleep(max(0.0, free_at_s - time.monotonic()))
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    context.address = Ports(create_loopback_host()).take()
+    host, _, port = context.address.rpartition(":")
+    server = create_http_server((host, int(port)), answer)
+    server.start()
+    context.add_cleanup(server.stop, 0)
+
+
+@given("an address where nobody listens")
+def take_address(context):
+    """Take an address and leave it alone."""
+    context.address = Ports(create_loopback_host()).take()
+
+
+@when("load is offered at {rate:d} a second for {duration_s:d} s")
+def offer_load(context, rate, duration_s, in_flight=1000):
+    """Offer load and keep all samples."""
+    context.samples = []
+    options = LoadOptions(
+        (context.address,), rate, duration_s, in_flight=in_flight, seed=7
+    )
+    context.report = run_load(options, context.samples.append)
+
+
+@when(
+    "load is offered at {rate:d} a second for {duration_s:d} s "
+    "with {in_flight:d} in flight"
+)
+def offer_bounded_load(context, rate, duration_s, in_flight):
+    """Offer load with few requests in flight."""
+    offer_load(context, rate, duration_s, in_flight)
+
+
+@then(
+    "arrivals at {rate:d} a second for {duration_s:d} s are the same for seed "
+    "{seed:d} and differ for seed {other:d}"
+)
+def compare_arrivals(context, rate, duration_s, seed, other):
+    """Compare arrivals by their seeds."""
+    first = list(create_arrivals(rate, duration_s, seed))
+    assert first == list(create_arrivals(rate, duration_s, seed))
+    assert first != list(create_arrivals(rate, duration_s, other))
+    assert abs(len(first) - rate * duration_s) < rate * duration_s / 5
+
+
+@then(
+    'keys drawn with seed {seed:d} are the same again and "{key}" is the most frequent'
+)
+def compare_keys(context, seed, key):
+    """Compare keys drawn twice with one seed."""
+    first, second = create_keys(100, 1.0, seed), create_keys(100, 1.0, seed)
+    drawn = [first.draw() for _ in range(DRAWS)]
+    assert drawn == [second.draw() for _ in range(DRAWS)]
+    assert Counter(drawn).most_common(1)[0][0] == key
+
+
+@then("all requests are done and at least {count:d} took over {limit_ms:d} ms")
+def expect_stall(context, count, limit_ms):
+    """Expect that requests due during the stall count it."""
+    report = context.report
+    assert report.done == report.offered, report
+    slow = [
+        sample
+        for sample in context.samples
+        if sample.end_ns - sample.intended_ns > limit_ms * NS_PER_MS
+    ]
+    assert len(slow) >= count, report
+
+
+@then("the text and the JSON of the report give the same count of requests done")
+def compare_formats(context):
+    """Compare both formats of the report."""
+    value = json.loads(FORMATTERS["json"](context.report))
+    assert value["done"] == context.report.done > 0
+    assert value["latency"]["all"]["count"] == value["done"]
+    assert f"done          {value['done']}" in FORMATTERS["text"](context.report)
+
+
+@then("every request counts as not run")
+def expect_not_run(context):
+    """Expect refused connections to count as not run."""
+    assert context.report.not_run == context.report.offered > 0, context.report
+
+
+@then("requests are unsent and every request is accounted for")
+def expect_unsent(context):
+    """Expect the sum of all counts to be what was offered."""
+    report = context.report
+    assert report.unsent > 0, report
+    assert report.done + report.unsent == report.offered, report
+    assert report.unanswered == 0, report
--- /dev/null
+++ b/knapweedrock/load/report.py
@@ -0,0 +1,107 @@
+"""Report of a load run and the formats it is given in."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from knapweedrock.codes import Code, Outcome
+from knapweedrock.load.samples import Latency, Tally
+
+Formatter = Callable[["LoadReport"], str]
+
+FORMATTERS: dict[str, Formatter] = {}
+
+
+class LoadReport(NamedTuple):
+    """What a load run offered and what came back.
+
+    `offered` counts all arrivals, `unsent` those held back because too many were
+    in flight, `unanswered` those without an answer at the end of the run.
+    """
+
+    seed: int
+    rate: float
+    duration_s: float
+    offered: int
+    done: int
+    not_run: int
+    may_have_run: int
+    unsent: int
+    unanswered: int
+    codes: dict[str, int]
+    latency: dict[str, Latency]
+
+
+def formatter(name: str) -> Callable[[Formatter], Formatter]:
+    """Register a format of the report under a name."""
+
+    def register(function: Formatter) -> Formatter:
+        FORMATTERS[name] = function
+        return function
+
+    return register
+
+
+def create_report(
+    tally: Tally, offered: int, seed: int, rate: float, duration_s: float
+) -> LoadReport:
+    """Create the report of a tally."""
+    counted = sum(tally.outcomes.values()) + tally.unsent
+    return LoadReport(
+        seed,
+        rate,
+        duration_s,
+        offered,
+        tally.outcomes[Outcome.DONE.value],
+        tally.outcomes[Outcome.NOT_RUN.value],
+        tally.outcomes[Outcome.MAY_HAVE_RUN.value],
+        tally.unsent,
+        offered - counted,
+        {name_code(code): count for code, count in sorted(tally.codes.items())},
+        tally.summarize(),
+    )
+
+
+def name_code(code: int) -> str:
+    """Name a result code, or the lack of one."""
+    try:
+        return f"{code} {Code(code).name}"
+    except ValueError:
+        return "no answer" if code < 0 else f"{code} unknown"
+
+
+@formatter("json")
+def format_json(report: LoadReport) -> str:
+    """Format the report as JSON."""
+    plain = report._asdict() | {
+        "latency": {kind: value._asdict() for kind, value in report.latency.items()}
+    }
+    return msgspec.json.format(msgspec.json.encode(plain)).decode()
+
+
+@formatter("text")
+def format_text(report: LoadReport) -> str:
+    """Format the report as text for people."""
+    lines = [
+        f"offered {report.offered} requests in {report.duration_s:g} s "
+        f"(rate {report.rate:g}/s, seed {report.seed})",
+        f"  done          {report.done}",
+        f"  not run       {report.not_run}",
+        f"  may have run  {report.may_have_run}",
+        f"  unsent        {report.unsent}",
+        f"  unanswered    {report.unanswered}",
+        "codes",
+        *(f"  {name:24} {count}" for name, count in report.codes.items()),
+        "latency of requests done, from the intended send time, in ms",
+        "  kind       count      p50      p90      p99    p99.9      max",
+        *(format_latency(kind, found) for kind, found in report.latency.items()),
+    ]
+    return "\n".join(lines)
+
+
+def format_latency(kind: str, found: Latency) -> str:
+    """Format one line of latencies."""
+    values = (found.p50_ms, found.p90_ms, found.p99_ms, found.p999_ms, found.max_ms)
+    columns = " ".join(f"{value:8.2f}" for value in values)
+    return f"  {kind:8} {found.count:7d} {columns}"
--- /dev/null
+++ b/knapweedrock/load/samples.py
@@ -0,0 +1,89 @@
+"""Samples of finished requests and their tally."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from knapweedrock.codes import Outcome
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+NS_PER_US = 1000
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+NO_CODE = -1
+
+
+class Sample(NamedTuple):
+    """One finished request; times in CLOCK_BOOTTIME ns, `code` -1 without answer."""
+
+    kind: str
+    key: str
+    address: str
+    intended_ns: int
+    end_ns: int
+    status: int
+    code: int
+    outcome: str
+    retry_after: bool
+
+
+class Latency(NamedTuple):
+    """Latencies of the requests done, counted from the intended send time."""
+
+    count: int
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+class Tally:
+    """Counts by outcome and code, and latencies by kind."""
+
+    def __init__(self) -> None:
+        self.outcomes: Counter[str] = Counter()
+        self.codes: Counter[int] = Counter()
+        self.addresses: Counter[str] = Counter()
+        self.unsent = 0
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def add(self, sample: Sample) -> None:
+        """Count one sample; its latency only if it was done."""
+        self.outcomes[sample.outcome] += 1
+        self.codes[sample.code] += 1
+        self.addresses[sample.address] += 1
+        if sample.outcome != Outcome.DONE.value:
+            return
+        value_us = max(1, (sample.end_ns - sample.intended_ns) // NS_PER_US)
+        self._find_histogram(sample.kind).record_value(min(value_us, HIGHEST_US))
+
+    def summarize(self) -> dict[str, Latency]:
+        """Summarize latencies by kind, and over all of them as `all`."""
+        everything = create_histogram()
+        for histogram in self._histograms.values():
+            everything.add(histogram)
+        found = {"all": everything, **self._histograms}
+        return {kind: summarize_histogram(found[kind]) for kind in sorted(found)}
+
+    def _find_histogram(self, kind: str) -> HdrHistogram:
+        histogram = self._histograms.get(kind)
+        if histogram is None:
+            histogram = self._histograms[kind] = create_histogram()
+        return histogram
+
+
+def create_histogram() -> HdrHistogram:
+    """Create an empty histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def summarize_histogram(histogram: HdrHistogram) -> Latency:
+    """Read the percentiles of a histogram in milliseconds."""
+    values = [
+        histogram.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    ]
+    return Latency(histogram.total_count, *values, histogram.max_value / 1000)
