Draw Zipf keys without a table and add the load command's part

A table of sums would take the memory of every key, and settings allow four billion: rejection-inversion draws from 2.1 billion keys at once, and 20000 draws match the formula within five deviations for four exponents.

--- a/features/load.feature
+++ b/features/load.feature
@@ -3,7 +3,20 @@
 
   Scenario: Arrivals and keys repeat with their seed
     Then arrivals at 500 a second for 2 s are the same for seed 3 and differ for seed 4
-    And keys drawn with seed 3 are the same again and "key-0" is the most frequent
+    And keys drawn with seed 3 are the same again and "key-1" is the most frequent
+
+  Scenario Outline: Keys follow the Zipf distribution
+    Then 20000 keys of 50 with exponent <exponent> come as often as the formula says
+
+    Examples:
+      | exponent |
+      | 0.0      |
+      | 0.8      |
+      | 1.0      |
+      | 1.5      |
+
+  Scenario: Billions of keys cost no memory
+    Then a key of 2100000000 with exponent 1.0 is drawn at once
 
   Scenario: A stall of the server is not hidden
     Given a plain server that stalls once for 400 ms
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -10,7 +10,7 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import create_keys
-from knapweedrock.load.program import LoadOptions, run_load
+from knapweedrock.load.program import LoadOptions, offer_load
 from knapweedrock.load.report import FORMATTERS
 from knapweedrock.sockets import create_http_server
 
@@ -43,13 +43,13 @@
 
 
 @when("load is offered at {rate:d} a second for {duration_s:d} s")
-def offer_load(context, rate, duration_s, in_flight=1000):
+def offer_counted_load(context, rate, duration_s, in_flight=1000):
     """Offer load and keep all samples."""
     context.samples = []
     options = LoadOptions(
         (context.address,), rate, duration_s, in_flight=in_flight, seed=7
     )
-    context.report = run_load(options, context.samples.append)
+    context.report = offer_load(options, context.samples.append)
 
 
 @when(
@@ -58,7 +58,7 @@
 )
 def offer_bounded_load(context, rate, duration_s, in_flight):
     """Offer load with few requests in flight."""
-    offer_load(context, rate, duration_s, in_flight)
+    offer_counted_load(context, rate, duration_s, in_flight)
 
 
 @then(
@@ -84,6 +84,28 @@
     assert Counter(drawn).most_common(1)[0][0] == key
 
 
+@then(
+    "{draws:d} keys of {count:d} with exponent {exponent:f} come as often as the "
+    "formula says"
+)
+def compare_frequencies(context, draws, count, exponent):
+    """Compare frequencies with the distribution, within five deviations."""
+    source = create_keys(count, exponent, seed=5)
+    found = Counter(source.draw() for _ in range(draws))
+    whole = sum(rank**-exponent for rank in range(1, count + 1))
+    for rank in range(1, count + 1):
+        share = rank**-exponent / whole
+        deviation = (draws * share * (1 - share)) ** 0.5
+        assert abs(found[f"key-{rank}"] - draws * share) < 5 * deviation, rank
+
+
+@then("a key of {count:d} with exponent {exponent:f} is drawn at once")
+def draw_of_many(context, count, exponent):
+    """Draw from billions of keys."""
+    rank = int(create_keys(count, exponent, seed=5).draw().removeprefix("key-"))
+    assert 1 <= rank <= count
+
+
 @then("all requests are done and at least {count:d} took over {limit_ms:d} ms")
 def expect_stall(context, count, limit_ms):
     """Expect that requests due during the stall count it."""
--- /dev/null
+++ b/knapweedrock/load/commands.py
@@ -0,0 +1,36 @@
+"""The `load` command: run, print, exit by what came back."""
+
+import click
+
+from knapweedrock.load.program import LoadOptions, offer_load
+from knapweedrock.load.report import FORMATTERS
+from knapweedrock.settings import LoadSettings
+from knapweedrock.status import ExitStatus
+
+KEY_HEADER = "Order-Key"
+
+
+def run_load(settings: LoadSettings) -> ExitStatus:
+    """Run the load that the settings ask for and print its report."""
+    report = offer_load(create_options(settings))
+    click.echo(FORMATTERS["json" if settings.as_json else "text"](report))
+    if report.done == 0:
+        return ExitStatus.UNREACHABLE
+    return ExitStatus.SUCCESS
+
+
+def create_options(settings: LoadSettings) -> LoadOptions:
+    """Create options from checked settings; the key goes in header and path."""
+    return LoadOptions(
+        addresses=tuple(str(address) for address in settings.nodes),
+        rate=settings.rate,
+        duration_s=settings.seconds,
+        read_path=settings.path,
+        order_path=settings.path,
+        key_header=KEY_HEADER,
+        keys=settings.keys,
+        zipf=settings.zipf,
+        order_share=settings.orders_share,
+        deadline_ms=settings.deadline_ms,
+        seed=settings.seed,
+    )
--- a/knapweedrock/load/keys.py
+++ b/knapweedrock/load/keys.py
@@ -1,21 +1,48 @@
 """Keys drawn by popularity (Zipf), repeatable by seed."""
 
+import math
 import random
-from bisect import bisect_left
-from itertools import accumulate
 
 
 class ZipfKeys:
-    """Keys `key-0`, `key-1`, … where rank r is drawn in proportion to 1/(r+1)^s."""
+    """Keys `key-1` to `key-N`, where rank r is drawn in proportion to r^-s.
+
+    Rejection-inversion after Hörmann and Derflinger: no table, so that the number
+    of keys costs neither memory nor time.
+    """
 
     def __init__(self, count: int, exponent: float, source: random.Random) -> None:
+        self._count = count
+        self._exponent = exponent
         self._random = source
-        self._sums = list(accumulate((rank + 1) ** -exponent for rank in range(count)))
+        self._low = self._integrate(1.5) - 1.0
+        self._high = self._integrate(count + 0.5)
+        self._sure = 2.0 - self._invert(self._integrate(2.5) - self._weigh(2))
 
     def draw(self) -> str:
         """Draw the next key."""
-        place = self._random.random() * self._sums[-1]
-        return f"key-{bisect_left(self._sums, place)}"
+        while True:
+            area = self._high + self._random.random() * (self._low - self._high)
+            place = self._invert(area)
+            rank = min(max(int(place + 0.5), 1), self._count)
+            near = rank - place <= self._sure
+            if near or area >= self._integrate(rank + 0.5) - self._weigh(rank):
+                return f"key-{rank}"
+
+    def _weigh(self, rank: int) -> float:
+        return rank**-self._exponent
+
+    def _integrate(self, place: float) -> float:
+        if self._exponent == 1.0:
+            return math.log(place)
+        power = 1.0 - self._exponent
+        return (place**power - 1.0) / power
+
+    def _invert(self, area: float) -> float:
+        if self._exponent == 1.0:
+            return math.exp(area)
+        power = 1.0 - self._exponent
+        return max(1.0 + area * power, 0.0) ** (1.0 / power)
 
 
 def create_keys(count: int, exponent: float, seed: int) -> ZipfKeys:
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -158,7 +158,7 @@
     return (Outcome.DONE if done else Outcome.MAY_HAVE_RUN).value
 
 
-def run_load(
+def offer_load(
     options: LoadOptions, observe: Callable[[Sample], None] | None = None
 ) -> LoadReport:
     """Offer load and return the report; `observe` is called with each sample.
