--- /dev/null
+++ b/features/support/fakes.py
@@ -0,0 +1,63 @@
+"""Fakes of a node's parts, so that the ingress runs alone in one process."""
+
+import hashlib
+import json
+from collections import defaultdict
+from collections.abc import Callable
+
+from features.support.builders import build_settings
+from knapweedrock.codes import Code
+from knapweedrock.environment import Environment
+from knapweedrock.nodes.messages import Deliver, Delivered
+
+Behaviour = Callable[[Deliver], Delivered]
+
+
+def echo(message: Deliver) -> Delivered:
+    """Answer with what identifies the request."""
+    fields = {
+        "key": message.key,
+        "method": message.method,
+        "path": message.path,
+        "digest": hashlib.sha256(message.body).hexdigest(),
+        "order_id": message.order_id,
+        "caller": message.caller,
+        "headers": message.headers,
+    }
+    body = b"" if message.method == "HEAD" else json.dumps(fields).encode()
+    return Delivered(
+        0, 200, [("Content-Type", "application/json")], body, "", 0, (1, 1)
+    )
+
+
+def refuse(code: Code, retry_after_ms: int = 0) -> Delivered:
+    """Build the result of a refused request."""
+    return Delivered(int(code), 0, [], b"", code.name, retry_after_ms, (1, 1))
+
+
+class FakeNodes:
+    """Nodes behind the links and the node's own delivery; each has a behaviour."""
+
+    def __init__(self) -> None:
+        self.behaviours: dict[str, Behaviour] = defaultdict(lambda: echo)
+        self.received: dict[str, list[Deliver]] = defaultdict(list)
+        self.timeouts_ms: list[float] = []
+
+    def request(self, address, node_id, message, timeout_ms):
+        """Stand in for `env.links.request`."""
+        self.timeouts_ms.append(timeout_ms)
+        self.received[node_id].append(message)
+        return self.behaviours[node_id](message)
+
+    def deliver(self, message: Deliver) -> Delivered:
+        """Stand in for `env.delivery.deliver`."""
+        self.received["node-0"].append(message)
+        return self.behaviours["node-0"](message)
+
+
+def create_fake_environment(nodes: FakeNodes, **changes: object) -> Environment:
+    """Create an environment whose other nodes are fakes."""
+    env = Environment(build_settings(**changes), incarnation="1")
+    env.links = nodes
+    env.delivery = nodes
+    return env
