--- /dev/null
+++ b/knapweedrock/checker.py
@@ -0,0 +1,127 @@
+"""Checking of settings: reads each value and collects every wrong one."""
+
+import ipaddress
+import math
+import re
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from knapweedrock.errors import SettingError
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+SECRET_PATTERN = re.compile(r"[!-~]{0,256}")
+SECRET_MIN_CHARACTERS = 16
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """IP address and port of a listener."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parse `IP:PORT`, with an IPv6 address in brackets; raise ValueError if wrong."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isascii() or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    if host.startswith("[") and host.endswith("]"):
+        parsed = ipaddress.IPv6Address(host[1:-1])
+    else:
+        parsed = ipaddress.IPv4Address(host)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is not 1 to {MAX_PORT}")
+    return Address(str(parsed), int(port))
+
+
+def is_loopback(address: Address) -> bool:
+    """Tell whether only processes of the same machine reach the address."""
+    return ipaddress.ip_address(address.host).is_loopback
+
+
+class Checker:
+    """Reader of raw settings that notes each error and goes on.
+
+    Every `read_` method returns a usable stand-in after an error, so that the
+    settings can be built; `close` then raises all errors together.
+    """
+
+    def __init__(self, given: Mapping[str, object], variables: str) -> None:
+        self.given = given
+        self.variables = variables
+        self.errors: list[SettingError] = []
+
+    def refuse(self, name: str, found: object, expected: str) -> None:
+        """Note one wrong setting under its flag and environment variable."""
+        flag = "--" + name.replace("_", "-")
+        variable = f"{self.variables}_{name.upper()}"
+        shown = "nothing" if found is None else found
+        self.errors.append(SettingError(f"{flag} ({variable})", shown, expected))
+
+    def read_name(self, name: str) -> str:
+        """Read a name made of letters, digits, dots, dashes and underscores."""
+        value = self.given.get(name)
+        if isinstance(value, str) and NAME_PATTERN.fullmatch(value):
+            return value
+        expected = "1 to 63 letters, digits, '.', '_' or '-', a letter or digit first"
+        self.refuse(name, value, expected)
+        return "unknown"
+
+    def read_address(self, name: str) -> Address:
+        """Read a specific IP address with a port."""
+        value = self.given.get(name)
+        try:
+            address = parse_address(str(value))
+        except ValueError:
+            self.refuse(name, value, "IP:PORT, such as 127.0.0.1:7001 or [::1]:7001")
+            return Address("127.0.0.1", 1)
+        if ipaddress.ip_address(address.host).is_unspecified:
+            self.refuse(name, value, "the address that others reach, not a wildcard")
+        return address
+
+    def read_integer(self, name: str, low: int, high: int) -> int:
+        """Read a whole number within bounds, both included."""
+        value = self.given.get(name)
+        text = str(value)
+        if text.isascii() and text.isdigit() and low <= int(text[:20]) <= high:
+            return int(text)
+        self.refuse(name, value, f"a whole number from {low} to {high}")
+        return low
+
+    def read_number(self, name: str, low: float, high: float) -> float:
+        """Read a decimal number within bounds, both included."""
+        value = self.given.get(name)
+        try:
+            number = float(str(value))
+        except ValueError:
+            number = math.nan
+        if low <= number <= high:
+            return number
+        self.refuse(name, value, f"a number from {low:g} to {high:g}")
+        return low
+
+    def read_flag(self, name: str) -> bool:
+        """Read a flag."""
+        value = self.given.get(name)
+        if isinstance(value, bool):
+            return value
+        self.refuse(name, value, "true or false")
+        return False
+
+    def read_secret(self, name: str) -> str:
+        """Read a shared secret without ever repeating it in an error."""
+        value = str(self.given.get(name) or "")
+        if SECRET_PATTERN.fullmatch(value):
+            return value
+        self.refuse(name, "(hidden)", "at most 256 printable ASCII characters")
+        return ""
+
+    def close(self) -> None:
+        """Raise all errors noted so far as one ExceptionGroup of SettingError."""
+        if self.errors:
+            raise ExceptionGroup("wrong settings", self.errors)
--- a/knapweedrock/core.py
+++ b/knapweedrock/core.py
@@ -1,12 +1,16 @@
 """The program from top to bottom: read the command line, run, exit by status."""
 
+import errno
 import sys
 
 import click
 
+from knapweedrock.codes import Code
 from knapweedrock.definition import cli
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.status import ExitStatus
+from knapweedrock.status import ExitStatus, find_status
+
+PROGRAM = "knapweedrock"
 
 
 def main() -> None:
@@ -14,20 +18,43 @@
     sys.exit(int(run()))
 
 
-def run() -> ExitStatus:
+def run(arguments: list[str] | None = None) -> ExitStatus:
     """Run the command line and return the status to exit with."""
     try:
-        status = cli.main(standalone_mode=False)
-    except click.exceptions.Abort:
+        status = cli.main(arguments, prog_name=PROGRAM, standalone_mode=False)
+    except (click.exceptions.Abort, KeyboardInterrupt):
         return ExitStatus.INTERRUPTED
     except click.ClickException as error:
         error.show()
         return ExitStatus.USAGE
     except ExceptionGroup as group:
-        for error in group.exceptions:
-            click.echo(f"error: {error}", err=True)
-        return ExitStatus.SETTINGS
+        return report_errors(group)
     except KnapweedrockError as error:
-        click.echo(f"error: {error}", err=True)
-        return ExitStatus.FAILURE
+        return report_error(error)
+    except OSError as error:
+        if error.errno != errno.EADDRINUSE:
+            raise
+        return report_error(KnapweedrockError(Code.ADDRESS_IN_USE, str(error)))
     return ExitStatus(status or ExitStatus.SUCCESS)
+
+
+def report_error(error: KnapweedrockError) -> ExitStatus:
+    """Print one error and return its exit status."""
+    click.echo(f"error: {error}", err=True)
+    return find_status(error.code)
+
+
+def report_errors(group: ExceptionGroup) -> ExitStatus:
+    """Print every error of a group and return the exit status of the first."""
+    known, others = group.split(KnapweedrockError)
+    if others:
+        raise others
+    return [report_error(error) for error in flatten(known)][0]
+
+
+def flatten(group: ExceptionGroup) -> list[KnapweedrockError]:
+    """List the errors of a group and of the groups in it."""
+    found = []
+    for error in group.exceptions:
+        found += flatten(error) if isinstance(error, ExceptionGroup) else [error]
+    return found
--- a/knapweedrock/status.py
+++ b/knapweedrock/status.py
@@ -2,6 +2,8 @@
 
 from enum import IntEnum
 
+from knapweedrock.codes import Code
+
 
 class ExitStatus(IntEnum):
     """Exit status of each way to end."""
@@ -15,3 +17,19 @@
     UNREACHABLE = 6
     PROMISE_BROKEN = 7
     INTERRUPTED = 130
+
+
+GROUP_STATUSES = {
+    Code.TICKET_MALFORMED // 100: ExitStatus.TICKET_REFUSED,
+    Code.PLATFORM_UNAVAILABLE // 100: ExitStatus.UNREACHABLE,
+    Code.SETTING_INVALID // 100: ExitStatus.SETTINGS,
+}
+
+
+def find_status(code: Code) -> ExitStatus:
+    """Find the exit status that a result code ends the program with."""
+    if code == Code.DONE:
+        return ExitStatus.SUCCESS
+    if code == Code.TICKET_NOT_IN_FORCE:
+        return ExitStatus.NOT_IN_FORCE
+    return GROUP_STATUSES.get(code // 100, ExitStatus.FAILURE)
