Coordinate a cell: links, promises, node leases, tables and moves

Cause: ownership needs a coordinator whose office is won in the platform and held by voters' promises, so that an outage of the platform stops only changes of owner. Weighed: leases in the platform (every outage longer than a lease stops every key), guardians of each node (more messages, no fewer platform writes), fencing alone (not all targets check).

--- a/features/steps/ingress.py
+++ b/features/steps/ingress.py
@@ -9,7 +9,11 @@
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as vary
 
-from features.support.caller_builders import build_configuration, build_member, build_view
+from features.support.caller_builders import (
+    build_configuration,
+    build_member,
+    build_view,
+)
 from features.support.fakes import FakeNodes, create_fake_environment
 from features.support.raw_http import build_request, exchange
 from knapweedrock.callers.server import create_server
--- a/knapweedrock/environment.py
+++ b/knapweedrock/environment.py
@@ -10,8 +10,11 @@
 from knapweedrock.settings import NodeSettings
 
 if TYPE_CHECKING:
+    from knapweedrock.nodes.coordinator import Coordinator
     from knapweedrock.nodes.leases import NodeLease
     from knapweedrock.nodes.links import Links
+    from knapweedrock.nodes.membership import Membership
+    from knapweedrock.nodes.voter import Voter
     from knapweedrock.platform.interface import Platform
     from knapweedrock.targets.delivery import Delivery
 
@@ -19,13 +22,16 @@
 class Environment:
     """All that the parts of one node share.
 
-    The parts that `node.create_node` builds (`platform`, `links`, `lease`,
-    `delivery`) are set once, before any listener opens.
+    The parts that `node.create_node` builds (`platform`, `links`, `lease`, `voter`,
+    `membership`, `coordinator`, `delivery`) are set once, before a listener opens.
     """
 
     platform: "Platform"
     links: "Links"
     lease: "NodeLease"
+    voter: "Voter"
+    membership: "Membership"
+    coordinator: "Coordinator"
     delivery: "Delivery"
 
     def __init__(
--- a/knapweedrock/nodes/messages.py
+++ b/knapweedrock/nodes/messages.py
@@ -195,31 +195,32 @@
 
 @message(29)
 class Release(NamedTuple):
-    """Coordinator's order to stop serving ranges, by table token.
+    """Coordinator's order to stop serving ranges, while its view marks them moving.
 
-    The node answers when nothing of them is in flight any more.
+    `spans` holds `(start, end)` pairs, the end excluded. The node answers when
+    nothing of them is in flight any more, or fails when that takes longer than
+    `wait_ms`. `(epoch, count)` is the first view with the mark.
     """
 
     epoch: int
+    count: int
     service: str
-    starts: list[int]
+    spans: list[tuple[int, int]]
     wait_ms: int
 
 
 @message(30)
 class Released(NamedTuple):
-    """Ranges released, with the record of recent order ids to hand over."""
+    """Ranges are released; hands over the records of their recent order ids."""
 
-    starts: list[int]
     orders: list[dict[str, Any]]
 
 
 @message(31)
 class Assign(NamedTuple):
-    """Coordinator's push of a newer view with the records handed over."""
+    """Coordinator's push of a newer view."""
 
     view: dict[str, Any]
-    orders: dict[str, list[dict[str, Any]]]
 
 
 @message(32)
@@ -228,3 +229,12 @@
 
     fingerprint: str
     remaining_ms: int
+
+
+@message(33)
+class Adopt(NamedTuple):
+    """Records of recent order ids for ranges that the receiver is about to own."""
+
+    epoch: int
+    service: str
+    orders: list[dict[str, Any]]
--- a/knapweedrock/nodes/view.py
+++ b/knapweedrock/nodes/view.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, NotRequired, TypedDict
 
 import xxhash
+from gevent.event import Event
 
 HASH_SPACE = 1 << 64
 
@@ -33,7 +34,8 @@
     """Hashes from `start` up to the next range, with owner and fencing token.
 
     An empty owner means that nobody owns the range. `since_ms` is the wall time at
-    which this ownership was written.
+    which this ownership was written. `moving` stands in views only: the owner has
+    been told to release the range.
     """
 
     start: int
@@ -42,6 +44,7 @@
     token: int
     since_ms: int
     hot: NotRequired[bool]
+    moving: NotRequired[bool]
 
 
 class Table(TypedDict):
@@ -69,6 +72,7 @@
     count: int
     coordinator: str
     standby: str
+    voters: list[str]
     members: dict[str, Member]
     tables: dict[str, Table]
 
@@ -81,6 +85,7 @@
         "count": 0,
         "coordinator": "",
         "standby": "",
+        "voters": [],
         "members": {},
         "tables": {},
     }
@@ -97,6 +102,7 @@
     def __init__(self, cell: str) -> None:
         self.view = create_view(cell)
         self.version = ViewVersion(0, 0)
+        self.changed = Event()
         self._starts: dict[str, list[int]] = {}
 
     def replace(self, view: View) -> bool:
@@ -110,8 +116,17 @@
             name: [r["start"] for r in table["ranges"]]
             for name, table in view["tables"].items()
         }
+        changed, self.changed = self.changed, Event()
+        changed.set()
         return True
 
+    def wait_newer(self, version: ViewVersion, timeout_ms: float) -> bool:
+        """Wait for a view newer than the version; tell whether there is one."""
+        if self.version > version:
+            return True
+        self.changed.wait(max(timeout_ms, 0) / 1000)
+        return self.version > version
+
     def find_range(self, service: str, key_hash: int) -> Range | None:
         """Find the range that holds the hash."""
         starts = self._starts.get(service)
