Move ranges only from owners that were heard; publish changes of voters

Cause: a successor asked a lost owner to release ranges, and members went on with the first list of voters and held back as outsiders in the next election. Ruled out: the promises (they ran out after 500 ms as set).

--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -149,6 +149,7 @@
         except PlatformError:
             self.env.counters.count("voter_writes_failed")
             return
+        self.publish()
         log.info("voters changed voters={}", sorted(self.office.record["voters"]))
 
     def _yield_without_platform(self, now: int) -> None:
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -101,16 +101,16 @@
     def _evacuate(self) -> bool:
         """Move ranges away from owners that leave or whose zone is out."""
         table = self.term.tables.get(self.service)
-        owners = self.term.roster.list_owners(self.service)
-        starts = {
+        roster = self.term.roster
+        owners = roster.list_owners(self.service)
+        starts = [
             entry["start"]
             for entry in table["ranges"]
-            if entry["owner"] and entry["owner"] not in owners
-        }
-        alive = {start for start in starts if self._is_owned_alive(table, start)}
-        batch = set(sorted(alive)[:EVACUATION_BATCH_RANGES])
-        moves = plan_orphans(table, batch, owners)
-        return self._move(moves)
+            if entry["owner"] not in owners
+            and roster.is_heard(Process(entry["owner"], entry["incarnation"]))
+        ]
+        batch = set(starts[:EVACUATION_BATCH_RANGES])
+        return self._move(plan_orphans(table, batch, owners))
 
     def _balance(self) -> bool:
         table = self.term.tables.get(self.service)
@@ -203,7 +203,9 @@
         self.env.counters.count("releases_failed")
         self.failed_releases[source] += 1
         entry = self.term.roster.entries.get(source)
-        if entry is None or self.failed_releases[source] < FAILED_RELEASES_LIMIT:
+        if entry is None or entry.suspended:
+            return
+        if self.failed_releases[source] < FAILED_RELEASES_LIMIT:
             return
         entry.suspended = True
         log.warning("lease withheld node={} reason={}", source, error)
@@ -231,11 +233,6 @@
             if entry["start"] in starts
         ]
 
-    def _is_owned_alive(self, table: Table, start: int) -> bool:
-        entry = next(r for r in table["ranges"] if r["start"] == start)
-        process = Process(entry["owner"], entry["incarnation"])
-        return self.term.roster.is_alive(process)
-
     def _is_due(self, name: str, interval_ms: int) -> bool:
         now = self.env.clock.now_ns()
         if now - getattr(self, name) < interval_ms * 1_000_000:
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -92,6 +92,10 @@
         entry = self.entries.get(process.node_id)
         return entry is not None and entry.member["incarnation"] == process.incarnation
 
+    def is_heard(self, process: Process) -> bool:
+        """Tell whether this very process has sent a heartbeat in this office."""
+        return self.is_alive(process) and bool(self.entries[process.node_id].heard_ns)
+
     def free_at_ns(self, process: Process, service: str) -> int:
         """Return from when the ranges of a process that is gone may be given away.
 
