Move the history checks into the program and write the demo around them

The demo must tell by itself whether something that must hold was broken, so the checks can't live in the tests alone; the tests import them from there. Samples of the load program carry tag and order id, and an answer can be checked to be its own.

--- a/features/history.feature
+++ b/features/history.feature
@@ -149,3 +149,8 @@
 
   Scenario: Order ids carry their time and sort by it
     Then order ids made at 1000 and 2000 ms are version 7 and sort by their time
+
+  Scenario: More work than a target bears is found
+    Given a target that was given 9 requests when it bore 4
+    When the excess is checked
+    Then 1 breaches of "only what it bears" are found
--- a/features/steps/history.py
+++ b/features/steps/history.py
@@ -7,10 +7,12 @@
 from features.support.builders import create_call, create_execution
 from features.support.history import (
     check_all,
+    check_bearable,
     check_silence,
     measure_churn,
     measure_imbalance,
     measure_key_gap,
+    read_excess,
     read_tag,
 )
 from knapweedrock.clock import NS_PER_MS
@@ -84,6 +86,19 @@
     context.violations = check_all(calls, executions)
 
 
+@given("a target that was given {given:d} requests when it bore {bears:d}")
+def build_excess(context, given, bears):
+    """Build the excess of a target's log."""
+    entries = [{"at_ns": 1, "given": given, "bears": bears}]
+    context.excess = read_excess("t1", entries)
+
+
+@when("the excess is checked")
+def check_excess(context):
+    """Run the check of what targets bear."""
+    context.violations = check_bearable(context.excess)
+
+
 @when('target "{target}" must be silent from {start:d} to {end:d} ms')
 def check_silent_target(context, target, start, end):
     """Run the check of silence."""
--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from features.support.builders import Layout, NodeSpec, create_full_configuration
-from features.support.history import Execution, read_executions
+from features.support.history import (
+    Excess,
+    Execution,
+    read_excess,
+    read_executions,
+)
 from features.support.http import Reply, call, call_or_none
 from features.support.processes import (
     Child,
@@ -40,7 +45,10 @@
 
 
 class Mesh:
-    """Platform stand-in, nodes and targets of a layout as separate processes."""
+    """Platform stand-in, nodes and targets of a layout as separate processes.
+
+    `node_module` is the module that runs in place of the program for each node.
+    """
 
     def __init__(
         self,
@@ -49,7 +57,9 @@
         target_flags: tuple[str, ...] = ("--work-ms", "2", "--cold-s", "1"),
         platform_flags: tuple[str, ...] = (),
         cell: str = "cell-1",
+        node_module: str = "knapweedrock",
     ) -> None:
+        self.node_module = node_module
         self.layout = layout
         self.cell = cell
         self.node_flags = node_flags
@@ -92,7 +102,8 @@
     def start_node(self, name: str) -> None:
         """Start the node of a VM, also again, at the VM's present addresses."""
         vm = self.vms[name]
-        vm.node = self._create_child(f"node-{name}", self._node_arguments(vm))
+        arguments = self._node_arguments(vm)
+        vm.node = self._create_child(f"node-{name}", arguments, self.node_module)
         vm.node.start()
 
     def start_target(self, name: str) -> None:
@@ -118,8 +129,10 @@
         for child in self.children:
             child.kill()
 
-    def _create_child(self, name: str, arguments: list[str]) -> Child:
-        child = Child(name, arguments, self.directory)
+    def _create_child(
+        self, name: str, arguments: list[str], module: str = "knapweedrock"
+    ) -> Child:
+        child = Child(name, arguments, self.directory, module)
         self.children.append(child)
         return child
 
@@ -267,11 +280,22 @@
 
     # What is known
 
+    def fetch_log(self, name: str) -> dict[str, Any]:
+        """Fetch a target's whole log."""
+        address = self.vms[name].target_address
+        return call(address, "GET", "/emulator/log", timeout_s=10.0).json()
+
     def fetch_executions(self, name: str) -> list[Execution]:
         """Fetch what a target truly ran."""
-        address = self.vms[name].target_address
-        reply = call(address, "GET", "/emulator/log", timeout_s=10.0)
-        return read_executions(name, reply.json()["entries"])
+        return read_executions(name, self.fetch_log(name)["entries"])
+
+    def fetch_all_excess(self) -> list[Excess]:
+        """Fetch when the running targets were given more than they bear."""
+        found = []
+        for name, vm in self.vms.items():
+            if vm.target.is_running():
+                found += read_excess(name, self.fetch_log(name).get("excess", []))
+        return found
 
     def fetch_all_executions(self) -> list[Execution]:
         """Fetch what all targets ran, those killed by the harness included."""
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -58,8 +58,15 @@
 class Child:
     """One process of the program under test."""
 
-    def __init__(self, name: str, arguments: list[str], directory: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        directory: Path,
+        module: str = "knapweedrock",
+    ) -> None:
         self.name = name
+        self.module = module
         self.arguments = arguments
         self.log = directory / f"{name}.log"
         self.process: subprocess.Popen | None = None
@@ -69,7 +76,7 @@
         environment = os.environ | {"PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"}
         with self.log.open("ab") as output:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "knapweedrock", *self.arguments],
+                [sys.executable, "-m", self.module, *self.arguments],
                 cwd=ROOT,
                 env=environment,
                 stdin=subprocess.DEVNULL,
--- /dev/null
+++ b/knapweedrock/demo/checks.py
@@ -0,0 +1,109 @@
+"""What a demo run showed, checked against the targets' logs."""
+
+from typing import NamedTuple
+
+from knapweedrock.clock import NS_PER_S
+from knapweedrock.codes import Outcome
+from knapweedrock.history import (
+    Call,
+    Violation,
+    check_all,
+    check_silence,
+    find_longest_gap,
+    measure_churn,
+)
+from knapweedrock.load.samples import Latency, Sample, Tally
+
+ZONE_OUT_LIMIT_S = 3
+
+
+class ZoneOut(NamedTuple):
+    """An availability zone that was out; times in CLOCK_BOOTTIME ns."""
+
+    zone: str
+    from_ns: int
+    to_ns: int
+
+
+class Summary(NamedTuple):
+    """Result of a demo run."""
+
+    done: int
+    not_run: int
+    may_have_run: int
+    owners_moved: float
+    longest_gap_ms: float
+    latency: Latency
+    violations: list[Violation]
+
+
+def create_call(sample: Sample, service: str, keyed: bool) -> Call:
+    """Create the history's record of a sample."""
+    return Call(
+        sample.tag,
+        sample.order_id,
+        service,
+        sample.key if keyed else "",
+        "POST" if sample.order_id else "GET",
+        sample.address,
+        sample.intended_ns,
+        sample.intended_ns,
+        sample.end_ns,
+        sample.status,
+        sample.code,
+        sample.outcome,
+        sample.status > 0,
+        sample.own_answer,
+    )
+
+
+def summarize(
+    samples: list[Sample],
+    calls: list[Call],
+    executions,
+    owners: list[list[dict]],
+    zone_out: ZoneOut,
+    zone_targets: list[str],
+) -> Summary:
+    """Summarize a run; `owners` holds the tables read one after the other."""
+    tally = Tally()
+    for sample in samples:
+        tally.add(sample)
+    moved = sum(
+        measure_churn(before, after)
+        for before, after in zip(owners, owners[1:], strict=False)
+    )
+    silent_from_ns = zone_out.from_ns + ZONE_OUT_LIMIT_S * NS_PER_S
+    violations = check_all(calls, executions) + check_silence(
+        executions, zone_targets, silent_from_ns, zone_out.to_ns
+    )
+    keyed = [call for call in calls if call.key]
+    return Summary(
+        tally.outcomes[Outcome.DONE.value],
+        tally.outcomes[Outcome.NOT_RUN.value],
+        tally.outcomes[Outcome.MAY_HAVE_RUN.value],
+        moved,
+        find_longest_gap(keyed).longest_ms,
+        tally.summarize()["all"],
+        violations,
+    )
+
+
+def format_summary(summary: Summary) -> str:
+    """Format the closing table."""
+    rows = [
+        ("requests done", f"{summary.done}"),
+        ("requests not run", f"{summary.not_run}"),
+        ("requests that may have run", f"{summary.may_have_run}"),
+        ("owners moved (share of the key space)", f"{summary.owners_moved:.3f}"),
+        ("longest time a key was unavailable", f"{summary.longest_gap_ms:.0f} ms"),
+        ("p50", f"{summary.latency.p50_ms:.1f} ms"),
+        ("p99", f"{summary.latency.p99_ms:.1f} ms"),
+        ("promises broken", f"{len(summary.violations)}"),
+    ]
+    width = max(len(name) for name, _ in rows)
+    lines = [f"{name:{width}}  {value:>10}" for name, value in rows]
+    broken = [
+        f"broken: {found.promise}: {found.detail}" for found in summary.violations
+    ]
+    return "\n".join([*lines, *broken])
--- /dev/null
+++ b/knapweedrock/demo/mesh.py
@@ -0,0 +1,206 @@
+"""Nodes, targets and platform of a deployment as tasks of one process."""
+
+import socket
+import time
+from typing import NamedTuple
+
+import gevent
+import msgspec
+
+from knapweedrock.demo.deployments import (
+    Deployment,
+    create_demo_configuration,
+    list_places,
+)
+from knapweedrock.emulator.platform import create_platform_emulator
+from knapweedrock.emulator.target import TargetEmulator, create_emulator
+from knapweedrock.errors import RefusalError
+from knapweedrock.faults import Cuts
+from knapweedrock.history import Excess, Execution, read_excess, read_executions
+from knapweedrock.node import Node, create_node
+from knapweedrock.settings import Address, NodeSettings, TargetSettings
+
+HOST = "127.0.0.1"
+CELL = "demo"
+ADDRESSES_PER_VM = 5
+START_TIMEOUT_S = 20.0
+START_PAUSE_S = 0.05
+WORK_MS = 5.0
+COLD_S = 1.0
+COLD_SLOTS = 4
+CONNECT_MS = 1.0
+CUT_ALL = Cuts(frozenset({"*"}), frozenset({"*"}), True, True)
+
+
+class Vm(NamedTuple):
+    """A node and the target beside it."""
+
+    settings: NodeSettings
+    node: Node
+    target: TargetEmulator
+
+
+class DemoMesh:
+    """The mesh of one deployment in this process."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.platform = create_platform_emulator()
+        self.vms: list[Vm] = []
+        self.lost: set[str] = set()
+        self._seed = seed
+        self._tasks: list[gevent.Greenlet] = []
+        self._version = 0
+        self._addresses = iter(
+            take_addresses(1 + ADDRESSES_PER_VM * len(list_places(deployment)))
+        )
+
+    def start(self) -> None:
+        """Start everything and wait until each target's node serves."""
+        platform = self.platform.start(next(self._addresses))
+        self.apply()
+        for index, (service, zone) in enumerate(list_places(self.deployment)):
+            vm = self._create_vm(f"n{index + 1}", service, zone, platform)
+            self.vms.append(vm)
+            vm.node.start()
+            self._start_target(vm.target)
+        self._wait_until_serving()
+
+    def stop(self) -> None:
+        """Stop all tasks."""
+        gevent.killall(self._tasks, block=False)
+        gevent.joinall([gevent.spawn(vm.node.stop) for vm in self.vms], timeout=5)
+        for vm in self.vms:
+            vm.target.server.close()
+        self.platform.stop()
+
+    def apply(self, *out: str) -> None:
+        """Put the configuration with exactly these availability zones out."""
+        value = msgspec.json.encode(create_demo_configuration(self.deployment, out))
+        name = f"config/{self.deployment.group}"
+        self._version = self.platform.store.put(name, value, self._version)
+
+    def lose(self, node_id: str) -> None:
+        """Cut a node off from the platform and all peers for good."""
+        self.lost.add(node_id)
+        self.find(node_id).node.env.faults.cuts = CUT_ALL
+
+    def find(self, node_id: str) -> Vm:
+        """Find a VM by the id of its node."""
+        return next(vm for vm in self.vms if vm.settings.node_id == node_id)
+
+    def list_callers(self) -> list[str]:
+        """List the caller addresses of the nodes that are not lost."""
+        return [str(vm.settings.caller) for vm in self.list_living()]
+
+    def list_living(self) -> list[Vm]:
+        """List the VMs whose node is not lost."""
+        return [vm for vm in self.vms if vm.settings.node_id not in self.lost]
+
+    def find_owner(self, key: str) -> str:
+        """Find the node that owns a key of the keyed service now."""
+        for vm in self.list_living():
+            try:
+                vm.node.env.lease.authorize(self.deployment.keyed, key)
+            except RefusalError:
+                continue
+            return vm.settings.node_id
+        return ""
+
+    def read_owners(self) -> list[dict]:
+        """Read the ranges of the keyed service with their owners."""
+        name = f"tables/{self.deployment.keyed}/{CELL}"
+        found = self.platform.store.get(name)
+        return msgspec.json.decode(found[1])["ranges"] if found else []
+
+    def read_executions(self) -> list[Execution]:
+        """Read what all targets truly ran."""
+        return [
+            execution
+            for vm in self.vms
+            for execution in read_executions(
+                vm.settings.node_id, vm.target.log.to_plain()["entries"]
+            )
+        ]
+
+    def read_excess(self) -> list[Excess]:
+        """Read when targets were given more than they bear."""
+        return [
+            excess
+            for vm in self.vms
+            for excess in read_excess(
+                vm.settings.node_id, vm.target.log.to_plain()["excess"]
+            )
+        ]
+
+    def _create_vm(self, node_id: str, service: str, zone: str, platform) -> Vm:
+        caller, peer, announce, operator, listen = (
+            next(self._addresses) for _ in range(ADDRESSES_PER_VM)
+        )
+        deployment = self.deployment
+        settings = NodeSettings(
+            node_id=node_id,
+            cell=CELL,
+            group=deployment.group,
+            zone=zone,
+            region=deployment.region,
+            caller=caller,
+            peer=peer,
+            target=announce,
+            operator=operator,
+            platform_kind="http",
+            platform=platform,
+            secret="",
+            faults_enabled=False,
+            drain_ms=2000,
+            choice_policy="two-choices",
+            copies_enabled=True,
+        )
+        target = TargetSettings(
+            listen=listen,
+            node=announce,
+            service=service,
+            zone=zone,
+            slots=deployment.slots,
+            connections=deployment.connections,
+            fenced=True,
+            work_ms=WORK_MS,
+            cold_s=COLD_S,
+            cold_slots=COLD_SLOTS,
+            connect_ms=CONNECT_MS,
+            seed=self._seed + len(self.vms),
+        )
+        return Vm(settings, create_node(settings), create_emulator(target))
+
+    def _start_target(self, target: TargetEmulator) -> None:
+        target.start()
+        self._tasks += [
+            gevent.spawn(target.run_announcements),
+            gevent.spawn(target.run_sampling),
+            gevent.spawn(target.run_collapse),
+        ]
+
+    def _wait_until_serving(self) -> None:
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end_s:
+            if all(self._serves(vm) for vm in self.vms):
+                return
+            gevent.sleep(START_PAUSE_S)
+        raise TimeoutError(f"the mesh did not serve within {START_TIMEOUT_S} s")
+
+    def _serves(self, vm: Vm) -> bool:
+        views = vm.node.env.views
+        found = views.find_members(self.deployment.keyed)
+        found += views.find_members(self.deployment.unkeyed)
+        table = views.view["tables"].get(self.deployment.keyed)
+        owned = table is not None and all(row["owner"] for row in table["ranges"])
+        return owned and len(found) == len(self.vms)
+
+
+def take_addresses(count: int) -> list[Address]:
+    """Take free loopback addresses; all are held until the last one is found."""
+    probes = [socket.create_server((HOST, 0)) for _ in range(count)]
+    found = [Address(HOST, probe.getsockname()[1]) for probe in probes]
+    for probe in probes:
+        probe.close()
+    return found
--- /dev/null
+++ b/knapweedrock/demo/program.py
@@ -0,0 +1,151 @@
+"""The `demo` command: start a mesh, load it, break it, and tell how it went."""
+
+import click
+import gevent
+
+from knapweedrock.clock import create_clock
+from knapweedrock.demo.checks import (
+    Summary,
+    ZoneOut,
+    create_call,
+    format_summary,
+    summarize,
+)
+from knapweedrock.demo.deployments import DEPLOYMENTS, KEY_HEADER, LONGEST_REQUEST_MS
+from knapweedrock.demo.mesh import DemoMesh
+from knapweedrock.load.program import LoadOptions, LoadRun
+from knapweedrock.load.samples import Sample
+from knapweedrock.status import ExitStatus
+
+KEYED_RATE = 120.0
+UNKEYED_RATE = 60.0
+KEYS = 60
+ORDER_SHARE = 0.3
+LOSE_NODE_AT = 0.2
+ZONE_OUT_AT = 0.45
+ZONE_BACK_AT = 0.75
+PROGRESS_PERIOD_S = 2.0
+
+
+class Demo:
+    """One run of the demo."""
+
+    def __init__(self, seconds: float, deployment: str, seed: int) -> None:
+        self.seconds = seconds
+        self.seed = seed
+        self.deployment = DEPLOYMENTS[deployment]
+        self.mesh = DemoMesh(self.deployment, seed)
+        self.clock = create_clock()
+        self.keyed: list[Sample] = []
+        self.unkeyed: list[Sample] = []
+        self.owners: list[list[dict]] = []
+        self.runs: list[LoadRun] = []
+
+    def run(self) -> Summary:
+        """Run the whole schedule and return its summary."""
+        click.echo(f"starting {len(self.deployment.zones)} availability zones")
+        try:
+            self.mesh.start()
+            click.echo(f"{len(self.mesh.vms)} nodes serve; load starts")
+            self.owners.append(self.mesh.read_owners())
+            zone_out = self._run_under_load()
+            return self._summarize(zone_out)
+        finally:
+            self.mesh.stop()
+
+    def _run_under_load(self) -> ZoneOut:
+        self.runs = [self._create_run(True), self._create_run(False)]
+        loads = [gevent.spawn(run.run) for run in self.runs]
+        progress = gevent.spawn(self._show_progress)
+        try:
+            zone_out = self._break_things()
+            gevent.joinall(loads, raise_error=True)
+        finally:
+            gevent.killall([*loads, progress])
+        return zone_out
+
+    def _break_things(self) -> ZoneOut:
+        gevent.sleep(self.seconds * LOSE_NODE_AT)
+        lost = self.mesh.find_owner("key-1")
+        self._say(f"losing {lost}, the owner of the busiest key")
+        self.mesh.lose(lost)
+        for run in self.runs:
+            run.addresses = self.mesh.list_callers()
+        gevent.sleep(self.seconds * (ZONE_OUT_AT - LOSE_NODE_AT))
+        self.owners.append(self.mesh.read_owners())
+        zone = self.deployment.zones[0]
+        self._say(f"taking availability zone {zone} out")
+        out_ns = self.clock.now_ns()
+        self.mesh.apply(zone)
+        gevent.sleep(self.seconds * (ZONE_BACK_AT - ZONE_OUT_AT))
+        self.owners.append(self.mesh.read_owners())
+        self._say(f"bringing availability zone {zone} back")
+        back_ns = self.clock.now_ns()
+        self.mesh.apply()
+        gevent.sleep(self.seconds * (1 - ZONE_BACK_AT))
+        self.owners.append(self.mesh.read_owners())
+        return ZoneOut(zone, out_ns, back_ns)
+
+    def _create_run(self, keyed: bool) -> LoadRun:
+        service = self.deployment.keyed if keyed else self.deployment.unkeyed
+        path = f"/{service}/{{tag}}"
+        options = LoadOptions(
+            addresses=tuple(self.mesh.list_callers()),
+            rate=KEYED_RATE if keyed else UNKEYED_RATE,
+            duration_s=self.seconds,
+            read_path=path,
+            order_path=path,
+            key_header=KEY_HEADER if keyed else "",
+            keys=KEYS,
+            order_share=ORDER_SHARE if keyed else 0.0,
+            deadline_ms=LONGEST_REQUEST_MS,
+            seed=self.seed,
+            check_echo=True,
+        )
+        samples = self.keyed if keyed else self.unkeyed
+        return LoadRun(options, samples.append)
+
+    def _show_progress(self) -> None:
+        while True:
+            gevent.sleep(PROGRESS_PERIOD_S)
+            outcomes = [run.tally.outcomes for run in self.runs]
+            done, refused, maybe = (
+                sum(found[name] for found in outcomes)
+                for name in ("done", "not-run", "may-have-run")
+            )
+            self._say(f"done {done}, not run {refused}, may have run {maybe}")
+
+    def _say(self, text: str) -> None:
+        click.echo(f"  {text}")
+
+    def _summarize(self, zone_out: ZoneOut) -> Summary:
+        calls = [
+            create_call(found, self.deployment.keyed, True) for found in self.keyed
+        ]
+        calls += [
+            create_call(found, self.deployment.unkeyed, False) for found in self.unkeyed
+        ]
+        targets = [
+            vm.settings.node_id
+            for vm in self.mesh.vms
+            if vm.settings.zone == zone_out.zone
+        ]
+        return summarize(
+            self.keyed + self.unkeyed,
+            calls,
+            self.mesh.read_executions(),
+            self.owners,
+            zone_out,
+            targets,
+        )
+
+
+def run_demo(
+    seconds: float, *, deployment: str = "kowhai", seed: int = 1
+) -> ExitStatus:
+    """Run the demo for this many seconds of load and print its table."""
+    summary = Demo(seconds, deployment, seed).run()
+    click.echo(format_summary(summary))
+    if summary.violations or not summary.done:
+        return ExitStatus.PROMISE_BROKEN
+    return ExitStatus.SUCCESS
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -1,10 +1,12 @@
 """Open-loop load on the caller addresses of nodes, bounded in time."""
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
+import msgspec
 from gevent.pool import Group
 from geventhttpclient import HTTPClient
 
@@ -21,12 +23,15 @@
 READ = "read"
 ORDER = "order"
 
+_RUNS = itertools.count(1)
+
 
 class LoadOptions(NamedTuple):
-    """What to offer: `{key}` in a path stands for the key.
+    """What to offer: `{key}` and `{tag}` in a path stand for key and request.
 
     `key_header` is empty where the path alone carries the key. `order_share` is
-    the share of standing orders, sent with POST and an order id of their own.
+    the share of standing orders, sent with POST and an order id of their own. With
+    `check_echo` an answer must repeat path and key, as those of target stand-ins do.
     """
 
     addresses: tuple[str, ...]
@@ -43,10 +48,31 @@
     connections: int = 128
     in_flight: int = 5000
     seed: int = 1
+    check_echo: bool = False
+
+
+class Arrival(NamedTuple):
+    """One request that is due, with all that was drawn for it."""
+
+    due_ns: int
+    address: str
+    key: str
+    tag: str
+    order_id: str
+
+
+class Echo(msgspec.Struct):
+    """What an answer repeats of its request."""
+
+    path: str
+    key: str
 
 
 class LoadRun:
-    """One run: arrivals spawn a task each and never wait for one another."""
+    """One run: arrivals spawn a task each and never wait for one another.
+
+    `addresses` may be changed while it runs.
+    """
 
     def __init__(
         self, options: LoadOptions, observe: Callable[[Sample], None] | None
@@ -59,11 +85,9 @@
         self._random = random.Random(f"load-{options.seed}")
         self._keys = create_keys(options.keys, options.zipf, options.seed)
         self._tasks = Group()
-        timeout_s = options.deadline_ms / 1000 + ANSWER_MARGIN_S
-        self._clients = {
-            address: create_client(address, timeout_s, options.connections)
-            for address in options.addresses
-        }
+        self.addresses = list(options.addresses)
+        self._name = f"l{next(_RUNS)}"
+        self._clients: dict[str, HTTPClient] = {}
         self._body = b"x" * options.body_bytes
 
     def run(self) -> LoadReport:
@@ -95,53 +119,83 @@
     def _offer(self, due_ns: int) -> None:
         self.offered += 1
         is_order = self._random.random() < self.options.order_share
-        address = self._random.choice(self.options.addresses)
-        key = self._keys.draw()
+        order_id = create_order_id() if is_order else ""
+        arrival = Arrival(
+            due_ns,
+            self._random.choice(self.addresses),
+            self._keys.draw(),
+            order_id or f"{self._name}-{self.offered}",
+            order_id,
+        )
         if len(self._tasks) >= self.options.in_flight:
             self.tally.unsent += 1
             return
-        self._tasks.start(gevent.Greenlet(self._send, due_ns, address, key, is_order))
+        self._tasks.start(gevent.Greenlet(self._send, arrival))
 
-    def _send(self, due_ns: int, address: str, key: str, is_order: bool) -> None:
-        client = self._clients[address]
-        status, headers = 0, {}
+    def _send(self, arrival: Arrival) -> None:
+        method = "POST" if arrival.order_id else "GET"
+        path = self._fill_path(arrival)
+        status, headers, body = 0, {}, b""
         try:
-            status, headers = self._exchange(client, key, is_order)
+            response = self._exchange(arrival, method, path)
+            body = bytes(response.read())
+            status = response.status_code
+            headers = {str(name).lower(): str(text) for name, text in response.headers}
         except ConnectionRefusedError:
             headers = {"knapweedrock-outcome": Outcome.NOT_RUN.value}
         except (OSError, ValueError):
             headers = {"knapweedrock-outcome": Outcome.MAY_HAVE_RUN.value}
+        code = read_code(status, headers)
         sample = Sample(
-            ORDER if is_order else READ,
-            key,
-            address,
-            due_ns,
+            ORDER if arrival.order_id else READ,
+            arrival.key,
+            arrival.address,
+            arrival.due_ns,
             self.clock.now_ns(),
             status,
-            read_code(status, headers),
+            code,
             headers.get("knapweedrock-outcome") or read_outcome(status),
             "retry-after" in headers,
+            arrival.tag,
+            arrival.order_id,
+            code != Code.DONE or self._is_own(arrival, path, body),
         )
         self.tally.add(sample)
         if self.observe is not None:
             self.observe(sample)
 
-    def _exchange(
-        self, client: HTTPClient, key: str, is_order: bool
-    ) -> tuple[int, dict[str, str]]:
+    def _exchange(self, arrival: Arrival, method: str, path: str):
         options = self.options
         sent = {"Request-Deadline-Ms": str(options.deadline_ms)}
         if options.key_header:
-            sent[options.key_header] = key
-        if is_order:
-            sent["Idempotency-Key"] = create_order_id()
-        method, path, body = "GET", options.read_path, b""
-        if is_order:
-            method, path, body = "POST", options.order_path, self._body
-        response = client.request(method, path.replace("{key}", key), body, sent)
-        response.read()
-        headers = {str(name).lower(): str(value) for name, value in response.headers}
-        return response.status_code, headers
+            sent[options.key_header] = arrival.key
+        if arrival.order_id:
+            sent["Idempotency-Key"] = arrival.order_id
+        body = self._body if arrival.order_id else b""
+        return self._find_client(arrival.address).request(method, path, body, sent)
+
+    def _fill_path(self, arrival: Arrival) -> str:
+        options = self.options
+        path = options.order_path if arrival.order_id else options.read_path
+        return path.replace("{key}", arrival.key).replace("{tag}", arrival.tag)
+
+    def _find_client(self, address: str) -> HTTPClient:
+        client = self._clients.get(address)
+        if client is None:
+            timeout_s = self.options.deadline_ms / 1000 + ANSWER_MARGIN_S
+            client = create_client(address, timeout_s, self.options.connections)
+            self._clients[address] = client
+        return client
+
+    def _is_own(self, arrival: Arrival, path: str, body: bytes) -> bool:
+        if not self.options.check_echo:
+            return True
+        try:
+            value = msgspec.json.decode(body, type=Echo)
+        except msgspec.DecodeError:
+            return False
+        keyed = bool(self.options.key_header)
+        return value.path == path and value.key == (arrival.key if keyed else "")
 
 
 def read_code(status: int, headers: dict[str, str]) -> int:
--- a/knapweedrock/load/samples.py
+++ b/knapweedrock/load/samples.py
@@ -16,7 +16,11 @@
 
 
 class Sample(NamedTuple):
-    """One finished request; times in CLOCK_BOOTTIME ns, `code` -1 without answer."""
+    """One finished request; times in CLOCK_BOOTTIME ns, `code` -1 without answer.
+
+    `tag` is the name of the request that stands in its path, and `own_answer` is
+    false where the answer did not repeat path and key though it was asked to.
+    """
 
     kind: str
     key: str
@@ -27,6 +31,9 @@
     code: int
     outcome: str
     retry_after: bool
+    tag: str = ""
+    order_id: str = ""
+    own_answer: bool = True
 
 
 class Latency(NamedTuple):
