--- /dev/null
+++ b/features/frames.feature
@@ -0,0 +1,20 @@
+Feature: Frames between nodes
+  Scenario: Any bytes are either a frame or a numbered refusal
+    When any bytes and any CBOR values are decoded as frames
+    Then each is a checked message or is refused with code 304
+
+  Scenario: A frame comes back as it was sent
+    When frames of every kind of message are encoded and decoded
+    Then each message equals the one that was sent
+
+  Scenario: A stranger and a hostile peer are refused and the node goes on
+    Given two nodes that share a secret, and their links
+    When a stranger without the secret dials a node
+    Then it is refused with status 401
+    When a peer sends a broken frame
+    Then its link is dropped and the other node is still answered
+
+  Scenario: A silent link fails its requests within a second
+    Given two nodes that share a secret, and their links
+    When all frames from the second node are dropped
+    Then a request to it fails as possibly handled within 1 s
