Deliver requests to the target beside the node; add the target stand-in

Cause: the request path needs the owner's side: announcements, admission, orders, crash suspects, whole answers only, and a stand-in that can do each of the faults.

--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Harness of the tests: processes, callers, histories and test data."""
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -32,3 +32,24 @@
     drain_ms: int
     choice_policy: str
     copies_enabled: bool
+
+
+class TargetSettings(NamedTuple):
+    """Checked settings of one target stand-in.
+
+    `node` is the target address of the node beside it; `cold_s` is how long a
+    cold start lasts, during which it bears `cold_slots` requests at once.
+    """
+
+    listen: Address
+    node: Address
+    service: str
+    zone: str
+    slots: int
+    connections: int
+    fenced: bool
+    work_ms: float
+    cold_s: float
+    cold_slots: int
+    connect_ms: float
+    seed: int
--- /dev/null
+++ b/knapweedrock/targets/messages.py
@@ -0,0 +1,20 @@
+"""Messages between nodes about delivery."""
+
+from typing import NamedTuple
+
+from knapweedrock.nodes.messages import message
+
+
+@message(33)
+class Suspect(NamedTuple):
+    """Tell a peer of a fingerprint that was in flight at one crash."""
+
+    fingerprint: str
+    remaining_ms: int
+
+
+@message(34)
+class Cleared(NamedTuple):
+    """Tell a peer that a suspect ran alone without a crash."""
+
+    fingerprint: str
