--- a/features/steps/ingress.py
+++ b/features/steps/ingress.py
@@ -3,15 +3,16 @@
 import hashlib
 import json
 import socket
+import time
 
 import gevent
 from behave import given, then, when
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as vary
 
-from features.support.builders import build_configuration, build_member, build_view
 from features.support.fakes import FakeNodes, create_fake_environment
-from features.support.http import build_request, exchange
+from features.support.members import build_configuration, build_member, build_view
+from features.support.rawhttp import build_request, exchange
 from knapweedrock.callers.server import create_server
 from knapweedrock.codes import Code
 from knapweedrock.nodes.view import hash_key
@@ -108,7 +109,9 @@
 def send_one(context, line, header=""):
     """Send one request."""
     raw = build_request(line, [header] if header else [])
+    start = time.monotonic()
     context.reply = exchange(context.address, raw)
+    context.reply_ms = (time.monotonic() - start) * 1000
 
 
 def list_received(context) -> list:
--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""Support for the features: builders of test data and fakes of a node's parts."""
+"""Harness of the tests: processes, callers, histories and test data."""
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from features.support.builders import build_settings
+from features.support.members import build_settings
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
 from knapweedrock.nodes.messages import Deliver, Delivered
--- a/features/support/builders.py
+++ b/features/support/members.py
@@ -1,5 +1,8 @@
-"""Builders of test data."""
+"""Builders of settings, configurations, members and views for the ingress."""
 
+from knapweedrock.callers.deadlines import Deadline
+from knapweedrock.callers.requests import CallerRequest
+from knapweedrock.callers.rules import create_route
 from knapweedrock.configuration import (
     Configuration,
     KeySource,
@@ -7,6 +10,7 @@
     Service,
     create_configuration,
 )
+from knapweedrock.environment import Environment
 from knapweedrock.nodes.view import HASH_SPACE, Member, Range, View, create_view
 from knapweedrock.settings import Address, NodeSettings
 
@@ -122,3 +126,24 @@
         for name, names in owners.items()
     }
     return view
+
+
+def build_caller_request(
+    env: Environment, service: str, number: int = 0, **changes: object
+) -> CallerRequest:
+    """Build a checked idempotent request, told apart from others by its number."""
+    configuration = env.configuration.value
+    rule = next(r for r in configuration["rules"].values() if r["service"] == service)
+    request = CallerRequest(
+        route=create_route(rule, configuration["services"][service]),
+        key="",
+        method="GET",
+        path=f"/{service}/{number}",
+        headers=[],
+        body=b"",
+        deadline=Deadline(env.clock, 5000),
+        order_id="",
+        idempotent=True,
+        caller=LOOPBACK,
+    )
+    return request._replace(**changes)
--- a/knapweedrock/callers/attempts.py
+++ b/knapweedrock/callers/attempts.py
@@ -1,5 +1,7 @@
 """One attempt to have a request delivered at one node."""
 
+from typing import NamedTuple
+
 from knapweedrock.callers.requests import CallerRequest
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
@@ -11,6 +13,13 @@
 RETURN_MS = 5
 
 
+class Routed(NamedTuple):
+    """A result and the member that it came from, if any."""
+
+    delivered: Delivered
+    member: Member | None
+
+
 def create_refused(code: Code, detail: str = "", retry_after_ms: int = 0) -> Delivered:
     """Create the result of an attempt that failed on this side."""
     return Delivered(int(code), 0, [], b"", detail, retry_after_ms, (0, 0))
--- /dev/null
+++ b/knapweedrock/callers/choice.py
@@ -0,0 +1,119 @@
+"""Choice of a target for services not divided by key, as a registry of policies."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Collection
+
+from knapweedrock.callers.loads import Load
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.environment import Environment
+from knapweedrock.nodes.view import Member
+
+COLD_SHARE = 0.25
+STRAGGLER_FACTOR = 3.0
+STRAGGLER_MIN_MS = 5.0
+PROBE_MS = 250
+
+Loads = defaultdict[str, Load]
+Policy = Callable[[list[Member]], Member]
+PolicyFactory = Callable[[Environment, Loads], Policy]
+
+POLICIES: dict[str, PolicyFactory] = {}
+
+
+def choice_policy(name: str) -> Callable[[PolicyFactory], PolicyFactory]:
+    """Register a factory of policies under a name for `--choice-policy`."""
+
+    def register(factory: PolicyFactory) -> PolicyFactory:
+        POLICIES[name] = factory
+        return factory
+
+    return register
+
+
+def find_candidates(
+    env: Environment, service: str, tried: Collection[str]
+) -> list[Member]:
+    """List the members that may take new work and were not tried yet."""
+    zone_is_out = env.configuration.zone_is_out
+    return [
+        member
+        for member in env.views.find_members(service)
+        if member["node_id"] not in tried and not zone_is_out(member["zone"])
+    ]
+
+
+@choice_policy("round-robin")
+def create_round_robin(env: Environment, loads: Loads) -> Policy:
+    """Create the baseline: each target in turn, whatever its load."""
+    turns: dict[str, int] = defaultdict(int)
+
+    def choose(members: list[Member]) -> Member:
+        service = members[0]["service"]
+        turns[service] += 1
+        return members[turns[service] % len(members)]
+
+    return choose
+
+
+@choice_policy("two-choices")
+def create_two_choices(env: Environment, loads: Loads) -> Policy:
+    """Create the choice of the better of two random targets.
+
+    Stragglers and targets that just refused are left alone; a straggler gets one
+    request at a time, at an interval, until it is fast again.
+    """
+
+    def choose(members: list[Member]) -> Member:
+        now_ns = env.clock.now_ns()
+        fit = leave_refusing(members, loads, now_ns)
+        slow = find_stragglers(fit, loads, now_ns)
+        for member in slow:
+            if is_due(loads[member["node_id"]], now_ns):
+                return member
+        fit = [member for member in fit if member not in slow]
+        if len(fit) == 1:
+            return fit[0]
+        first, second = random.sample(fit, 2)
+        if score(second, loads, now_ns) < score(first, loads, now_ns):
+            return second
+        return first
+
+    return choose
+
+
+def leave_refusing(members: list[Member], loads: Loads, now_ns: int) -> list[Member]:
+    """Leave out targets that just refused, unless all did."""
+    fit = [m for m in members if loads[m["node_id"]].avoid_until_ns <= now_ns]
+    return fit or members
+
+
+def find_stragglers(members: list[Member], loads: Loads, now_ns: int) -> list[Member]:
+    """List the targets that are much slower than the median of all."""
+    if len(members) < 2:
+        return []
+    expected_ms = [loads[m["node_id"]].expected_ms(now_ns) for m in members]
+    usual_ms = sorted(expected_ms)[(len(expected_ms) - 1) // 2]
+    limit_ms = max(STRAGGLER_FACTOR * usual_ms, usual_ms + STRAGGLER_MIN_MS)
+    return [
+        member
+        for member, value in zip(members, expected_ms, strict=True)
+        if value > limit_ms
+    ]
+
+
+def is_due(load: Load, now_ns: int) -> bool:
+    """Tell whether a straggler may be tried again."""
+    return not load.starts and now_ns - load.last_ns >= PROBE_MS * NS_PER_MS
+
+
+def score(member: Member, loads: Loads, now_ns: int) -> float:
+    """Return the expected wait at a target; lower is better."""
+    load = loads[member["node_id"]]
+    slots = max(member["slots"], 1) * (COLD_SHARE if member["cold"] else 1)
+    return (len(load.starts) + 1) * load.expected_ms(now_ns) / slots
+
+
+def create_policy(env: Environment, loads: Loads) -> Policy:
+    """Create the policy that the settings ask for."""
+    return POLICIES[env.settings.choice_policy](env, loads)
--- a/knapweedrock/callers/connections.py
+++ b/knapweedrock/callers/connections.py
@@ -6,6 +6,7 @@
 from gevent.pywsgi import Input, WSGIServer
 
 from knapweedrock.callers.answers import create_refusal, encode_answer
+from knapweedrock.callers.departures import DepartureWatch
 from knapweedrock.callers.heads import Head, read_head
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
@@ -26,6 +27,7 @@
     """Handler of one caller's connection."""
 
     head: Head
+    departure: DepartureWatch
     busy = False
     abandoned = False
     refusal: RefusalError | None = None
@@ -38,9 +40,11 @@
             self.socket.close()
             return
         server.handlers.add(self)
+        self.departure = DepartureWatch(self.socket)
         try:
             super().handle()
         finally:
+            self.departure.close()
             server.handlers.discard(self)
 
     def handle_one_request(self):
--- /dev/null
+++ b/knapweedrock/callers/departures.py
@@ -0,0 +1,54 @@
+"""Departures of callers: a request whose caller has gone is cancelled."""
+
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from gevent import GreenletExit, get_hub, getcurrent
+
+READ_EVENT = 1
+
+
+class CallerGoneError(GreenletExit):
+    """Ends the work on a request whose caller has closed its connection."""
+
+
+class DepartureWatch:
+    """Watches one caller's connection while its request is being served.
+
+    A caller that closes its sending side counts as gone. One that sends its next
+    request early can't be watched any more until its answer is sent.
+    """
+
+    def __init__(self, sock) -> None:
+        self._sock = sock
+        self._watcher = get_hub().loop.io(sock.fileno(), READ_EVENT)
+        self._runner = None
+
+    @contextmanager
+    def watch(self) -> Iterator[None]:
+        """Raise `CallerGoneError` in the calling greenlet when the caller goes."""
+        self._runner = getcurrent()
+        self._watcher.start(self._look)
+        try:
+            yield
+        finally:
+            self._runner = None
+            self._watcher.stop()
+
+    def close(self) -> None:
+        """Release the watcher before the socket is closed."""
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _look(self) -> None:
+        try:
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            gone = not self._sock._sock.recv(1, flags)
+        except BlockingIOError:
+            return
+        except OSError:
+            gone = True
+        self._watcher.stop()
+        if gone and self._runner is not None:
+            self._runner.throw(CallerGoneError)
--- /dev/null
+++ b/knapweedrock/callers/following.py
@@ -0,0 +1,119 @@
+"""Following of a key to its owner while the owner changes.
+
+Only refusals that surely did not run are followed, so any request may be.
+"""
+
+import random
+
+import gevent
+
+from knapweedrock.callers.attempts import Routed, attempt, create_refused
+from knapweedrock.callers.budgets import create_retry_budgets
+from knapweedrock.callers.requests import CallerRequest
+from knapweedrock.codes import Code
+from knapweedrock.environment import Environment
+from knapweedrock.nodes.view import ViewVersion, hash_key
+
+FIRST_PAUSE_MS = 5.0
+LONGEST_PAUSE_MS = 100.0
+LONGEST_FOLLOW_MS = 4000
+LEAST_ATTEMPT_MS = 10.0
+MAX_FOLLOWING = 1024
+RETRY_AFTER_MS = 500
+MS_PER_S = 1000
+
+# Refusals that end once the key has its next owner.
+FOLLOWED = frozenset(
+    {
+        Code.NOT_OWNER,
+        Code.NO_OWNER,
+        Code.LEASE_LAPSED,
+        Code.MOVING,
+        Code.ZONE_OUT,
+        Code.LEAVING,
+        Code.CONFIG_STALE,
+        Code.NO_LIVE_TARGET,
+        Code.TARGET_UNREACHABLE,
+        Code.TARGET_FENCED,
+        Code.PEER_UNREACHABLE,
+    }
+)
+# Losses after which only an idempotent request may be sent again.
+LOST = frozenset({Code.PEER_LOST, Code.ANSWER_LOST, Code.ANSWER_TRUNCATED})
+
+
+class Follower:
+    """Brings keyed requests to the owner of their key."""
+
+    def __init__(self, env: Environment) -> None:
+        self._env = env
+        self._budgets = create_retry_budgets()
+        self._following = 0
+
+    def follow(self, request: CallerRequest) -> Routed:
+        """Send the request to the owner until it is settled or must be given up."""
+        self._budgets[request.route.service].earn()
+        pause_ms = FIRST_PAUSE_MS
+        while True:
+            version = self._env.views.version
+            routed = self._send(request)
+            if not self._may_repeat(request, Code(routed.delivered.code)):
+                return routed
+            if not self._wait(request, version, pause_ms):
+                return give_up(routed)
+            self._env.counters.count("caller_retries", service=request.route.service)
+            pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
+
+    def dump(self) -> dict[str, object]:
+        """Return requests that wait for an owner, and the budgets."""
+        tokens = {name: budget.tokens for name, budget in self._budgets.items()}
+        return {"following": self._following, "retry_tokens": tokens}
+
+    def _send(self, request: CallerRequest) -> Routed:
+        views = self._env.views
+        service = request.route.service
+        held = views.find_range(service, hash_key(request.key))
+        owner = views.view["members"].get(held["owner"]) if held else None
+        if owner is not None:
+            return Routed(attempt(self._env, request, owner), owner)
+        return Routed(create_refused(Code.NO_OWNER), None)
+
+    def _may_repeat(self, request: CallerRequest, code: Code) -> bool:
+        service = request.route.service
+        if code in FOLLOWED:
+            return bool(self._env.views.find_members(service))
+        if code in LOST and request.idempotent:
+            return self._budgets[service].spend()
+        return False
+
+    def _wait(
+        self, request: CallerRequest, version: ViewVersion, pause_ms: float
+    ) -> bool:
+        """Wait for a newer view or the pause; tell whether to send again."""
+        pause_ms *= random.uniform(0.5, 1)
+        deadline = request.deadline
+        if deadline.remaining_ms() < pause_ms + LEAST_ATTEMPT_MS:
+            return False
+        if deadline.elapsed_ms() > LONGEST_FOLLOW_MS:
+            return False
+        if self._following >= MAX_FOLLOWING:
+            return False
+        self._following += 1
+        try:
+            gevent.sleep(pause_ms / MS_PER_S)
+        finally:
+            self._following -= 1
+        return True
+
+
+def give_up(routed: Routed) -> Routed:
+    """Say when to come back, unless the owner's node did."""
+    delivered = routed.delivered
+    if delivered.retry_after_ms:
+        return routed
+    return routed._replace(delivered=delivered._replace(retry_after_ms=RETRY_AFTER_MS))
+
+
+def create_follower(env: Environment) -> Follower:
+    """Create the follower of a node."""
+    return Follower(env)
--- /dev/null
+++ b/knapweedrock/callers/loads.py
@@ -0,0 +1,73 @@
+"""What this node knows of the load on each target: own counts and latencies."""
+
+from collections import defaultdict
+
+from knapweedrock.clock import NS_PER_MS, Clock
+
+RISE_WEIGHT = 0.5
+FALL_WEIGHT = 0.1
+FIRST_LATENCY_MS = 1.0
+MAX_AVOID_MS = 1000
+MIN_AVOID_MS = 50
+
+
+class Load:
+    """Requests in flight and recent latency of one target, as seen from here."""
+
+    __slots__ = ("_clock", "_next", "avoid_until_ns", "last_ns", "latency_ms", "starts")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._next = 0
+        self.starts: dict[int, int] = {}
+        self.latency_ms = FIRST_LATENCY_MS
+        self.last_ns = 0
+        self.avoid_until_ns = 0
+
+    def begin(self) -> int:
+        """Count a request as in flight; return its number."""
+        self._next += 1
+        self.last_ns = self.starts[self._next] = self._clock.now_ns()
+        return self._next
+
+    def end(self, number: int, measured: bool) -> float:
+        """Count a request as ended; return its milliseconds.
+
+        With `measured` its time goes into the latency, which rises faster than it
+        falls.
+        """
+        taken_ms = (self._clock.now_ns() - self.starts.pop(number)) / NS_PER_MS
+        if measured:
+            self._follow(taken_ms)
+        return taken_ms
+
+    def abandon(self, number: int) -> None:
+        """Count a cancelled request as ended; it took at least this long."""
+        taken_ms = (self._clock.now_ns() - self.starts.pop(number)) / NS_PER_MS
+        if taken_ms > self.latency_ms:
+            self._follow(taken_ms)
+
+    def avoid(self, wait_ms: float) -> None:
+        """Send nothing here for a while, after a refusal."""
+        wait_ms = min(max(wait_ms, MIN_AVOID_MS), MAX_AVOID_MS)
+        self.avoid_until_ns = self._clock.now_ns() + int(wait_ms * NS_PER_MS)
+
+    def expected_ms(self, now_ns: int) -> float:
+        """Return the latency to expect; an old request in flight counts at its age."""
+        if not self.starts:
+            return self.latency_ms
+        oldest_ms = (now_ns - next(iter(self.starts.values()))) / NS_PER_MS
+        return max(self.latency_ms, oldest_ms)
+
+    def _follow(self, taken_ms: float) -> None:
+        weight = RISE_WEIGHT if taken_ms > self.latency_ms else FALL_WEIGHT
+        self.latency_ms += weight * (taken_ms - self.latency_ms)
+
+    def dump(self) -> dict[str, object]:
+        """Return the counts."""
+        return {"in_flight": len(self.starts), "latency_ms": round(self.latency_ms, 3)}
+
+
+def create_loads(clock: Clock) -> defaultdict[str, Load]:
+    """Create loads by node id."""
+    return defaultdict(lambda: Load(clock))
--- a/knapweedrock/callers/server.py
+++ b/knapweedrock/callers/server.py
@@ -3,10 +3,12 @@
 import gevent
 
 from knapweedrock.callers.answers import Answer, Origin, create_answer, create_refusal
+from knapweedrock.callers.attempts import Routed
 from knapweedrock.callers.connections import CallerHandler, CallerServer
 from knapweedrock.callers.deadlines import Deadline
+from knapweedrock.callers.departures import CallerGoneError
 from knapweedrock.callers.requests import CallerRequest, read_body, read_request
-from knapweedrock.callers.routing import Routed, Router, create_router
+from knapweedrock.callers.routing import Router, create_router
 from knapweedrock.callers.rules import RouteTable
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
@@ -52,12 +54,24 @@
             request = self._read(handler, environ)
         except RefusalError as error:
             return self._refuse(handler, error)
-        routed = self._router.route(request)
+        try:
+            routed = self._route(handler, request)
+        except CallerGoneError:
+            self._env.counters.count("caller_departures")
+            handler.close_connection = True
+            return create_refusal(Code.CANCELLED, "")
         code = Code(routed.delivered.code)
         if code != Code.DONE:
             self._env.counters.count("caller_refusals", code=code.name)
         return create_answer(routed.delivered, request.method, self._locate(routed))
 
+    def _route(self, handler: CallerHandler, request: CallerRequest) -> Routed:
+        # An order runs to its end, so that a repeated one finds its answer.
+        if not request.idempotent:
+            return self._router.route(request)
+        with handler.departure.watch():
+            return self._router.route(request)
+
     def _read(self, handler: CallerHandler, environ: dict) -> CallerRequest:
         if self._env.configuration.version == 0:
             raise RefusalError(Code.CONFIG_STALE)
