--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 demo: $(VENV)/installed
 	$(RUN) -m knapweedrock demo --for 20
+
+bench: $(VENV)/installed
+	$(RUN) -m bench $(EXPERIMENT)
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure the mesh, each by one command."""
--- a/knapweedrock/load/keys.py
+++ b/knapweedrock/load/keys.py
@@ -1,7 +1,16 @@
 """Keys drawn by popularity (Zipf), repeatable by seed."""
 
+import itertools
 import math
 import random
+from typing import Protocol
+
+
+class KeySource(Protocol):
+    """Source of the keys of requests."""
+
+    def draw(self) -> str:
+        """Draw the next key."""
 
 
 class ZipfKeys:
@@ -48,3 +57,14 @@
 def create_keys(count: int, exponent: float, seed: int) -> ZipfKeys:
     """Create a source of keys; an exponent of 0 makes all alike."""
     return ZipfKeys(count, exponent, random.Random(f"keys-{seed}"))
+
+
+class ListedKeys:
+    """Keys of a list, one after the other and again."""
+
+    def __init__(self, keys: list[str]) -> None:
+        self._keys = itertools.cycle(keys)
+
+    def draw(self) -> str:
+        """Draw the next key."""
+        return next(self._keys)
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -14,7 +14,7 @@
 from knapweedrock.codes import Code, Outcome
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.client import create_client
-from knapweedrock.load.keys import create_keys
+from knapweedrock.load.keys import KeySource, create_keys
 from knapweedrock.load.orders import create_order_id
 from knapweedrock.load.report import LoadReport, create_report
 from knapweedrock.load.samples import NO_CODE, Sample, Tally
@@ -71,7 +71,7 @@
 class LoadRun:
     """One run: arrivals spawn a task each and never wait for one another.
 
-    `addresses` may be changed while it runs.
+    `addresses` and `keys` may be changed while it runs.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         self.tally = Tally()
         self.offered = 0
         self._random = random.Random(f"load-{options.seed}")
-        self._keys = create_keys(options.keys, options.zipf, options.seed)
+        self.keys: KeySource = create_keys(options.keys, options.zipf, options.seed)
         self._tasks = Group()
         self.addresses = list(options.addresses)
         self._name = f"l{next(_RUNS)}"
@@ -123,7 +123,7 @@
         arrival = Arrival(
             due_ns,
             self._random.choice(self.addresses),
-            self._keys.draw(),
+            self.keys.draw(),
             order_id or f"{self._name}-{self.offered}",
             order_id,
         )
