--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -176,8 +176,14 @@
             raise TimeoutError(f"{error}\n{self.describe()}") from None
 
     def is_ready(self) -> bool:
-        """Tell whether all running nodes are ready and know all serving members."""
-        running = [vm for vm in self.vms.values() if vm.node.is_running()]
+        """Tell whether all running nodes are ready and know all serving members.
+
+        Raises RuntimeError where a process ended by itself.
+        """
+        failed = [child for child in self.children if child.has_failed()]
+        if failed:
+            raise RuntimeError(f"{failed[0].name} ended:\n{failed[0].read_tail()}")
+        running = self.list_running()
         return all(self.node_is_ready(vm, len(running)) for vm in running)
 
     def node_is_ready(self, vm: Vm, expected: int) -> bool:
@@ -225,6 +231,7 @@
         """Run a command of the program; return its exit status and output."""
         name = f"command-{len(self.children)}"
         child = self._create_child(name, list(arguments))
+        child.told_to_end = True
         child.start()
         try:
             status = child.process.wait(timeout_s)
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -70,6 +70,7 @@
         self.arguments = arguments
         self.log = directory / f"{name}.log"
         self.process: subprocess.Popen | None = None
+        self.told_to_end = False
 
     def start(self) -> None:
         """Start the process; its output is appended to the log."""
@@ -95,6 +96,11 @@
         """Tell whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
+    def has_failed(self) -> bool:
+        """Tell whether the process ended though nobody told it to."""
+        ended = self.process is not None and self.process.poll() is not None
+        return ended and not self.told_to_end
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process alone."""
         if self.is_running():
@@ -102,6 +108,7 @@
 
     def kill(self) -> None:
         """End the process at once, also a stopped one, and collect it."""
+        self.told_to_end = True
         self.send_signal(signal.SIGKILL)
         if self.process is not None:
             self.process.wait(END_TIMEOUT_S)
@@ -116,6 +123,7 @@
 
     def terminate(self, timeout_s: float = 30.0) -> int:
         """Ask the process to shut down and return its exit status."""
+        self.told_to_end = True
         self.send_signal(signal.SIGTERM)
         return self.process.wait(timeout_s)
 
