--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -20,6 +20,7 @@
     wait_for,
 )
 from knapweedrock.configuration import Configuration
+from knapweedrock.platform.writes import open_envelope
 
 START_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 30.0
@@ -323,7 +324,10 @@
     def fetch_object(self, name: str) -> dict[str, Any] | None:
         """Fetch an object of the platform with its version."""
         reply = call(self.platform_address, "GET", f"/objects/{name}")
-        return reply.json() if reply.status == 200 else None
+        if reply.status != 200:
+            return None
+        stored = reply.json()
+        return stored | {"value": open_envelope(stored["value"])["value"]}
 
     def find_owner(self, service: str, key: str, at: str = "") -> str:
         """Find the node that owns a key, in the eyes of one node."""
--- a/knapweedrock/demo/mesh.py
+++ b/knapweedrock/demo/mesh.py
@@ -18,6 +18,7 @@
 from knapweedrock.faults import Cuts
 from knapweedrock.history import Excess, Execution, read_excess, read_executions
 from knapweedrock.node import Node, create_node
+from knapweedrock.platform.writes import open_envelope
 from knapweedrock.settings import Address, NodeSettings, TargetSettings
 
 HOST = "127.0.0.1"
@@ -111,7 +112,9 @@
         """Read the ranges of the keyed service with their owners."""
         name = f"tables/{self.deployment.keyed}/{CELL}"
         found = self.platform.store.get(name)
-        return msgspec.json.decode(found[1])["ranges"] if found else []
+        if found is None:
+            return []
+        return open_envelope(msgspec.json.decode(found[1]))["value"]["ranges"]
 
     def read_executions(self) -> list[Execution]:
         """Read what all targets truly ran."""
