--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -20,6 +20,7 @@
     wait_for,
 )
 from knapweedrock.configuration import Configuration
+from knapweedrock.platform.writes import open_envelope
 
 START_TIMEOUT_S = 20.0
 READY_TIMEOUT_S = 30.0
@@ -176,8 +177,14 @@
             raise TimeoutError(f"{error}\n{self.describe()}") from None
 
     def is_ready(self) -> bool:
-        """Tell whether all running nodes are ready and know all serving members."""
-        running = [vm for vm in self.vms.values() if vm.node.is_running()]
+        """Tell whether all running nodes are ready and know all serving members.
+
+        Raises RuntimeError where a process ended by itself.
+        """
+        failed = [child for child in self.children if child.has_failed()]
+        if failed:
+            raise RuntimeError(f"{failed[0].name} ended:\n{failed[0].read_tail()}")
+        running = self.list_running()
         return all(self.node_is_ready(vm, len(running)) for vm in running)
 
     def node_is_ready(self, vm: Vm, expected: int) -> bool:
@@ -225,6 +232,7 @@
         """Run a command of the program; return its exit status and output."""
         name = f"command-{len(self.children)}"
         child = self._create_child(name, list(arguments))
+        child.told_to_end = True
         child.start()
         try:
             status = child.process.wait(timeout_s)
@@ -316,7 +324,10 @@
     def fetch_object(self, name: str) -> dict[str, Any] | None:
         """Fetch an object of the platform with its version."""
         reply = call(self.platform_address, "GET", f"/objects/{name}")
-        return reply.json() if reply.status == 200 else None
+        if reply.status != 200:
+            return None
+        stored = reply.json()
+        return stored | {"value": open_envelope(stored["value"])["value"]}
 
     def find_owner(self, service: str, key: str, at: str = "") -> str:
         """Find the node that owns a key, in the eyes of one node."""
