--- a/bench/delayed_node.py
+++ b/bench/delayed_node.py
@@ -9,9 +9,9 @@
 monkey.patch_all()
 
 import gevent  # noqa: E402
-from knapweedrock.nodes.links import Links  # noqa: E402
 
 from knapweedrock.core import main  # noqa: E402
+from knapweedrock.nodes.links import Links  # noqa: E402
 
 ZONE_DELAY_S = 0.0015
 
