--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -8,6 +8,7 @@
 import click
 
 from knapweedrock import __version__
+from knapweedrock.logs import LEVELS, create_log_handler
 from knapweedrock.settings import (
     create_load_settings,
     create_node_settings,
@@ -61,8 +62,17 @@
     epilog=example("knapweedrock demo --for 20"),
 )
 @click.version_option(__version__, prog_name="knapweedrock")
-def cli() -> None:
+@click.option(
+    "--log-level",
+    type=click.Choice(LEVELS),
+    default="info",
+    show_default=True,
+    show_envvar=True,
+    help="Least severe log lines to write.",
+)
+def cli(log_level: str) -> None:
     """Router for servers that own keys exclusively."""
+    create_log_handler(log_level).push_application()
 
 
 @cli.command(
--- /dev/null
+++ b/knapweedrock/operators/client.py
@@ -0,0 +1,84 @@
+"""HTTP client for the operator address of a node."""
+
+from typing import Any
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from knapweedrock.checker import Address
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.sockets import disable_delay
+
+
+def fetch_json(
+    address: Address,
+    method: str,
+    target: str,
+    *,
+    secret: str = "",
+    body: bytes = b"",
+    content_type: str = "application/json",
+    timeout_ms: int = 5000,
+) -> dict[str, Any]:
+    """Ask a node for a page of JSON.
+
+    Raises the node's own errors with their codes, and `PEER_UNREACHABLE` or
+    `PEER_LOST` when no whole answer came in time.
+    """
+    headers = {"Content-Type": content_type}
+    if secret:
+        headers["Authorization"] = f"Bearer {secret}"
+    try:
+        with gevent.Timeout(timeout_ms / 1000):
+            status, content = exchange(address, method, target, headers, body)
+    except ConnectionRefusedError as error:
+        detail = f"{address}: {error}"
+        raise KnapweedrockError(Code.PEER_UNREACHABLE, detail) from None
+    except (OSError, HTTPParseError, gevent.Timeout) as error:
+        detail = f"{address}: {error or 'no answer in time'}"
+        raise KnapweedrockError(Code.PEER_LOST, detail) from None
+    value = decode_answer(address, content)
+    if status >= 400:
+        raise_errors(value)
+    return value
+
+
+def exchange(
+    address: Address, method: str, target: str, headers: dict[str, str], body: bytes
+) -> tuple[int, bytes]:
+    """Send one request on a connection of its own and read its whole answer."""
+    client = HTTPClient(address.host, address.port, concurrency=1)
+    client._connection_pool.after_connect = disable_delay
+    try:
+        response = client.request(method, target, body=body, headers=headers)
+        return response.status_code, bytes(response.read())
+    finally:
+        client.close()
+
+
+def decode_answer(address: Address, content: bytes) -> dict[str, Any]:
+    """Decode an answer's JSON."""
+    try:
+        return msgspec.json.decode(content, type=dict[str, Any])
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        detail = f"{address}: the answer is no JSON of a node: {error}"
+        raise KnapweedrockError(Code.BAD_FRAME, detail) from None
+
+
+def raise_errors(value: dict[str, Any]) -> None:
+    """Raise the errors that a node answered with."""
+    errors = [create_error(item) for item in value.get("errors") or [value]]
+    if errors[0].code // 100 == Code.TICKET_MALFORMED // 100:
+        raise ExceptionGroup("the node refused the ticket", errors)
+    raise errors[0]
+
+
+def create_error(item: dict[str, Any]) -> KnapweedrockError:
+    """Create the error that a node described."""
+    try:
+        return KnapweedrockError(Code(item["code"]), str(item["detail"]))
+    except (KeyError, ValueError):
+        return KnapweedrockError(Code.BAD_FRAME, f"unknown error {item}")
--- /dev/null
+++ b/knapweedrock/operators/metrics.py
@@ -0,0 +1,105 @@
+"""Publication of counters and gauges at a scrape."""
+
+import re
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING, NamedTuple
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+from knapweedrock.counters import Labels
+
+if TYPE_CHECKING:
+    from knapweedrock.environment import Environment
+
+PREFIX = "knapweedrock_"
+NAME_PATTERN = re.compile(r"[^a-zA-Z0-9_]")
+RESERVED_LABEL = "job"
+
+
+class Sample(NamedTuple):
+    """One gauge that is worked out at the scrape."""
+
+    name: str
+    value: float
+    labels: Labels = ()
+
+
+Sampler = Callable[["Environment"], Iterator[Sample]]
+
+SAMPLERS: list[Sampler] = []
+
+
+def sampler(function: Sampler) -> Sampler:
+    """Register a source of gauges."""
+    SAMPLERS.append(function)
+    return function
+
+
+@sampler
+def sample_versions(env: "Environment") -> Iterator[Sample]:
+    """Yield the versions that this node holds."""
+    yield Sample("configuration_version", env.configuration.version)
+    yield Sample("view_epoch", env.views.version.epoch)
+    yield Sample("view_count", env.views.version.count)
+
+
+@sampler
+def sample_lease(env: "Environment") -> Iterator[Sample]:
+    """Yield the time left of the node lease."""
+    if hasattr(env, "lease"):
+        yield Sample("lease_remaining_ms", max(env.lease.remaining_ms(), 0))
+
+
+@sampler
+def sample_members(env: "Environment") -> Iterator[Sample]:
+    """Yield the members of the cell by zone and state."""
+    found: dict[Labels, int] = {}
+    for member in env.views.view["members"].values():
+        labels = (("state", member["state"]), ("zone", member["zone"]))
+        found[labels] = found.get(labels, 0) + 1
+    for labels, count in found.items():
+        yield Sample("members", count, labels)
+
+
+def render_metrics(env: "Environment") -> tuple[bytes, str]:
+    """Render all metrics as text; return it with its content type."""
+    registry = Registry()
+    published: dict[str, Counter | Gauge] = {}
+    for (name, labels), value in list(env.counters.counts.items()):
+        publish(registry, published, Counter, name, labels, value)
+    for (name, labels), value in list(env.counters.gauges.items()):
+        publish(registry, published, Gauge, name, labels, value)
+    for function in SAMPLERS:
+        for sample in function(env):
+            publish(
+                registry, published, Gauge, sample.name, sample.labels, sample.value
+            )
+    content, headers = render(registry, [])
+    return content, headers["Content-Type"]
+
+
+def publish(
+    registry: Registry,
+    published: dict[str, Counter | Gauge],
+    kind: type[Counter] | type[Gauge],
+    name: str,
+    labels: Labels,
+    value: float,
+) -> None:
+    """Add one value; a gauge named like a counter gets a suffix."""
+    full = PREFIX + NAME_PATTERN.sub("_", name)
+    if full in published and not isinstance(published[full], kind):
+        full += "_now"
+    if full not in published:
+        doc = name.replace("_", " ")
+        published[full] = kind(full, doc, registry=registry)
+    published[full].set(dict(map(name_label, labels)), value)
+
+
+def name_label(label: tuple[str, str]) -> tuple[str, str]:
+    """Return a label under a name that Prometheus takes."""
+    name, value = label
+    name = NAME_PATTERN.sub("_", name)
+    if name == RESERVED_LABEL or name.startswith("__"):
+        name = "label_" + name.lstrip("_")
+    return name, str(value)
