Hand over records in the coordinator's way: kept since, evicted floor with them

An order that waited while its key went away and came back could run beside the one at the other node. Conclusion: an order is not sent under another token than it came in under; orders without a key are refused; records adopted replace one that only waits.

--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -252,6 +252,7 @@
             "request_id": request.request_id,
             "order_id": request.order_id,
             "key": request.key,
+            "path": request.path,
             "token": request.token,
             "start_ns": self.clock.now_ns(),
             "end_ns": 0,
--- a/knapweedrock/emulator/worklog.py
+++ b/knapweedrock/emulator/worklog.py
@@ -9,6 +9,7 @@
     request_id: str
     order_id: str
     key: str
+    path: str
     token: int
     start_ns: int
     end_ns: int
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -122,10 +122,11 @@
 
     def _deliver_order(self, work: Work) -> Delivered:
         """Run an order, or share the end of the one that runs or ran."""
+        if not work.request.key:
+            raise RefusalError(Code.KEY_MISSING, "an order needs a key")
         record = self.orders.find(work.request, work.fingerprint)
         if record is None:
             record = self.orders.begin(work.request, work.fingerprint, work.grant)
-            work.record = record
             gevent.spawn(self._run_order, work, record)
         if not record.ended.wait((max(work.get_left_ms(), 0) + ORDER_GRACE_MS) / 1000):
             raise RefusalError(
--- a/knapweedrock/targets/messages.py
+++ b/knapweedrock/targets/messages.py
@@ -5,7 +5,7 @@
 from knapweedrock.nodes.messages import message
 
 
-@message(33)
+@message(40)
 class Suspect(NamedTuple):
     """Tell a peer of a fingerprint that was in flight at one crash."""
 
@@ -13,7 +13,7 @@
     remaining_ms: int
 
 
-@message(34)
+@message(41)
 class Cleared(NamedTuple):
     """Tell a peer that a suspect ran alone without a crash."""
 
--- a/knapweedrock/targets/orders.py
+++ b/knapweedrock/targets/orders.py
@@ -1,12 +1,13 @@
 """Recent order ids with their answers, so that no order runs twice.
 
 An id that is not on record runs only if it is younger than what this node can know
-of: the start of its ownership, or what a handover or an eviction left open.
+of: the time since which the records of its ownership reach back, or the youngest id
+that was evicted.
 """
 
 from collections import OrderedDict
 from enum import StrEnum
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from gevent.event import Event
 
@@ -26,7 +27,7 @@
 MAX_AGE_MS = 600_000
 MAX_ANSWER_BYTES = 65536
 RECORD_BYTES = 600
-MAX_INHERITED = 4096
+MAX_HANDED_ANSWER_BYTES = 4 << 20
 
 
 class OrderState(StrEnum):
@@ -60,7 +61,7 @@
         body = len(self.delivered.body) if self.delivered else 0
         return RECORD_BYTES + body
 
-    def to_plain(self) -> dict[str, Any]:
+    def to_plain(self, with_answer: bool) -> dict[str, Any]:
         """Return the record as it is handed over."""
         state = self.state
         if state is OrderState.RUNNING:
@@ -71,20 +72,12 @@
             "key": self.key,
             "fingerprint": self.fingerprint,
             "state": str(state),
-            "delivered": list(self.delivered) if self.delivered else None,
+            "delivered": list(self.delivered)
+            if self.delivered and with_answer
+            else None,
         }
 
 
-class Inherited(NamedTuple):
-    """Floor of a range that was handed over to the ownership begun at `since_ms`."""
-
-    service: str
-    start: int
-    end: int
-    since_ms: int
-    floor_ms: int
-
-
 class Orders:
     """Order records of one node, bounded by bytes and age."""
 
@@ -92,7 +85,6 @@
         self.env = env
         self.max_bytes = max_bytes
         self.records: OrderedDict[tuple[str, str], OrderRecord] = OrderedDict()
-        self.inherited: list[Inherited] = []
         self.evicted_ms = 0
         self.used_bytes = 0
 
@@ -121,44 +113,37 @@
         )
         self.check_floor(record, grant)
         record.seen_ms = self.env.clock.wall_ms()
-        self.records[(record.service, record.order_id)] = record
-        self.used_bytes += record.count_bytes()
+        self._put(record)
         self._evict()
         return record
 
     def check_floor(self, record: OrderRecord, grant: "Grant") -> None:
         """Raise `ORDER_BEFORE_OWNERSHIP` where the past of the id is unknown."""
-        floor_ms = self.get_floor_ms(record.service, record.key_hash, grant.since_ms)
-        if record.time_ms < floor_ms:
+        if record.time_ms < self.get_floor_ms(grant.since_ms):
             raise RefusalError(Code.ORDER_BEFORE_OWNERSHIP)
 
-    def get_floor_ms(self, service: str, key_hash: int, since_ms: int) -> int:
+    def get_floor_ms(self, since_ms: int) -> int:
         """Return the time before which ids of this ownership may be unknown."""
-        for item in self.inherited:
-            if (
-                item.since_ms == since_ms
-                and item.service == service
-                and item.start <= key_hash < item.end
-            ):
-                return max(item.floor_ms, self.evicted_ms)
         return max(since_ms + OWNERSHIP_MARGIN_MS, self.evicted_ms)
 
     def end(
         self, record: OrderRecord, state: OrderState, delivered: Delivered | None
     ) -> None:
         """Record the end of an order, with its answer where there is one."""
-        self.used_bytes -= record.count_bytes()
+        is_held = self._holds(record)
+        self.used_bytes -= record.count_bytes() if is_held else 0
         record.delivered = delivered
         record.state = state
         if delivered and len(delivered.body) > MAX_ANSWER_BYTES:
             record.delivered = None
-        self.used_bytes += record.count_bytes()
+        self.used_bytes += record.count_bytes() if is_held else 0
         record.ended.set()
         self._evict()
 
     def forget(self, record: OrderRecord) -> None:
         """Drop the record of an order that surely did not run."""
-        if self.records.pop((record.service, record.order_id), None):
+        if self._holds(record):
+            del self.records[(record.service, record.order_id)]
             self.used_bytes -= record.count_bytes()
         record.ended.set()
 
@@ -179,40 +164,36 @@
 
     def hand_over(self, service: str, ranges: list[tuple[int, int]]) -> list[dict]:
         """Return what a new owner of the ranges must know, as plain data."""
-        handed = [
-            record.to_plain()
-            for record in self.records.values()
-            if record.service == service
-            and any(start <= record.key_hash < end for start, end in ranges)
-        ]
-        for start, end in ranges:
-            held = self.env.views.find_range(service, start)
-            if held is None or held["owner"] != self.env.settings.node_id:
+        left_bytes = MAX_HANDED_ANSWER_BYTES
+        handed: list[dict[str, Any]] = []
+        for record in reversed(self.records.values()):
+            if record.service != service:
                 continue
-            floor_ms = self.get_floor_ms(service, start, held["since_ms"])
-            handed.append(
-                {"kind": "floor", "start": start, "end": end, "floor_ms": floor_ms}
-            )
-        return handed
+            if not any(start <= record.key_hash < end for start, end in ranges):
+                continue
+            left_bytes -= record.count_bytes()
+            handed.append(record.to_plain(with_answer=left_bytes > 0))
+        handed.reverse()
+        return [{"kind": "floor", "evicted_ms": self.evicted_ms}, *handed]
 
     def adopt(self, service: str, records: list[dict[str, Any]]) -> None:
-        """Take what the former owner handed over.
-
-        To be called once the view that names this node as owner is in force:
-        floors count for exactly that ownership.
-        """
-        for plain in records:
-            if plain["kind"] == "order":
-                self._adopt_order(service, plain)
+        """Take what the former owner handed over."""
         for plain in records:
             if plain["kind"] == "floor":
-                self._adopt_floor(service, plain)
+                self.evicted_ms = max(self.evicted_ms, plain["evicted_ms"])
+            else:
+                self._adopt_order(service, plain)
         self._evict()
 
     def _adopt_order(self, service: str, plain: dict[str, Any]) -> None:
+        """Take a record, also in place of one that waits here and did not run."""
         place = (service, plain["order_id"])
-        if place in self.records:
-            return
+        known = self.records.pop(place, None)
+        if known:
+            self.used_bytes -= known.count_bytes()
+            if known.state is not OrderState.RUNNING:
+                self._put(known)
+                return
         record = OrderRecord(
             plain["order_id"],
             service,
@@ -225,23 +206,14 @@
         if plain["delivered"]:
             record.delivered = restore_delivered(plain["delivered"])
         record.ended.set()
-        self.records[place] = record
+        self._put(record)
+
+    def _put(self, record: OrderRecord) -> None:
+        self.records[(record.service, record.order_id)] = record
         self.used_bytes += record.count_bytes()
 
-    def _adopt_floor(self, service: str, plain: dict[str, Any]) -> None:
-        held = self.env.views.find_range(service, plain["start"])
-        if held is None or held["owner"] != self.env.settings.node_id:
-            return
-        self.inherited.append(
-            Inherited(
-                service,
-                plain["start"],
-                plain["end"],
-                held["since_ms"],
-                plain["floor_ms"],
-            )
-        )
-        del self.inherited[:-MAX_INHERITED]
+    def _holds(self, record: OrderRecord) -> bool:
+        return self.records.get((record.service, record.order_id)) is record
 
     def dump(self) -> dict[str, object]:
         """Return the state as plain data."""
@@ -251,7 +223,6 @@
             "running": len(running),
             "used_bytes": self.used_bytes,
             "evicted_ms": self.evicted_ms,
-            "inherited": [item._asdict() for item in self.inherited],
         }
 
 
--- a/knapweedrock/targets/suspects.py
+++ b/knapweedrock/targets/suspects.py
@@ -9,21 +9,13 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, RefusalError
+from knapweedrock.nodes.links import Sender, handles
 from knapweedrock.nodes.messages import Deliver, Done, Quarantine
 from knapweedrock.targets.messages import Cleared, Suspect
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
 
-try:
-    from knapweedrock.nodes.links import handles
-except ImportError:
-
-    def handles(_message_type):
-        """Register nothing while there are no links."""
-        return lambda handler: handler
-
-
 SUSPECT_MS = 60_000
 QUARANTINE_MS = 300_000
 MAX_FINGERPRINTS = 4096
@@ -128,7 +120,7 @@
 
 
 @handles(Quarantine)
-def take_quarantine(env: "Environment", _sender, message: Quarantine) -> Done:
+def take_quarantine(env: "Environment", _sender: Sender, message: Quarantine) -> Done:
     """Refuse what a peer found to crash targets."""
     suspects = env.delivery.suspects
     suspects.quarantine(message.fingerprint, message.remaining_ms)
@@ -136,14 +128,14 @@
 
 
 @handles(Suspect)
-def take_suspect(env: "Environment", _sender, message: Suspect) -> Done:
+def take_suspect(env: "Environment", _sender: Sender, message: Suspect) -> Done:
     """Run alone what a peer saw in flight at a crash."""
     env.delivery.suspects.suspect(message.fingerprint, message.remaining_ms)
     return Done()
 
 
 @handles(Cleared)
-def take_cleared(env: "Environment", _sender, message: Cleared) -> Done:
+def take_cleared(env: "Environment", _sender: Sender, message: Cleared) -> Done:
     """Free what ran alone at a peer without a crash."""
     env.delivery.suspects.suspected.pop(message.fingerprint, None)
     return Done()
--- a/knapweedrock/targets/work.py
+++ b/knapweedrock/targets/work.py
@@ -9,7 +9,6 @@
 from knapweedrock.nodes.messages import Deliver
 from knapweedrock.nodes.view import hash_key
 from knapweedrock.targets.exchange import encode_head
-from knapweedrock.targets.orders import OrderRecord
 from knapweedrock.targets.suspects import create_fingerprint
 
 if TYPE_CHECKING:
@@ -31,7 +30,6 @@
         self.key_hash = hash_key(request.key)
         self.fingerprint = create_fingerprint(request)
         self.head = encode_head(request.method, request.path, request.headers)
-        self.record: OrderRecord | None = None
         self.lost: KnapweedrockError | None = None
 
     def get_left_ms(self) -> float:
@@ -48,8 +46,8 @@
         self.check_deadline()
         request = self.request
         grant = self.env.lease.authorize(request.service, request.key)
-        if self.record and grant.since_ms != self.grant.since_ms:
-            self.env.delivery.orders.check_floor(self.record, grant)
+        if not request.idempotent and grant.token != self.grant.token:
+            raise RefusalError(Code.MOVING, "the key moved while the order waited")
         self.grant = grant
 
     def settle_error(self, error: KnapweedrockError) -> KnapweedrockError:
