--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -28,9 +28,17 @@
 READ_RATE = 250
 DEADLINE_MS = 800
 SETTLE_S = 1.0
+BALANCE_SLACK_RANGES = 4
 CLOCK = create_clock()
 
 
+def is_balanced(mesh) -> bool:
+    """Tell whether all running nodes own about the same number of ranges."""
+    owners = [entry["owner"] for entry in read_ranges(mesh)]
+    counts = [owners.count(vm.spec.node_id) for vm in mesh.list_running()]
+    return is_covered(mesh) and max(counts) - min(counts) <= BALANCE_SLACK_RANGES
+
+
 def create_callers(context, seed: int) -> Callers:
     """Create callers at all running nodes."""
     nodes = {vm.spec.node_id: vm.caller for vm in context.mesh.list_running()}
@@ -46,7 +54,7 @@
     layout = create_layout({SERVICE: count}, names, fenced=fencing == "fenced")
     context.mesh = create_mesh(context, layout)
     context.mesh.start()
-    wait_for(lambda: is_covered(context.mesh), 20, "every range is owned")
+    wait_for(lambda: is_balanced(context.mesh), 30, "the ranges are balanced")
     context.random = random.Random(0)
     context.before = read_ranges(context.mesh)
     context.lost = set()
