Tell the truth after a lost attempt; resign only to a voter that reaches the platform

Cause, each found by a proof that failed: (1) a read whose first attempt was lost on the link and whose repetition found no peer was answered as not run though it had run; (2) in an outage of the platform the coordinator resigned on the word of voters that never call the platform, and all leases lapsed; (3) a coordinator without candidates removed the last voter; (4) voters not heard yet were dropped at once. After: the result that may have run wins over a later one that did not; a voter must read the cell's record before the coordinator resigns; voters stay until inherited leases are over.

--- a/knapweedrock/callers/attempts.py
+++ b/knapweedrock/callers/attempts.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from knapweedrock.callers.requests import CallerRequest
-from knapweedrock.codes import Code
+from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.environment import Environment
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.nodes.messages import Deliver, Delivered
@@ -20,6 +20,23 @@
     member: Member | None
 
 
+def settle(final: Routed, uncertain: Routed | None) -> Routed:
+    """Return the result that is true of all attempts together.
+
+    A last attempt that did not run says nothing of an earlier one that may have.
+    """
+    if uncertain is None:
+        return final
+    outcome = INFO[Code(final.delivered.code)].outcome
+    return uncertain if outcome == Outcome.NOT_RUN else final
+
+
+def find_uncertain(routed: Routed) -> Routed | None:
+    """Return the result if its attempt may have run, else None."""
+    outcome = INFO[Code(routed.delivered.code)].outcome
+    return routed if outcome == Outcome.MAY_HAVE_RUN else None
+
+
 def create_refused(code: Code, detail: str = "", retry_after_ms: int = 0) -> Delivered:
     """Create the result of an attempt that failed on this side."""
     return Delivered(int(code), 0, [], b"", detail, retry_after_ms, (0, 0))
--- a/knapweedrock/callers/copies.py
+++ b/knapweedrock/callers/copies.py
@@ -27,9 +27,11 @@
         second: Callable[[], R | None],
         is_answer: Callable[[R], bool],
         delay_ms: float,
+        combine: Callable[[R, R], R],
     ) -> None:
         self._second = second
         self._is_answer = is_answer
+        self._combine = combine
         self._delay_s = delay_ms / MS_PER_S
         self._loop = gevent.get_hub().loop
         self._runner = getcurrent()
@@ -66,7 +68,8 @@
             return self._winner
         if self._copy is None or self._is_answer(result):
             return result
-        return self._copy.get() or result
+        second = self._copy.get()
+        return result if second is None else self._combine(result, second)
 
     def _start_copy(self) -> None:
         self._copy = gevent.spawn(self._run_copy)
--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -7,7 +7,13 @@
 
 import gevent
 
-from knapweedrock.callers.attempts import Routed, attempt, create_refused
+from knapweedrock.callers.attempts import (
+    Routed,
+    attempt,
+    create_refused,
+    find_uncertain,
+    settle,
+)
 from knapweedrock.callers.budgets import create_retry_budgets
 from knapweedrock.callers.requests import CallerRequest
 from knapweedrock.codes import Code
@@ -54,13 +60,15 @@
         """Send the request to the owner until it is settled or must be given up."""
         self._budgets[request.route.service].earn()
         pause_ms = FIRST_PAUSE_MS
+        uncertain: Routed | None = None
         while True:
             version = self._env.views.version
             routed = self._send(request)
+            uncertain = find_uncertain(routed) or uncertain
             if not self._may_repeat(request, Code(routed.delivered.code)):
-                return routed
+                return settle(routed, uncertain)
             if not self._wait(request, version, pause_ms):
-                return give_up(routed)
+                return settle(give_up(routed), uncertain)
             self._env.counters.count("caller_retries", service=request.route.service)
             pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
 
--- a/knapweedrock/callers/spreading.py
+++ b/knapweedrock/callers/spreading.py
@@ -1,6 +1,12 @@
 """Spreading of requests over the targets of a service not divided by key."""
 
-from knapweedrock.callers.attempts import Routed, attempt, create_refused
+from knapweedrock.callers.attempts import (
+    Routed,
+    attempt,
+    create_refused,
+    find_uncertain,
+    settle,
+)
 from knapweedrock.callers.budgets import create_copy_budgets, create_retry_budgets
 from knapweedrock.callers.choice import create_policy, find_candidates
 from knapweedrock.callers.copies import Race
@@ -44,10 +50,12 @@
         self._copies[service].earn()
         tried: set[str] = set()
         routed = self._send(request, tried)
+        uncertain = find_uncertain(routed)
         while self._may_repeat(request, routed, tried):
             self._env.counters.count("caller_retries", service=service)
             routed = self._send(request, tried)
-        return routed
+            uncertain = find_uncertain(routed) or uncertain
+        return settle(routed, uncertain)
 
     def dump(self) -> dict[str, object]:
         """Return loads by node, latencies and budgets by service."""
@@ -70,6 +78,7 @@
             lambda: self._send_copy(request, tried),
             is_done,
             self._copy_delay_ms(request),
+            combine_attempts,
         )
         return race.run(lambda: self._attempt(request, member))
 
@@ -134,6 +143,11 @@
     return routed.delivered.code == Code.DONE
 
 
+def combine_attempts(first: Routed, second: Routed) -> Routed:
+    """Combine the results of an attempt and its copy, neither of them an answer."""
+    return settle(second, find_uncertain(first))
+
+
 def may_send_again(request: CallerRequest, delivered: Delivered) -> bool:
     """Tell whether another attempt can't run a request twice."""
     info = INFO[Code(delivered.code)]
--- a/knapweedrock/nodes/cell.py
+++ b/knapweedrock/nodes/cell.py
@@ -90,8 +90,11 @@
     """Choose the next set of voters, at most one different; None when it is good.
 
     Candidates are the living members that stay. A voter that came back with another
-    address is another process: it leaves the set before it joins again.
+    address is another process: it leaves the set before it joins again. Without
+    candidates nothing changes, so the last voter always stays.
     """
+    if not candidates:
+        return None
     wanted = plan_voters(voters, candidates)
     for node_id, record in wanted.items():
         if node_id not in voters:
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -12,7 +12,7 @@
 from knapweedrock.nodes.cell import VoterRecord, choose_voter_change
 from knapweedrock.nodes.links import Sender, dispatch, handles
 from knapweedrock.nodes.membership import Peer
-from knapweedrock.nodes.messages import Assign, Heartbeat, Lease
+from knapweedrock.nodes.messages import Assign, Heartbeat, Lease, ProbePlatform
 from knapweedrock.nodes.moves import TableKeeper
 from knapweedrock.nodes.office import Office, stand_for_office
 from knapweedrock.nodes.roster import Roster
@@ -35,7 +35,9 @@
 LAPSE_LIMIT_MS = 3000
 PUSH_TIMEOUT_MS = 400
 VOTER_INTERVAL_MS = 500
-PLATFORM_LOST_LIMIT_MS = 2000
+PLATFORM_LOST_LIMIT_MS = 300
+PLATFORM_CHECK_INTERVAL_MS = 400
+PROBE_ANSWER_MS = 400
 
 log = Logger("coordinator")
 
@@ -53,6 +55,7 @@
         self.count = 0
         self.voters_checked_ns = 0
         self.platform_lost_ns = 0
+        self.platform_checked_ns = 0
 
     def begin(self) -> bool:
         """Take office: promises, then epochs into tables; tell whether it worked."""
@@ -129,10 +132,12 @@
         if now - self.voters_checked_ns > VOTER_INTERVAL_MS * NS_PER_MS:
             self.voters_checked_ns = now
             gevent.spawn(self._tend_voters)
-            self._yield_without_platform(now)
+        self._check_platform(now)
 
     def _tend_voters(self) -> None:
         now = self.env.clock.now_ns()
+        if now < self.roster.inherited_until_ns:
+            return
         candidates: dict[str, VoterRecord] = {
             name: {"peer": entry.member["peer"], "zone": entry.member["zone"]}
             for name, entry in self.roster.entries.items()
@@ -152,23 +157,34 @@
         self.publish()
         log.info("voters changed voters={}", sorted(self.office.record["voters"]))
 
-    def _yield_without_platform(self, now: int) -> None:
-        """Resign when the platform is lost here but a voter still reaches it."""
+    def _check_platform(self, now: int) -> None:
+        """Look for a successor once the platform has been lost here for a while."""
         if self.env.coordinator.platform_ok:
             self.platform_lost_ns = 0
             return
         self.platform_lost_ns = self.platform_lost_ns or now
         if now - self.platform_lost_ns < PLATFORM_LOST_LIMIT_MS * NS_PER_MS:
             return
-        others = [
-            entry.platform_ok
-            for name, entry in self.roster.entries.items()
-            if name in self.office.record["voters"]
-            and name != self.env.settings.node_id
-        ]
-        if any(others):
+        if now - self.platform_checked_ns > PLATFORM_CHECK_INTERVAL_MS * NS_PER_MS:
+            self.platform_checked_ns = now
+            gevent.spawn(self._yield_to_reaching_voter)
+
+    def _yield_to_reaching_voter(self) -> None:
+        """Resign if a voter still reaches the platform."""
+        own = self.env.settings.node_id
+        others = [name for name in self.office.record["voters"] if name != own]
+        calls = [gevent.spawn(self._reaches_platform, name) for name in others]
+        gevent.joinall(calls, timeout=PROBE_ANSWER_MS / 1000)
+        if any(call.value for call in calls):
             self.office.resign()
 
+    def _reaches_platform(self, node_id: str) -> bool:
+        try:
+            self.ask(node_id, ProbePlatform(), PROBE_ANSWER_MS)
+        except KnapweedrockError:
+            return False
+        return True
+
     def _fetch_configuration(self, heartbeat: Heartbeat) -> None:
         entry = self.roster.entries.get(heartbeat.node_id)
         if entry is not None:
@@ -284,7 +300,7 @@
             "in_office": term is not None and term.office.holds(),
             "epoch": 0 if term is None else term.office.epoch,
             "voters": {} if term is None else term.office.record["voters"],
-            "waiting_for": self.waiting_for,
+            "waiting_for": self.waiting_for if self._is_needed() else "",
             "members": {
                 name: {
                     "config_version": entry.config_version,
--- a/knapweedrock/nodes/distribution.py
+++ b/knapweedrock/nodes/distribution.py
@@ -6,7 +6,9 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError
-from knapweedrock.nodes.cell import name_configuration, name_status
+from knapweedrock.nodes.cell import name_cell, name_configuration, name_status
+from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.messages import Done, ProbePlatform
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
@@ -15,6 +17,7 @@
 IDLE_PAUSE_MS = 200
 FAILURE_PAUSE_MS = 300
 STATUS_INTERVAL_MS = 1000
+PROBE_TIMEOUT_MS = 300
 
 
 class Distribution:
@@ -103,6 +106,13 @@
         self.status_written = status
 
 
+@handles(ProbePlatform)
+def probe_platform(env: "Environment", _sender: Sender, _probe: ProbePlatform) -> Done:
+    """Read the cell's record; raises `PlatformError` where that fails."""
+    env.platform.get(name_cell(env.settings.cell), PROBE_TIMEOUT_MS)
+    return Done()
+
+
 def create_distribution(env: "Environment") -> Distribution:
     """Create the distribution of a node."""
     return Distribution(env)
--- a/knapweedrock/nodes/messages.py
+++ b/knapweedrock/nodes/messages.py
@@ -231,6 +231,11 @@
     remaining_ms: int
 
 
+@message(34)
+class ProbePlatform(NamedTuple):
+    """Ask a peer to read the cell's record, to learn whether it still can."""
+
+
 @message(33)
 class Adopt(NamedTuple):
     """Records of recent order ids for ranges that the receiver is about to own."""
--- a/knapweedrock/nodes/tables.py
+++ b/knapweedrock/nodes/tables.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
 
+WRITE_TIMEOUT_MS = 500
 SETTLE_PAUSE_MS = 100
 TABLE_PREFIX = "tables/"
 
@@ -62,10 +63,13 @@
     def _settle(self, service: str, table: Table, expected: int) -> None:
         name = name_table(service, self.env.settings.cell)
         try:
-            stored = self.env.platform.put(name, table, expected)
+            stored = self.env.platform.put(name, table, expected, WRITE_TIMEOUT_MS)
         except PlatformError as error:
+            if error.code == Code.PLATFORM_UNAVAILABLE:
+                self.env.coordinator.platform_ok = False
             self._read_back(service, name, table, error)
             return
+        self.env.coordinator.platform_ok = True
         self.stored[service] = Stored(stored.version, table)
 
     def _read_back(
@@ -78,7 +82,7 @@
         """
         while not self.office.ended:
             try:
-                stored = self.env.platform.get(name)
+                stored = self.env.platform.get(name, WRITE_TIMEOUT_MS)
                 if self._is_foreign(stored):
                     self.office.end("another coordinator wrote a table")
                     break
--- a/knapweedrock/operators/overview.py
+++ b/knapweedrock/operators/overview.py
@@ -71,7 +71,7 @@
     heard = coordinator.get("members", {})
     members = env.views.view["members"]
     return {
-        name: {**members.get(name, {}), **heard.get(name, {})}
+        name: {"state": "joining", **members.get(name, {}), **heard.get(name, {})}
         for name in sorted(members.keys() | heard.keys())
     }
 
