Check the platform client by histories of racing writers

Cause: the promises of put (no write lost, none applied twice, a conflict only where surely not written) were not shown by any run.

Found by the new feature and mended: - a request whose body breaks off got a 500 from the stand-in (gevent raises OSError inside the application); it gets a 400 now; - an answer that is not UTF-8 in a field which is not read passed as a good one; - a write's version that does not follow the replaced one was believed.

A POST of faults now states all of them, so that an empty one heals the platform, as the harness expects.

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,86 @@
+Feature: The platform's object API
+  The stand-in runs as a process of its own, and so do writers that race.
+
+  Background:
+    Given a platform
+
+  Scenario: Versions, conditional updates, lists and watches
+    When the objects "config/a" and "config/b" are written
+    Then a write at a wrong version is a conflict and changes nothing
+    And the list of "config/" holds both
+    And a watch ends once a newer version is written
+    And a watch without a newer version ends in time with none
+
+  Scenario: No increment is lost or applied twice under lost answers
+    When 3 processes with 4 writers each increment one object for 6 s
+    And every 40 ms the platform loses the answers of 2 writes
+    Then the history shows each applied increment once, in order of versions
+    And answers were lost and settled
+
+  Scenario: No increment is lost or applied twice under outages
+    When 3 processes with 4 writers each increment one object for 8 s
+    And the platform goes down and loses answers by turns
+    Then the history shows each applied increment once, in order of versions
+
+  Scenario: A writer whose process is paused neither loses nor repeats an increment
+    When 3 processes with 4 writers each increment one object for 6 s
+    And the writers' processes are paused by turns
+    Then the history shows each applied increment once, in order of versions
+
+  Scenario: Two writers of the same value are told apart
+    Given an object at version 1
+    When two writers write the same value at version 1 and the first answer is lost
+    Then one write is applied and the other is a conflict
+
+  Scenario: A lost write that others have replaced is still found
+    Given an object at version 1
+    When the answer to a write is lost and 5 others follow before the read back
+    Then the write is known to have made version 2
+
+  Scenario: A lost write that others have buried is left open
+    Given an object at version 1
+    When the answer to a write is lost and 40 others follow before the read back
+    Then the write fails with PLATFORM_UNAVAILABLE
+
+  Scenario: An outage fails within the deadline and stops no other task
+    When the platform goes down
+    Then each method fails with PLATFORM_UNAVAILABLE within its deadline
+    And another task was never held up for more than 100 ms
+    When the platform comes back
+    Then an object can be written again
+
+  Scenario: A platform that is slow but within the deadline still answers
+    When each call takes 600 ms
+    Then 3 of 4 writes with a deadline of 2000 ms succeed at the least
+
+  Scenario: A cut client fails and another goes on
+    When the client "n1" is cut off
+    Then "n1" fails with PLATFORM_UNAVAILABLE and "n2" writes
+
+  Scenario: Cuts inside the process
+    Then with calls cut before the platform nothing reaches it
+    And with answers cut after the platform a write takes effect and is left open
+
+  Scenario: Rates of the platform and of the client
+    Then calls above the platform's rate get 429 and succeed later
+    And calls above the client's own rate fail with PLATFORM_RATE_LIMITED unsent
+    And the stand-in and the client counted the same calls
+
+  Scenario: Values above the limit
+    Then a value above the limit is refused by the client with BODY_TOO_LARGE
+    And the stand-in refuses it with 413 and takes one of 1000000 bytes
+
+  Scenario: Broken requests leave the stand-in up
+    Then the stand-in survives 300 broken requests
+
+  Scenario: Broken answers leave the client up
+    Then each broken answer ends a read with a code of the platform
+    And each broken answer ends a write with a code of the platform
+    And random answers end with a code of the platform
+
+  Scenario: A silent connection costs one call at most its deadline
+    When an open connection goes silent
+    Then a read succeeds over a new one within its deadline
+
+  Scenario: The judgement of a lost write is never wrong
+    Then the judgement agrees with random histories of writes
--- a/knapweedrock/emulator/platform.py
+++ b/knapweedrock/emulator/platform.py
@@ -44,10 +44,11 @@
 
 
 class PlatformFaults(TypedDict, total=False):
-    """Faults in force; one that is left out stays as it is.
+    """All faults to be in force; one that is left out ends.
 
     `lose_answers` is the number of coming writes that are applied and then lose
-    their answer; `cut_clients` lists clients whose calls are dropped.
+    their answer; `cut_clients` lists clients whose calls are dropped. Rates that
+    are left out stay as they are.
     """
 
     outage: bool
@@ -100,8 +101,11 @@
         return _parse_number("If-Version", self._environ.get("HTTP_IF_VERSION", ""))
 
     def read_body(self) -> bytes:
-        """Read the body; None above the limit."""
-        return self._environ["wsgi.input"].read(VALUE_MAX_BYTES + 1)
+        """Read the body, at most one byte above the limit."""
+        try:
+            return self._environ["wsgi.input"].read(VALUE_MAX_BYTES + 1)
+        except OSError as error:
+            raise BadCallError("the body breaks off") from error
 
 
 class BadCallError(Exception):
@@ -143,11 +147,11 @@
             self._server.stop(timeout=1)
 
     def set_faults(self, faults: PlatformFaults) -> None:
-        """Bring the given faults into force and leave the others."""
-        self.outage = faults.get("outage", self.outage)
-        self.delay_ms = faults.get("delay_ms", self.delay_ms)
-        self.lose_answers = faults.get("lose_answers", self.lose_answers)
-        self.cut_clients = frozenset(faults.get("cut_clients", self.cut_clients))
+        """Bring these faults into force in place of the former ones."""
+        self.outage = faults.get("outage", False)
+        self.delay_ms = faults.get("delay_ms", 0.0)
+        self.lose_answers = faults.get("lose_answers", 0)
+        self.cut_clients = frozenset(faults.get("cut_clients", []))
         if "reads_per_s" in faults:
             self.reads = Rate(faults["reads_per_s"])
         if "writes_per_s" in faults:
@@ -167,7 +171,7 @@
         """Serve one HTTP request."""
         try:
             status, body = self._route(environ)
-        except (BadCallError, msgspec.ValidationError, msgspec.DecodeError) as error:
+        except (BadCallError, msgspec.DecodeError, RecursionError) as error:
             status, body = 400, {"error": str(error)}
         data = b"" if status == 304 else msgspec.json.encode(body)
         headers = [("Content-Type", "application/json")]
--- a/knapweedrock/platform/http.py
+++ b/knapweedrock/platform/http.py
@@ -213,13 +213,14 @@
             raise AnswerLostError(f"status {answer.status}")
         if answer.status == 409:
             raise PlatformError(Code.PLATFORM_CONFLICT, f"{name} is not at {expected}")
+        _check_status(answer)
         try:
-            _check_status(answer)
-            return _decode(answer, _Written)["version"]
+            version = _decode(answer, _Written)["version"]
         except PlatformError as error:
-            if answer.status == 200:
-                raise AnswerLostError(str(error)) from error
-            raise
+            raise AnswerLostError(str(error)) from error
+        if version <= expected:
+            raise AnswerLostError(f"version {version} does not follow {expected}")
+        return version
 
     def _settle(self, name: str, write: Write, deadline_ns: int) -> int:
         """Read back what became of a write; 0 where it may be tried again."""
@@ -279,7 +280,7 @@
     if answer.status != 200:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"status {answer.status}")
     try:
-        return msgspec.json.decode(answer.body, type=kind)
+        return msgspec.json.decode(answer.body.decode(), type=kind)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
 
