--- a/features/platform.feature
+++ b/features/platform.feature
@@ -11,11 +11,11 @@
     And a watch ends once a newer version is written
     And a watch without a newer version ends in time with none
 
-  Scenario: No increment is lost or applied twice under lost answers
+  Scenario: No increment is lost or applied twice under lost calls and answers
     When 3 processes with 4 writers each increment one object for 6 s
-    And every 40 ms the platform loses the answers of 2 writes
+    And every 40 ms the platform loses 2 writes and 2 answers
     Then the history shows each applied increment once, in order of versions
-    And answers were lost and settled
+    And calls and answers were lost and settled
 
   Scenario: No increment is lost or applied twice under outages
     When 3 processes with 4 writers each increment one object for 8 s
@@ -34,12 +34,17 @@
 
   Scenario: A lost write that others have replaced is still found
     Given an object at version 1
-    When the answer to a write is lost and 5 others follow before the read back
+    When the answer of a write is lost and 5 others follow before the read back
     Then the write is known to have made version 2
 
+  Scenario: A write lost on its way is a conflict once others came first
+    Given an object at version 1
+    When the call of a write is lost and 5 others follow before the read back
+    Then the write fails with PLATFORM_CONFLICT
+
   Scenario: A lost write that others have buried is left open
     Given an object at version 1
-    When the answer to a write is lost and 40 others follow before the read back
+    When the answer of a write is lost and 40 others follow before the read back
     Then the write fails with PLATFORM_UNAVAILABLE
 
   Scenario: An outage fails within the deadline and stops no other task
--- a/knapweedrock/emulator/platform.py
+++ b/knapweedrock/emulator/platform.py
@@ -46,14 +46,15 @@
 class PlatformFaults(TypedDict, total=False):
     """All faults to be in force; one that is left out ends.
 
-    `lose_answers` is the number of coming writes that are applied and then lose
-    their answer; `cut_clients` lists clients whose calls are dropped. Rates that
-    are left out stay as they are.
+    The next `lose_calls` writes are dropped before they are applied; the next
+    `lose_answers` lose their answer after it. `cut_clients` lists clients whose
+    calls are dropped. Rates that are left out stay as they are.
     """
 
     outage: bool
     delay_ms: float
     lose_answers: int
+    lose_calls: int
     cut_clients: list[str]
     reads_per_s: float
     writes_per_s: float
@@ -129,6 +130,7 @@
         self.outage = False
         self.delay_ms = 0.0
         self.lose_answers = 0
+        self.lose_calls = 0
         self.cut_clients: frozenset[str] = frozenset()
         self._broken = Event()
         self._calls: dict[str, Counter[str]] = defaultdict(Counter)
@@ -151,6 +153,7 @@
         self.outage = faults.get("outage", False)
         self.delay_ms = faults.get("delay_ms", 0.0)
         self.lose_answers = faults.get("lose_answers", 0)
+        self.lose_calls = faults.get("lose_calls", 0)
         self.cut_clients = frozenset(faults.get("cut_clients", []))
         if "reads_per_s" in faults:
             self.reads = Rate(faults["reads_per_s"])
@@ -203,11 +206,15 @@
         if self.delay_ms:
             gevent.sleep(self.delay_ms / 1000)
             self._drop_if_down(call)
+        if call.method == "put" and self.lose_calls > 0:
+            self.lose_calls -= 1
+            self._endings["lost_calls"] += 1
+            raise DroppedError()
         answer = _HANDLERS[call.method](self, call)
         self._drop_if_down(call)
         if call.method == "put" and answer[0] == 200 and self.lose_answers > 0:
             self.lose_answers -= 1
-            self._endings["lost"] += 1
+            self._endings["lost_answers"] += 1
             raise DroppedError()
         self._endings[str(answer[0])] += 1
         return answer
