Add the operators' commands: ticket, status, dump and owner

Cause: operators drive the product by numbered tickets from the command line. Found on the way: a check of a ticket that is already applied was refused with 403; a repeated ticket now passes the review.

--- a/knapweedrock/checker.py
+++ b/knapweedrock/checker.py
@@ -3,7 +3,7 @@
 import ipaddress
 import math
 import re
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from knapweedrock.errors import SettingError
@@ -44,6 +44,13 @@
     return ipaddress.ip_address(address.host).is_loopback
 
 
+class Missing:
+    """Shown in an error in place of a value that was not given."""
+
+    def __repr__(self) -> str:
+        return "nothing"
+
+
 class Checker:
     """Reader of raw settings that notes each error and goes on.
 
@@ -60,7 +67,7 @@
         """Note one wrong setting under its flag and environment variable."""
         flag = "--" + name.replace("_", "-")
         variable = f"{self.variables}_{name.upper()}"
-        shown = "nothing" if found is None else found
+        shown = Missing() if found is None else found
         self.errors.append(SettingError(f"{flag} ({variable})", shown, expected))
 
     def read_name(self, name: str) -> str:
@@ -72,6 +79,14 @@
         self.refuse(name, value, expected)
         return "unknown"
 
+    def read_choice(self, name: str, choices: Collection[str]) -> str:
+        """Read one of the names that a registry knows."""
+        value = self.given.get(name)
+        if isinstance(value, str) and value in choices:
+            return value
+        self.refuse(name, value, " or ".join(sorted(choices)))
+        return "unknown"
+
     def read_address(self, name: str) -> Address:
         """Read a specific IP address with a port."""
         value = self.given.get(name)
--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -3,6 +3,7 @@
 Values reach the commands unchecked, so that all wrong ones are named at once.
 """
 
+from pathlib import Path
 from typing import Any
 
 import click
@@ -10,8 +11,10 @@
 from knapweedrock import __version__
 from knapweedrock.logs import LEVELS, create_log_handler
 from knapweedrock.settings import (
+    OPERATOR_VARIABLES,
     create_load_settings,
     create_node_settings,
+    create_operator_settings,
     create_platform_listener,
     create_target_settings,
 )
@@ -218,3 +221,156 @@
     from knapweedrock.demo import run_demo
 
     return run_demo(seconds, deployment=deployment, seed=seed)
+
+
+def operator_options(*names: str) -> Any:
+    """Declare the options that operators' commands share."""
+
+    def decorate(command: Any) -> Any:
+        for name in reversed(names):
+            command = OPERATOR_OPTIONS[name](command)
+        return command
+
+    return decorate
+
+
+def operator_setting(name: str, text: str, default: str | None = None, **more) -> Any:
+    """Declare an option under the same variable in every operators' command."""
+    variable = f"{OPERATOR_VARIABLES}_{name[2:].replace('-', '_').upper()}"
+    return setting(name, text, default, envvar=variable, **more)
+
+
+OPERATOR_OPTIONS = {
+    "node": operator_setting(
+        "--node", "Operator address of a node.", metavar="IP:PORT"
+    ),
+    "platform": operator_setting(
+        "--platform", "Platform's API, instead of a node.", metavar="IP:PORT"
+    ),
+    "platform-kind": operator_setting(
+        "--platform-kind", "Kind of the platform's API.", "http"
+    ),
+    "group": operator_setting("--group", "Group to change, with --platform."),
+    "secret": operator_setting(
+        "--secret",
+        "Shared secret; better set as a variable.",
+        "",
+        show_default=False,
+    ),
+    "wait": operator_setting(
+        "--wait", "Wait this long until it is in force.", "0", metavar="S"
+    ),
+    "json": click.option(
+        "--json",
+        is_flag=True,
+        help="Print JSON for programs.",
+        envvar=f"{OPERATOR_VARIABLES}_JSON",
+        show_envvar=True,
+        type=UncheckedFlag(),
+    ),
+}
+BOTH_WAYS = ("node", "platform", "platform-kind", "group", "secret")
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@cli.group(epilog=example("knapweedrock ticket list --node 127.0.0.1:7004"))
+def ticket() -> None:
+    """Check, apply and list numbered change tickets."""
+
+
+@ticket.command(
+    name="check",
+    epilog=example(
+        "knapweedrock ticket check examples/kowhai/1-start.toml",
+        "knapweedrock ticket check --node 127.0.0.1:7004 \\",
+        "  examples/kowhai/2-zone-out.toml",
+    ),
+)
+@operator_options(*BOTH_WAYS, "json")
+@click.argument("file", type=FILE)
+def ticket_check(file: Path, **given: Any) -> Any:
+    """Check a ticket file, and with an address also against the configuration."""
+    settings = create_operator_settings(given, needed=())
+    from knapweedrock.operators.commands import check_file
+
+    return check_file(settings, file)
+
+
+@ticket.command(
+    name="apply",
+    epilog=example(
+        "knapweedrock ticket apply --node 127.0.0.1:7004 --wait 6 \\",
+        "  examples/kowhai/1-start.toml",
+    ),
+)
+@operator_options(*BOTH_WAYS, "wait", "json")
+@click.argument("file", type=FILE)
+def ticket_apply(file: Path, **given: Any) -> Any:
+    """Apply a ticket file whole, or change nothing."""
+    settings = create_operator_settings(given)
+    from knapweedrock.operators.commands import apply_file
+
+    return apply_file(settings, file)
+
+
+@ticket.command(
+    name="show",
+    epilog=example("knapweedrock ticket show --node 127.0.0.1:7004 2"),
+)
+@operator_options(*BOTH_WAYS, "json")
+@click.argument("number", type=click.IntRange(1))
+def ticket_show(number: int, **given: Any) -> Any:
+    """Show what one ticket last touched."""
+    settings = create_operator_settings(given)
+    from knapweedrock.operators.commands import show_ticket
+
+    return show_ticket(settings, number)
+
+
+@ticket.command(
+    name="list",
+    epilog=example("knapweedrock ticket list --platform 127.0.0.1:7000 --group kowhai"),
+)
+@operator_options(*BOTH_WAYS, "json")
+def ticket_list(**given: Any) -> Any:
+    """List the tickets that the configuration knows of."""
+    settings = create_operator_settings(given)
+    from knapweedrock.operators.commands import list_tickets
+
+    return list_tickets(settings)
+
+
+@cli.command(epilog=example("knapweedrock status --node 127.0.0.1:7004"))
+@operator_options("node", "secret", "json")
+def status(**given: Any) -> Any:
+    """Show a cell: nodes, owners, zones, and what is not right."""
+    settings = create_operator_settings(given, needed=("node",))
+    from knapweedrock.operators.commands import show_status
+
+    return show_status(settings)
+
+
+@cli.command(epilog=example("knapweedrock dump --node 127.0.0.1:7004"))
+@operator_options("node", "secret", "json")
+def dump(**given: Any) -> Any:
+    """Show the whole state of a node as JSON."""
+    settings = create_operator_settings(given, needed=("node",))
+    from knapweedrock.operators.commands import show_dump
+
+    return show_dump(settings)
+
+
+@cli.command(
+    epilog=example(
+        "knapweedrock owner --node 127.0.0.1:7004 --service depot-orders depot-17"
+    )
+)
+@operator_options("node", "secret", "json")
+@setting("--service", "Service; may be left out where only one is divided by key.", "")
+@click.argument("key")
+def owner(key: str, service: str, **given: Any) -> Any:
+    """Show who owns a key, since when, and by which token."""
+    settings = create_operator_settings(given, needed=("node",))
+    from knapweedrock.operators.commands import show_owner
+
+    return show_owner(settings, key, service)
--- a/knapweedrock/operators/application.py
+++ b/knapweedrock/operators/application.py
@@ -100,13 +100,22 @@
     version = stored.version if stored else 0
     if is_repeated(before, ticket):
         return Applied(ticket["number"], version, True)
+    after = review_ticket(before, ticket, find_used_zones(platform, ticket))
+    written = platform.put(name, after, version)
+    return Applied(ticket["number"], written.version, False)
+
+
+def review_ticket(
+    before: Configuration, ticket: Ticket, used_zones: frozenset[str] = frozenset()
+) -> Configuration:
+    """Return the configuration after the ticket; raise all reasons to refuse it."""
+    if is_repeated(before, ticket):
+        return before
     after = merge_ticket(before, ticket)
-    used_zones = find_used_zones(platform, ticket)
     errors = list(check_proposal(Proposal(ticket, before, after, used_zones)))
     if errors:
         raise group_errors(errors)
-    written = platform.put(name, after, version)
-    return Applied(ticket["number"], written.version, False)
+    return after
 
 
 def is_repeated(configuration: Configuration, ticket: Ticket) -> bool:
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -15,9 +15,11 @@
     "Address",
     "LoadSettings",
     "NodeSettings",
+    "OperatorSettings",
     "TargetSettings",
     "create_load_settings",
     "create_node_settings",
+    "create_operator_settings",
     "create_platform_listener",
     "create_target_settings",
     "parse_address",
@@ -26,6 +28,7 @@
 NODE_VARIABLES = "KNAPWEEDROCK_NODE"
 TARGET_VARIABLES = "KNAPWEEDROCK_EMULATE_TARGET"
 PLATFORM_VARIABLES = "KNAPWEEDROCK_EMULATE_PLATFORM"
+OPERATOR_VARIABLES = "KNAPWEEDROCK_OPERATOR"
 LOAD_VARIABLES = "KNAPWEEDROCK_LOAD"
 MAX_DRAIN_MS = 3_600_000
 MAX_WORK_MS = 600_000
@@ -35,6 +38,7 @@
 MAX_SEED = (1 << 63) - 1
 MAX_RATE = 1_000_000
 MAX_SECONDS = 86_400
+MAX_WAIT_S = 3_600
 MAX_KEYS = 1 << 32
 
 
@@ -99,6 +103,22 @@
     as_json: bool
 
 
+class OperatorSettings(NamedTuple):
+    """Checked settings of an operator's command.
+
+    `node` is the operator address of a node, `platform` the platform's API; a
+    command goes to one of them. `wait_s` is 0 where it does not wait.
+    """
+
+    node: Address | None
+    platform: Address | None
+    platform_kind: str
+    group: str
+    secret: str
+    wait_s: float
+    as_json: bool
+
+
 def create_node_settings(given: Mapping[str, object]) -> NodeSettings:
     """Build node settings; raise an ExceptionGroup with every SettingError."""
     checker = Checker(given, NODE_VARIABLES)
@@ -112,7 +132,7 @@
         peer=checker.read_address("peer"),
         target=checker.read_address("target"),
         operator=checker.read_address("operator"),
-        platform_kind=checker.read_name("platform_kind"),
+        platform_kind=_read_platform_kind(checker),
         platform=checker.read_address("platform"),
         secret=checker.read_secret("secret"),
         faults_enabled=checker.read_flag("faults_enabled"),
@@ -126,6 +146,14 @@
     return settings
 
 
+def _read_platform_kind(checker: Checker) -> str:
+    """Read a kind that the registry of platforms knows."""
+    # Imported here since the clients of the platform import this module.
+    from knapweedrock.platform.interface import KINDS
+
+    return checker.read_choice("platform_kind", KINDS)
+
+
 def _check_listeners(checker: Checker, settings: NodeSettings) -> None:
     """Refuse a listen address that is given twice."""
     if checker.errors:
@@ -204,6 +232,39 @@
     return settings
 
 
+def create_operator_settings(
+    given: Mapping[str, object], needed: tuple[str, ...] = ("node", "platform")
+) -> OperatorSettings:
+    """Build settings of an operator's command that needs one of the addresses.
+
+    With nothing needed both may be missing. Raises an ExceptionGroup with every
+    SettingError.
+    """
+    checker = Checker(given, OPERATOR_VARIABLES)
+    addresses = {
+        name: checker.read_address(name)
+        for name in ("node", "platform")
+        if given.get(name) is not None
+    }
+    if needed and not any(name in addresses for name in needed):
+        others = " or ".join(f"--{name}" for name in needed)
+        checker.refuse(needed[0], None, f"IP:PORT in {others}")
+    if len(addresses) > 1:
+        checker.refuse("platform", given["platform"], "nothing beside --node")
+    uses_platform = "platform" in addresses
+    settings = OperatorSettings(
+        node=addresses.get("node"),
+        platform=addresses.get("platform"),
+        platform_kind=_read_platform_kind(checker) if uses_platform else "",
+        group=checker.read_name("group") if uses_platform else "",
+        secret=checker.read_secret("secret"),
+        wait_s=checker.read_number("wait", 0, MAX_WAIT_S) if "wait" in given else 0,
+        as_json=checker.read_flag("json"),
+    )
+    checker.close()
+    return settings
+
+
 def _read_nodes(checker: Checker) -> tuple[Address, ...]:
     """Read the caller addresses of one or more nodes."""
     found = tuple(checker.given.get("node") or ())
--- a/knapweedrock/status.py
+++ b/knapweedrock/status.py
@@ -32,4 +32,6 @@
         return ExitStatus.SUCCESS
     if code == Code.TICKET_NOT_IN_FORCE:
         return ExitStatus.NOT_IN_FORCE
+    if code in (Code.PEER_UNREACHABLE, Code.PEER_LOST):
+        return ExitStatus.UNREACHABLE
     return GROUP_STATUSES.get(code // 100, ExitStatus.FAILURE)
