--- /dev/null
+++ b/features/commands.feature
@@ -0,0 +1,105 @@
+Feature: Commands name what is wrong and end with a numbered status
+
+  Scenario: All wrong settings of a node are named at once
+    When "node" runs with
+      | option          | value         |
+      | --node-id       | a b           |
+      | --cell          | c/1           |
+      | --caller        | localhost:80  |
+      | --peer          | 10.0.0.1:7002 |
+      | --target        | 127.0.0.1:0   |
+      | --operator      | 0.0.0.0:70    |
+      | --platform-kind | gopher        |
+      | --secret        | short         |
+      | --drain-ms      | soon          |
+    Then it ends with status 3 and code 601
+    And it names exactly
+      | setting         | expected                    |
+      | --node-id       | 1 to 63 letters             |
+      | --cell          | 1 to 63 letters             |
+      | --group         | 1 to 63 letters             |
+      | --zone          | 1 to 63 letters             |
+      | --region        | 1 to 63 letters             |
+      | --caller        | IP:PORT                     |
+      | --target        | IP:PORT                     |
+      | --operator      | not a wildcard              |
+      | --platform      | IP:PORT                     |
+      | --platform-kind | http                        |
+      | --drain-ms      | a whole number              |
+      | --secret        | at least 16 characters      |
+    And the secret is not repeated
+
+  Scenario Outline: "<command>" ends with status <status>
+    When "<command>" runs
+    Then it ends with status <status> and code <code>
+
+    Examples:
+      | command                                             | status | code |
+      | --help                                              | 0      | 0    |
+      | fly                                                 | 2      | 0    |
+      | node --fly                                          | 2      | 0    |
+      | ticket check examples/kowhai/1-start.toml           | 0      | 0    |
+      | ticket check README.md                              | 4      | 401  |
+      | ticket apply examples/kowhai/1-start.toml           | 3      | 601  |
+      | ticket list --node 127.0.0.1:1                      | 6      | 209  |
+      | status                                              | 3      | 601  |
+      | owner --node 127.0.0.1:1 depot-1                    | 6      | 209  |
+      | load --node 127.0.0.1:x --rate many                 | 3      | 601  |
+      | emulate target --listen 127.0.0.1:1 --slots 0       | 3      | 601  |
+      | emulate platform --listen here                      | 3      | 601  |
+
+  Scenario: The help of every command has an example that its options accept
+    Then each command's help closes with an example that can be read
+
+  Scenario: Every setting of a node can be given as a variable
+    Then flags and variables give a node the same settings
+
+  Scenario: A secret is wanted for all but health and metrics
+    Given an operator server with a secret
+    Then each page without the secret answers
+      | page     | status | code |
+      | /healthz | 200    | 0    |
+      | /metrics | 200    | 0    |
+      | /readyz  | 200    | 0    |
+      | /status  | 401    | 305  |
+      | /dump    | 401    | 305  |
+      | /owner   | 401    | 305  |
+      | /tickets | 401    | 305  |
+      | /nowhere | 404    | 306  |
+    And the dump with the secret hides it and shows every part
+
+  Scenario: Hostile requests get a numbered answer and the server goes on
+    Given an operator server without a secret
+    Then arbitrary paths, queries and bodies get numbered answers
+    And the server still answers its health page
+
+  Scenario: A ticket goes in by a node, and waiting names the node that is behind
+    Given an operator server without a secret
+    When "ticket apply --node NODE --wait 0.3 examples/kowhai/1-start.toml" runs
+    Then it ends with status 5 and code 407
+    And it says "not in force at node n2: holds version 0"
+    When every member holds the configuration
+    And "ticket apply --node NODE --wait 5 examples/kowhai/1-start.toml" runs
+    Then it ends with status 0 and code 0
+    And it says "was accepted before"
+    And it says "in force everywhere"
+
+  Scenario: Status and owner tell what is not right and who owns a key
+    Given an operator server without a secret
+    And every member holds the configuration
+    When "status --node NODE" runs
+    Then it ends with status 0 and code 0
+    And it says "not right: zone zone-b has nodes and is not in the configuration"
+    And it says "to mend: apply a ticket with zone zone-b"
+    When "owner --node NODE --service depot-orders depot-17" runs
+    Then it ends with status 0 and code 0
+    And it says "owned by n1 in zone-a"
+    And it says "token 7"
+
+  Scenario: Operators that race on the stand-in leave one version for each accepted ticket
+    Given a platform stand-in that loses answers
+    When 6 operators apply 8 tickets each by own clients
+    Then the stand-in holds one version for each accepted ticket
+
+  Scenario: The table of codes in the docs is the one of the program
+    Then docs/operators/codes.md lists exactly the codes with their meanings
--- /dev/null
+++ b/features/steps/commands.py
@@ -0,0 +1,350 @@
+"""Steps about commands, the operator server and the docs beside them."""
+
+import os
+import re
+import shlex
+import tempfile
+from pathlib import Path
+
+import click
+import gevent
+from behave import given, then, when
+from hypothesis import given as arbitrary
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.support.http import call
+from features.support.operators import (
+    SECRET,
+    create_operator_environment,
+    run_command,
+    start_operator_server,
+)
+from features.support.processes import (
+    Child,
+    Ports,
+    create_loopback_host,
+    wait_for,
+)
+from features.support.tickets import CONFIG, attempt_ticket, create_zone
+from knapweedrock.clock import create_clock
+from knapweedrock.codes import INFO, Code
+from knapweedrock.counters import Counters
+from knapweedrock.definition import cli
+from knapweedrock.operators.client import exchange
+from knapweedrock.platform.http import create_client
+from knapweedrock.settings import create_node_settings, parse_address
+
+CODES_PAGE = Path(__file__).resolve().parents[2] / "docs/operators/codes.md"
+START_TIMEOUT_S = 15.0
+NODE_FLAGS = {
+    "--node-id": "n1",
+    "--cell": "c7",
+    "--group": "depots",
+    "--zone": "zone-a",
+    "--region": "region-1",
+    "--caller": "127.0.0.1:7001",
+    "--peer": "127.0.0.1:7002",
+    "--target": "127.0.0.1:7003",
+    "--operator": "[::1]:7004",
+    "--platform-kind": "http",
+    "--platform": "127.0.0.1:7000",
+    "--secret": SECRET.replace(" ", "-"),
+    "--drain-ms": "77",
+    "--choice-policy": "round-robin",
+}
+
+
+@when('"{command}" runs with')
+def run_with_options(context, command):
+    """Run a command with a table of options."""
+    options = [part for row in context.table for part in row]
+    context.run = run_command([*command.split(), *options])
+
+
+@when('"{command}" runs')
+def run_line(context, command):
+    """Run a command; NODE stands for the operator server's address."""
+    if hasattr(context, "env"):
+        command = command.replace("NODE", str(context.env.settings.operator))
+    context.run = run_command(shlex.split(command))
+
+
+@then("it ends with status {status:d} and code {code:d}")
+def check_end(context, status, code):
+    """Check the exit status and the number in the error lines."""
+    assert context.run.status == status, context.run
+    found = re.findall(r"^error: (\d+) ", context.run.text, re.MULTILINE)
+    assert set(found) == ({str(code)} if code else set()), context.run.text
+
+
+@then("it names exactly")
+def check_named(context):
+    """Check which settings are named, each with what was expected."""
+    lines = [x for x in context.run.text.splitlines() if x.startswith("error: ")]
+    assert len(lines) == len(context.table.rows), context.run.text
+    for row in context.table:
+        named = [line for line in lines if f": {row['setting']} (" in line]
+        assert len(named) == 1, (row["setting"], lines)
+        assert row["expected"] in named[0].partition("expected")[2], named
+
+
+@then("the secret is not repeated")
+def check_secret_hidden(context):
+    """Check that the wrong secret is in no line."""
+    assert "'short'" not in context.run.text, context.run.text
+
+
+@then('it says "{text}"')
+def check_said(context, text):
+    """Check that the output holds a text."""
+    assert text in context.run.text, context.run.text
+
+
+def walk_commands(command, path=()):
+    """Yield every command with its path."""
+    yield path, command
+    for name, child in getattr(command, "commands", {}).items():
+        yield from walk_commands(child, (*path, name))
+
+
+@then("each command's help closes with an example that can be read")
+def check_examples_of_help(context):
+    """Parse the example of every command against the options there are."""
+    seen = 0
+    for path, command in walk_commands(cli):
+        shown = run_command([*path, "--help"])
+        assert shown.status == 0, shown
+        assert "Example:" in shown.text, path
+        text = command.epilog.partition("Example:")[2].replace("\\\n", " ")
+        for line in text.strip().splitlines():
+            words = shlex.split(line)
+            assert words[0] == "knapweedrock", line
+            parse_line(words[1:])
+            seen += 1
+    assert seen >= 12, seen
+
+
+def parse_line(words):
+    """Parse the words of a command line and run nothing."""
+    group = cli
+    parent = click.Context(cli, info_name="knapweedrock")
+    while isinstance(group, click.Group):
+        group = group.commands[words[0]]
+        words = words[1:]
+        if not isinstance(group, click.Group):
+            return group.make_context(group.name, list(words), parent=parent)
+    return None
+
+
+@then("flags and variables give a node the same settings")
+def check_variables(context):
+    """Give every setting once as a flag and once as a variable."""
+    command = cli.commands["node"]
+    flags = [part for pair in NODE_FLAGS.items() for part in pair]
+    flags += ["--faults-enabled", "--no-copies"]
+    by_flags = command.make_context("node", flags, parent=create_parent()).params
+    variables = {
+        "KNAPWEEDROCK_NODE_" + name[2:].replace("-", "_").upper(): value
+        for name, value in NODE_FLAGS.items()
+    }
+    variables["KNAPWEEDROCK_NODE_FAULTS_ENABLED"] = "true"
+    variables["KNAPWEEDROCK_NODE_COPIES"] = "false"
+    found = {}
+
+    def read():
+        context_of_node = command.make_context("node", [], parent=create_parent())
+        found.update(context_of_node.params)
+
+    run_in_variables(read, variables)
+    assert create_node_settings(by_flags) == create_node_settings(found)
+    assert create_node_settings(found).copies_enabled is False
+
+
+def create_parent():
+    """Create the context of the program itself."""
+    return cli.make_context("knapweedrock", ["node"], resilient_parsing=True)
+
+
+def run_in_variables(function, variables):
+    """Run a function in an environment with these variables."""
+    saved = dict(os.environ)
+    os.environ.update(variables)
+    try:
+        function()
+    finally:
+        os.environ.clear()
+        os.environ.update(saved)
+
+
+@given("an operator server with a secret")
+def start_secret_server(context):
+    """Start an operator server that wants a secret."""
+    start_server(context, SECRET.replace(" ", "-"))
+
+
+@given("an operator server without a secret")
+def start_open_server(context):
+    """Start an operator server on loopback without a secret."""
+    start_server(context, "")
+
+
+def start_server(context, secret):
+    """Start a server and stop it after the scenario."""
+    context.env = create_operator_environment(secret)
+    context.env.configuration.replace(1, context.env.configuration.value)
+    context.server = start_operator_server(context.env)
+    context.add_cleanup(context.server.stop, timeout=0)
+
+
+@given("every member holds the configuration")
+@when("every member holds the configuration")
+def take_configuration(context):
+    """Let both members hold whatever the platform holds."""
+    stored = context.env.platform.get(CONFIG)
+    if stored is None:
+        zones = [create_zone("zone-a")]
+        services = [{"name": "depot-orders", "keyed": True, "longest_request_ms": 1000}]
+        ticket = {"number": 1, "zones": zones, "services": services}
+        assert attempt_ticket(context.env.platform, ticket).code == 0
+        stored = context.env.platform.get(CONFIG)
+    context.env.configuration.version = stored.version
+    context.env.configuration.value = stored.value
+    versions = context.env.dumps["coordinator"].versions
+    versions.update(n1=stored.version, n2=stored.version)
+
+
+@then("each page without the secret answers")
+def check_pages(context):
+    """Ask for each page without a secret and with a wrong one."""
+    address = str(context.env.settings.operator)
+    for row in context.table:
+        for headers in ({}, {"Authorization": "Bearer wrong"}):
+            reply = call(address, "GET", row["page"], headers=headers)
+            assert reply.status == int(row["status"]), (row["page"], reply)
+            assert reply.headers["knapweedrock-code"] == row["code"], reply
+
+
+@then("the dump with the secret hides it and shows every part")
+def check_dump(context):
+    """Check the dump, a broken part included."""
+    secret = context.env.settings.secret
+    headers = {"Authorization": f"Bearer {secret}"}
+    reply = call(str(context.env.settings.operator), "GET", "/dump", headers=headers)
+    assert secret.encode() not in reply.body
+    parts = reply.json()["parts"]
+    assert parts["coordinator"]["versions"] == {"n1": 0, "n2": 0}, parts
+    assert "broken on purpose" in parts["broken"]["error"], parts
+
+
+@then("arbitrary paths, queries and bodies get numbered answers")
+def feed_server(context):
+    """Feed the server with arbitrary input."""
+    address = context.env.settings.operator
+    pages = ["/tickets", "/owner", "/status", "/faults", "/dump", "/metrics", "/x"]
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=150)
+    @arbitrary(
+        st.sampled_from(["GET", "POST", "PUT", "HEAD", "PATCH"]),
+        st.sampled_from(pages),
+        st.text("abck=&%+;/?é0123", max_size=30),
+        st.binary(max_size=60),
+    )
+    def feed(method, page, query, body):
+        target = f"{page}?{query}".encode().decode("latin-1")
+        headers = {"Content-Type": "application/json"}
+        status, content = exchange(address, method, target, headers, body)
+        assert status < 500 or status == 503, (method, target, status, content)
+
+    feed()
+    internal = context.env.counters.counts.get(
+        ("operator_answers", (("code", str(int(Code.INTERNAL))),)), 0
+    )
+    assert internal == 0
+
+
+@then("the server still answers its health page")
+def check_health(context):
+    """Check that the server goes on."""
+    reply = call(str(context.env.settings.operator), "GET", "/healthz")
+    assert reply.status == 200
+
+
+@given("a platform stand-in that loses answers")
+def start_stand_in(context):
+    """Start the stand-in as a process and let it lose the coming answers."""
+    context.address = Ports(create_loopback_host()).take()
+    context.directory = Path(tempfile.mkdtemp(prefix="knapweedrock-"))
+    arguments = ["emulate", "platform", "--listen", context.address]
+    child = Child("platform", arguments, context.directory)
+    child.start()
+    context.add_cleanup(child.kill)
+
+    def answers():
+        try:
+            return call(context.address, "GET", "/emulator/stats").status == 200
+        except OSError:
+            return False
+
+    wait_for(answers, START_TIMEOUT_S, "platform stand-in")
+    call(context.address, "POST", "/emulator/faults", {"lose_answers": 5})
+
+
+@when("{operators:d} operators apply {tickets:d} tickets each by own clients")
+def race_clients(context, operators, tickets):
+    """Apply tickets at the same time, each operator with its own objects."""
+
+    def operate(index):
+        client = create_client(
+            parse_address(context.address),
+            f"operator-{index}",
+            Counters(),
+            clock=create_clock(),
+        )
+        return [
+            attempt_ticket(
+                client,
+                {
+                    "number": 1 + index + turn * operators,
+                    "zones": [create_zone(f"zone-{index}"), create_zone("shared")],
+                },
+            )
+            for turn in range(tickets)
+        ]
+
+    jobs = [gevent.spawn(operate, index) for index in range(operators)]
+    gevent.joinall(jobs, raise_error=True)
+    context.attempts = [attempt for job in jobs for attempt in job.value]
+    context.held = create_client(
+        parse_address(context.address), "reader", Counters()
+    ).get(CONFIG)
+
+
+@then("the stand-in holds one version for each accepted ticket")
+def check_versions(context):
+    """Check accepted tickets against the versions and digests in the stand-in."""
+    accepted = [attempt for attempt in context.attempts if attempt.applied]
+    codes = {attempt.code for attempt in context.attempts}
+    print(f"{len(accepted)} of {len(context.attempts)} accepted, codes {codes}")
+    assert codes <= {0, int(Code.TICKET_NUMBER_OLD)}, codes
+    recorded = [record["number"] for record in context.held.value["recent"]]
+    assert sorted(recorded) == sorted(a.ticket["number"] for a in accepted)
+    assert context.held.version == len(accepted) >= 8
+    assert recorded == sorted(recorded), "every ticket touched the shared zone"
+
+
+@then("docs/operators/codes.md lists exactly the codes with their meanings")
+def check_codes_page(context):
+    """Compare the page with the enum."""
+    rows = {}
+    for line in CODES_PAGE.read_text().splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if len(cells) == 7 and cells[0].isdigit():
+            rows[int(cells[0])] = cells[1:]
+    assert set(rows) == {int(code) for code in Code}, set(rows) ^ set(map(int, Code))
+    for code in Code:
+        info = INFO[code]
+        repeat = "yes" if info.retry else "no"
+        expected = [code.name, str(info.http_status), info.outcome.value, repeat]
+        assert rows[code][:5] == [*expected, info.meaning], (rows[code], info)
+        assert rows[code][5].endswith("."), f"{code.name} has no action"
--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -73,9 +73,10 @@
     show_envvar=True,
     help="Least severe log lines to write.",
 )
-def cli(log_level: str) -> None:
+@click.pass_context
+def cli(context: click.Context, log_level: str) -> None:
     """Router for servers that own keys exclusively."""
-    create_log_handler(log_level).push_application()
+    context.with_resource(create_log_handler(log_level).applicationbound())
 
 
 @cli.command(
