See nodes in a zone where the cells' records and the view have them

Cause: a zone's deletion looked for members in the cell's record, which holds voters only, so the check could not fire. It now reads the voters' zones, the zones of the cells' status, and those of the view of the node that takes the ticket.

--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -1,6 +1,5 @@
 """Steps about commands, the operator server and the docs beside them."""
 
-import os
 import re
 import shlex
 import tempfile
@@ -18,6 +17,7 @@
     SECRET,
     create_operator_environment,
     run_command,
+    set_variables,
     start_operator_server,
 )
 from features.support.processes import (
@@ -150,13 +150,8 @@
     }
     variables["KNAPWEEDROCK_NODE_FAULTS_ENABLED"] = "true"
     variables["KNAPWEEDROCK_NODE_COPIES"] = "false"
-    found = {}
-
-    def read():
-        context_of_node = command.make_context("node", [], parent=create_parent())
-        found.update(context_of_node.params)
-
-    run_in_variables(read, variables)
+    with set_variables(variables):
+        found = command.make_context("node", [], parent=create_parent()).params
     assert create_node_settings(by_flags) == create_node_settings(found)
     assert create_node_settings(found).copies_enabled is False
 
@@ -166,17 +161,6 @@
     return cli.make_context("knapweedrock", ["node"], resilient_parsing=True)
 
 
-def run_in_variables(function, variables):
-    """Run a function in an environment with these variables."""
-    saved = dict(os.environ)
-    os.environ.update(variables)
-    try:
-        function()
-    finally:
-        os.environ.clear()
-        os.environ.update(saved)
-
-
 @given("an operator server with a secret")
 def start_secret_server(context):
     """Start an operator server that wants a secret."""
--- a/features/steps/tickets.py
+++ b/features/steps/tickets.py
@@ -59,8 +59,9 @@
     context.platform = MemoryPlatform()
     context.ticket = create_mesh_ticket()
     context.attempt = attempt_ticket(context.platform, context.ticket)
-    members = {"n1": {"node_id": "n1", "zone": "zone-a"}}
-    context.platform.put("cells/c1", {"members": members}, 0)
+    voters = {"n1": {"peer": "127.0.0.1:1", "zone": "zone-a"}}
+    context.platform.put("cells/c1", {"voters": voters}, 0)
+    context.platform.put("status/c1", {"zones": ["zone-a", "zone-b"]}, 0)
     context.before = context.platform.get(CONFIG)
 
 
@@ -145,6 +146,7 @@
     "an unknown deletion": {"number": 11, "delete": ["zones/zone-z"]},
     "a service in use deleted": {"number": 11, "delete": ["services/orders"]},
     "a zone in use deleted": {"number": 11, "delete": ["zones/zone-a"]},
+    "a zone of a plain member deleted": {"number": 11, "delete": ["zones/zone-b"]},
     "a keyless rule": {
         "number": 11,
         "rules": [{"name": "r", "path_prefix": "/r", "service": "orders"}],
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import os
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 from features.support.memory import MemoryPlatform
@@ -135,15 +136,21 @@
     return server
 
 
-def run_command(arguments: list[str], **variables: str) -> Run:
-    """Run a command of the program in this process."""
-    output = io.StringIO()
+@contextlib.contextmanager
+def set_variables(variables: dict[str, str]) -> Iterator[None]:
+    """Set environment variables for a while."""
     saved = dict(os.environ)
     os.environ.update(variables)
     try:
-        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
-            status = run(arguments)
+        yield
     finally:
         os.environ.clear()
         os.environ.update(saved)
+
+
+def run_command(arguments: list[str]) -> Run:
+    """Run a command of the program in this process."""
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        status = run(arguments)
     return Run(int(status), output.getvalue())
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -43,6 +43,7 @@
       | an unknown deletion      | 404  |
       | a service in use deleted | 404  |
       | a zone in use deleted    | 404  |
+      | a zone of a plain member deleted | 404 |
       | a keyless rule           | 401  |
       | a doubled prefix         | 401  |
       | too many objects         | 405  |
--- a/knapweedrock/operators/application.py
+++ b/knapweedrock/operators/application.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable, Iterator
 from copy import deepcopy
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import gevent
 import msgspec
@@ -65,9 +65,15 @@
     return check
 
 
-def apply_ticket(platform: Platform, group: str, ticket: Ticket) -> Applied:
+def apply_ticket(
+    platform: Platform,
+    group: str,
+    ticket: Ticket,
+    known_zones: frozenset[str] = frozenset(),
+) -> Applied:
     """Apply a checked ticket whole, or change nothing and raise.
 
+    `known_zones` are zones in which the caller of this knows nodes.
     Raises an ExceptionGroup of TicketError for a refused ticket, TicketError
     `TICKET_LOST_RACE` when others kept winning, and PlatformError when the
     platform does not answer; a ticket left open by that may be sent again.
@@ -75,7 +81,7 @@
     deadline = time.monotonic() + APPLY_DEADLINE_S
     for attempt in range(MAX_ATTEMPTS):
         try:
-            return try_apply(platform, group, ticket)
+            return try_apply(platform, group, ticket, known_zones)
         except PlatformError as error:
             last = error
         if last.code not in RETRIED or time.monotonic() > deadline:
@@ -92,7 +98,9 @@
     gevent.sleep(random.uniform(BACKOFF_FIRST_MS / 2, limit_ms) / 1000)
 
 
-def try_apply(platform: Platform, group: str, ticket: Ticket) -> Applied:
+def try_apply(
+    platform: Platform, group: str, ticket: Ticket, known_zones: frozenset[str]
+) -> Applied:
     """Apply a ticket to the configuration that the platform holds now."""
     name = f"config/{group}"
     stored = platform.get(name)
@@ -100,7 +108,8 @@
     version = stored.version if stored else 0
     if is_repeated(before, ticket):
         return Applied(ticket["number"], version, True)
-    after = review_ticket(before, ticket, find_used_zones(platform, ticket))
+    used_zones = known_zones | find_used_zones(platform, ticket)
+    after = review_ticket(before, ticket, used_zones)
     written = platform.put(name, after, version)
     return Applied(ticket["number"], written.version, False)
 
@@ -141,17 +150,14 @@
 
 
 def find_used_zones(platform: Platform, ticket: Ticket) -> frozenset[str]:
-    """Find the zones with members, where the ticket deletes zones."""
+    """Find the zones with nodes, where the ticket deletes zones."""
     if not any(path.startswith("zones/") for path in ticket.get("delete", [])):
         return frozenset()
-    cells = platform.list("cells/").values()
-    return frozenset(zone for cell in cells for zone in list_zones(cell.value))
-
-
-def list_zones(cell: Any) -> Iterator[str]:
-    """List the zones of a cell's members."""
-    for member in cell.get("members", {}).values():
-        yield member.get("zone", "")
+    cells = [stored.value for stored in platform.list("cells/").values()]
+    statuses = [stored.value for stored in platform.list("status/").values()]
+    voters = [voter for cell in cells for voter in cell.get("voters", {}).values()]
+    zones = {voter["zone"] for voter in voters}
+    return frozenset(zones.union(*(status.get("zones", []) for status in statuses)))
 
 
 def check_proposal(proposal: Proposal) -> Iterator[TicketError]:
--- a/knapweedrock/operators/views.py
+++ b/knapweedrock/operators/views.py
@@ -110,7 +110,9 @@
     content_type = request.content_type.partition(";")[0].strip().lower()
     suffix = SUFFIXES.get(content_type, ".json")
     ticket = read_ticket(request.body, "ticket", suffix)
-    applied = apply_ticket(env.platform, env.settings.group, ticket)
+    members = env.views.view["members"].values()
+    zones = frozenset(member["zone"] for member in members)
+    applied = apply_ticket(env.platform, env.settings.group, ticket, zones)
     env.counters.count("tickets_applied", repeated=str(applied.repeated).lower())
     return answer_json({"code": int(Code.DONE), **applied._asdict()})
 
