Count only a coordinator in office as one that was heard

Cause: a node that knew nobody yet but waited for voters passed for a cell whose coordinator was heard and had no members behind, so '--wait' called a ticket in force everywhere. Ruled out: asking only the node's own version, which says nothing of others.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -84,6 +84,15 @@
     And it says "was accepted before"
     And it says "in force everywhere"
 
+  Scenario: Waiting does not take a cell without a coordinator for done
+    Given an operator server without a secret
+    And its node knows nobody and waits for voters
+    When "ticket apply --node NODE --wait 0.3 examples/kowhai/1-start.toml" runs
+    Then it ends with status 5 and code 407
+    And it says "not in force at cell c1: its coordinator does not answer"
+    When "status --node NODE" runs
+    Then it says "not right: the cell waits for a majority of the voters"
+
   Scenario: Status and owner tell what is not right and who owns a key
     Given an operator server without a secret
     And every member holds the configuration
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -15,6 +15,7 @@
 from features.support.http import call
 from features.support.operators import (
     SECRET,
+    FakeCoordinator,
     create_operator_environment,
     run_command,
     set_variables,
@@ -31,6 +32,7 @@
 from knapweedrock.codes import INFO, Code
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
+from knapweedrock.nodes.view import ViewHolder
 from knapweedrock.operators.client import exchange
 from knapweedrock.platform.http import create_client
 from knapweedrock.settings import create_node_settings, parse_address
@@ -198,6 +200,14 @@
     versions.update(n1=stored.version, n2=stored.version)
 
 
+@given("its node knows nobody and waits for voters")
+def forget_members(context):
+    """Let the node be as it is right after its start."""
+    env = context.env
+    env.views = ViewHolder(env.settings.cell)
+    env.dumps["coordinator"] = FakeCoordinator({}, "a majority of the voters")
+
+
 @then("each page without the secret answers")
 def check_pages(context):
     """Ask for each page without a secret and with a wrong one."""
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -34,10 +34,11 @@
 
 
 class FakeCoordinator:
-    """Coordinator in office that heard the members a moment ago."""
+    """Coordinator that heard the members a moment ago, or waits to be one."""
 
-    def __init__(self, versions: dict[str, int]) -> None:
+    def __init__(self, versions: dict[str, int], waiting_for: str = "") -> None:
         self.versions = versions
+        self.waiting_for = waiting_for
 
     def status(self) -> dict[str, Any]:
         """Return what was heard."""
@@ -45,7 +46,11 @@
             name: {"config_version": version, "last_heard_ms": 40}
             for name, version in self.versions.items()
         }
-        return {"in_office": True, "waiting_for": "", "members": members}
+        return {
+            "in_office": not self.waiting_for,
+            "waiting_for": self.waiting_for,
+            "members": members,
+        }
 
     def dump(self) -> dict[str, Any]:
         """Return the state, with what JSON does not know."""
--- a/knapweedrock/operators/formatters.py
+++ b/knapweedrock/operators/formatters.py
@@ -41,9 +41,9 @@
 
 
 def format_time(since_ms: int) -> str:
-    """Format a wall time in UTC."""
+    """Format a wall time in UTC; 0 is that of a table's first owners."""
     if not since_ms:
-        return "never"
+        return "the service began"
     moment = time.gmtime(since_ms / MS_PER_S)
     return time.strftime("%Y-%m-%dT%H:%M:%SZ", moment)
 
--- a/knapweedrock/operators/overview.py
+++ b/knapweedrock/operators/overview.py
@@ -43,7 +43,7 @@
         "count": view["count"],
         "configuration_version": env.configuration.version,
         "lease_remaining_ms": find_lease_ms(env),
-        "coordinator_heard": bool(coordinator),
+        "coordinator_heard": bool(coordinator.get("in_office")),
         "waiting_for": coordinator.get("waiting_for") or "",
         "zones": {name: zone["state"] for name, zone in configuration["zones"].items()},
         "services": sorted(configuration["services"]),
--- a/knapweedrock/operators/sources.py
+++ b/knapweedrock/operators/sources.py
@@ -106,6 +106,8 @@
         overview = self.fetch("GET", "/status")
         if not overview["coordinator_heard"]:
             return [Lag(f"cell {overview['cell']}", "its coordinator does not answer")]
+        if not overview["members"]:
+            return [Lag(f"cell {overview['cell']}", "it has no members yet")]
         return [
             Lag(f"node {name}", f"holds version {member.get('config_version', 0)}")
             for name, member in overview["members"].items()
--- a/knapweedrock/operators/views.py
+++ b/knapweedrock/operators/views.py
@@ -61,8 +61,8 @@
     if request.query.get("part") == "coordinator":
         return answer_json(own)
     if not own.get("in_office"):
-        own = fetch_coordinator_status(env) or {"waiting_for": own.get("waiting_for")}
-        own = {name: value for name, value in own.items() if value}
+        waiting_for = own.get("waiting_for", "")
+        own = {"waiting_for": waiting_for, **fetch_coordinator_status(env)}
     return answer_json(create_overview(env, own))
 
 
