Number refusals of broken HTTP and result codes in the metrics

Cause: broken HTTP on the operator address was refused by the library without a code, parts count codes partly by name and partly by number, and the metrics library writes a label's value without escaping, so that one quote breaks the whole scrape. The handler now answers with code 301; a label 'code' is published as number and name; values are escaped. Not refused: a header line without a colon, which the library skips, and a request line without a version, which is HTTP/0.9.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -71,8 +71,25 @@
   Scenario: Hostile requests get a numbered answer and the server goes on
     Given an operator server without a secret
     Then arbitrary paths, queries and bodies get numbered answers
+    And broken HTTP gets a numbered answer
+      | request                                      |
+      | garbage                                      |
+      | GET /status HTTP/9.9                         |
+      | POST /tickets HTTP/1.1\nContent-Length: -1   |
+      | POST /tickets HTTP/1.1\nContent-Length: 1e9  |
+      | POST /tickets HTTP/1.1\nTransfer-Encoding: chunked\n\nzz |
     And the server still answers its health page
 
+  Scenario: Metrics give each refusal its number and its name
+    Given an operator server without a secret
+    Then the metrics hold
+      | line                                                             |
+      | knapweedrock_caller_refusals{code="101",name="NOT_OWNER"} 3      |
+      | knapweedrock_platform_errors{code="501",name="PLATFORM_UNAVAILABLE"} 1 |
+      | knapweedrock_lease_remaining_ms 900.0                            |
+      | knapweedrock_members{state="serving",zone="zone-a"} 1            |
+    And a label's value is escaped
+
   Scenario: A ticket goes in by a node, and waiting names the node that is behind
     Given an operator server without a secret
     When "ticket apply --node NODE --wait 0.3 examples/kowhai/1-start.toml" runs
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -2,6 +2,7 @@
 
 import re
 import shlex
+import socket
 import tempfile
 from pathlib import Path
 
@@ -257,6 +258,42 @@
     assert internal == 0
 
 
+@then("broken HTTP gets a numbered answer")
+def send_broken(context):
+    """Send each broken request on a connection of its own."""
+    for row in context.table:
+        lines = row["request"].replace("\\n", "\n").replace("\n", "\r\n")
+        request = f"{lines}\r\n\r\n".encode()
+        with socket.create_connection(context.env.settings.operator, 5) as sock:
+            sock.sendall(request)
+            sock.shutdown(socket.SHUT_WR)
+            answer = b"".join(iter(lambda s=sock: s.recv(65536), b""))
+        head = answer.partition(b"\r\n\r\n")[0]
+        assert head.startswith(b"HTTP/1.1 4"), (request, answer)
+        assert b"Knapweedrock-Code: 3" in head, (request, answer)
+
+
+@then("the metrics hold")
+def check_metrics(context):
+    """Count under names and numbers, scrape, and look for whole lines."""
+    counters = context.env.counters
+    counters.count("caller_refusals", 2, code="NOT_OWNER")
+    counters.count("platform_errors", code="501")
+    reply = call(str(context.env.settings.operator), "GET", "/metrics")
+    lines = reply.body.decode().splitlines()
+    for row in context.table:
+        assert row["line"] in lines, (row["line"], lines)
+
+
+@then("a label's value is escaped")
+def check_escaped(context):
+    """Count under odd names and look for the line that Prometheus wants."""
+    context.env.counters.count("odd!", code="what", job='a"b\nc\\')
+    reply = call(str(context.env.settings.operator), "GET", "/metrics")
+    expected = r'knapweedrock_odd_{code="what",label_job="a\"b\nc\\"} 1'
+    assert expected in reply.body.decode().splitlines(), reply.body
+
+
 @then("the server still answers its health page")
 def check_health(context):
     """Check that the server goes on."""
--- a/knapweedrock/operators/metrics.py
+++ b/knapweedrock/operators/metrics.py
@@ -6,6 +6,7 @@
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from knapweedrock.codes import Code
 from knapweedrock.counters import Labels
 
 if TYPE_CHECKING:
@@ -14,6 +15,8 @@
 PREFIX = "knapweedrock_"
 NAME_PATTERN = re.compile(r"[^a-zA-Z0-9_]")
 RESERVED_LABEL = "job"
+CODE_LABEL = "code"
+NAMES_BY_NUMBER = {str(int(code)): code.name for code in Code}
 
 
 class Sample(NamedTuple):
@@ -93,7 +96,20 @@
     if full not in published:
         doc = name.replace("_", " ")
         published[full] = kind(full, doc, registry=registry)
-    published[full].set(dict(map(name_label, labels)), value)
+    published[full].set(dict(map(name_label, number_codes(labels))), value)
+
+
+def number_codes(labels: Labels) -> Iterator[tuple[str, str]]:
+    """Yield the labels, with a result code as its number and its name."""
+    for name, value in labels:
+        if name != CODE_LABEL:
+            yield name, value
+        elif value in Code.__members__:
+            yield from ((name, str(int(Code[value]))), ("name", value))
+        elif value in NAMES_BY_NUMBER:
+            yield from ((name, value), ("name", NAMES_BY_NUMBER[value]))
+        else:
+            yield name, value
 
 
 def name_label(label: tuple[str, str]) -> tuple[str, str]:
@@ -102,4 +118,9 @@
     name = NAME_PATTERN.sub("_", name)
     if name == RESERVED_LABEL or name.startswith("__"):
         name = "label_" + name.lstrip("_")
-    return name, str(value)
+    return name, escape_value(str(value))
+
+
+def escape_value(value: str) -> str:
+    """Escape a label's value, which the library writes as it is."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/knapweedrock/operators/server.py
+++ b/knapweedrock/operators/server.py
@@ -11,6 +11,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.operators import views  # noqa: F401  registers the pages
+from knapweedrock.operators.handler import NumberedHandler
 from knapweedrock.operators.pages import (
     PAGES,
     Answer,
@@ -133,4 +134,6 @@
 
 def create_server(env: "Environment") -> WSGIServer:
     """Create the server on the operator address; it has `start` and `stop`."""
-    return create_http_server(env.settings.operator, Application(env))
+    server = create_http_server(env.settings.operator, Application(env))
+    server.handler_class = NumberedHandler
+    return server
