Split reading, content checks, review and application of tickets

Now: tickets (type and digest), files (formats), contents (what types leave open), reviews (against the configuration), application (the update). No behaviour changes.

--- a/features/steps/tickets.py
+++ b/features/steps/tickets.py
@@ -19,12 +19,8 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError, TicketError
 from knapweedrock.operators import application
-from knapweedrock.operators.tickets import (
-    check_ticket,
-    create_digest,
-    read_ticket,
-    read_ticket_file,
-)
+from knapweedrock.operators.files import check_ticket, read_ticket, read_ticket_file
+from knapweedrock.operators.tickets import create_digest
 
 EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 WRONG_TICKET = b"""
--- a/knapweedrock/operators/commands.py
+++ b/knapweedrock/operators/commands.py
@@ -9,8 +9,9 @@
 from knapweedrock.configuration import Configuration
 from knapweedrock.errors import KnapweedrockError, TicketError
 from knapweedrock.operators.client import fetch_json
+from knapweedrock.operators.files import read_ticket_file
 from knapweedrock.operators.sources import create_source, wait_in_force
-from knapweedrock.operators.tickets import KINDS, list_touched, read_ticket_file
+from knapweedrock.operators.tickets import KINDS, list_touched
 from knapweedrock.operators.writers import write_result
 from knapweedrock.settings import OperatorSettings
 from knapweedrock.status import ExitStatus
--- a/knapweedrock/operators/sources.py
+++ b/knapweedrock/operators/sources.py
@@ -14,9 +14,9 @@
     Applied,
     apply_ticket,
     find_used_zones,
-    review_ticket,
 )
 from knapweedrock.operators.client import fetch_json
+from knapweedrock.operators.reviews import review_ticket
 from knapweedrock.operators.tickets import Ticket
 from knapweedrock.platform.interface import Platform, create_platform
 from knapweedrock.settings import NodeSettings, OperatorSettings
--- a/knapweedrock/operators/views.py
+++ b/knapweedrock/operators/views.py
@@ -10,11 +10,11 @@
 from knapweedrock.operators.application import apply_ticket
 from knapweedrock.operators.client import fetch_json
 from knapweedrock.operators.dumps import create_dump
+from knapweedrock.operators.files import read_ticket
 from knapweedrock.operators.metrics import render_metrics
 from knapweedrock.operators.overview import create_overview
 from knapweedrock.operators.owners import find_owner
 from knapweedrock.operators.pages import Answer, Request, answer_json, page
-from knapweedrock.operators.tickets import read_ticket
 from knapweedrock.settings import parse_address
 
 if TYPE_CHECKING:
