--- a/knapweedrock/operators/views.py
+++ b/knapweedrock/operators/views.py
@@ -10,11 +10,11 @@
 from knapweedrock.operators.application import apply_ticket
 from knapweedrock.operators.client import fetch_json
 from knapweedrock.operators.dumps import create_dump
+from knapweedrock.operators.files import read_ticket
 from knapweedrock.operators.metrics import render_metrics
 from knapweedrock.operators.overview import create_overview
 from knapweedrock.operators.owners import find_owner
 from knapweedrock.operators.pages import Answer, Request, answer_json, page
-from knapweedrock.operators.tickets import read_ticket
 from knapweedrock.settings import parse_address
 
 if TYPE_CHECKING:
@@ -61,8 +61,8 @@
     if request.query.get("part") == "coordinator":
         return answer_json(own)
     if not own.get("in_office"):
-        own = fetch_coordinator_status(env) or {"waiting_for": own.get("waiting_for")}
-        own = {name: value for name, value in own.items() if value}
+        waiting_for = own.get("waiting_for", "")
+        own = {"waiting_for": waiting_for, **fetch_coordinator_status(env)}
     return answer_json(create_overview(env, own))
 
 
@@ -110,7 +110,9 @@
     content_type = request.content_type.partition(";")[0].strip().lower()
     suffix = SUFFIXES.get(content_type, ".json")
     ticket = read_ticket(request.body, "ticket", suffix)
-    applied = apply_ticket(env.platform, env.settings.group, ticket)
+    members = env.views.view["members"].values()
+    zones = frozenset(member["zone"] for member in members)
+    applied = apply_ticket(env.platform, env.settings.group, ticket, zones)
     env.counters.count("tickets_applied", repeated=str(applied.repeated).lower())
     return answer_json({"code": int(Code.DONE), **applied._asdict()})
 
