--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -8,13 +8,13 @@
 import gevent
 from behave import given, then, when
 
-from features.support.fakes import FakeNodes, create_fake_environment, echo, refuse
-from features.support.members import (
+from features.support.caller_builders import (
     build_caller_request,
     build_configuration,
     build_member,
     build_view,
 )
+from features.support.fakes import FakeNodes, create_fake_environment, echo, refuse
 from features.support.patches import patch
 from knapweedrock.callers import spreading
 from knapweedrock.callers.spreading import create_spreader
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -9,10 +9,10 @@
 import gevent
 from behave import given, then, when
 
+from features.support.caller_builders import build_member, build_view
 from features.support.fakes import echo, refuse
-from features.support.members import build_member, build_view
 from features.support.patches import patch
-from features.support.rawhttp import build_request, exchange, read_reply
+from features.support.raw_http import build_request, exchange, read_reply
 from knapweedrock.callers import connections, following, server
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
--- /dev/null
+++ b/knapweedrock/load/program.py
@@ -0,0 +1,222 @@
+"""Open-loop load on the caller addresses of nodes, bounded in time."""
+
+import itertools
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import msgspec
+from gevent.pool import Group
+from geventhttpclient import HTTPClient
+
+from knapweedrock.clock import NS_PER_S, Clock, create_clock
+from knapweedrock.codes import Code, Outcome
+from knapweedrock.load.arrivals import create_arrivals
+from knapweedrock.load.client import create_client
+from knapweedrock.load.keys import create_keys
+from knapweedrock.load.orders import create_order_id
+from knapweedrock.load.report import LoadReport, create_report
+from knapweedrock.load.samples import NO_CODE, Sample, Tally
+
+ANSWER_MARGIN_S = 1.0
+READ = "read"
+ORDER = "order"
+
+_RUNS = itertools.count(1)
+
+
+class LoadOptions(NamedTuple):
+    """What to offer: `{key}` and `{tag}` in a path stand for key and request.
+
+    `key_header` is empty where the path alone carries the key. `order_share` is
+    the share of standing orders, sent with POST and an order id of their own. With
+    `check_echo` an answer must repeat path and key, as those of target stand-ins do.
+    """
+
+    addresses: tuple[str, ...]
+    rate: float = 100.0
+    duration_s: float = 10.0
+    read_path: str = "/"
+    order_path: str = "/"
+    key_header: str = ""
+    keys: int = 1000
+    zipf: float = 1.0
+    order_share: float = 0.0
+    body_bytes: int = 0
+    deadline_ms: int = 2000
+    connections: int = 128
+    in_flight: int = 5000
+    seed: int = 1
+    check_echo: bool = False
+
+
+class Arrival(NamedTuple):
+    """One request that is due, with all that was drawn for it."""
+
+    due_ns: int
+    address: str
+    key: str
+    tag: str
+    order_id: str
+
+
+class Echo(msgspec.Struct):
+    """What an answer repeats of its request."""
+
+    path: str
+    key: str
+
+
+class LoadRun:
+    """One run: arrivals spawn a task each and never wait for one another.
+
+    `addresses` may be changed while it runs.
+    """
+
+    def __init__(
+        self, options: LoadOptions, observe: Callable[[Sample], None] | None
+    ) -> None:
+        self.options = options
+        self.observe = observe
+        self.clock: Clock = create_clock()
+        self.tally = Tally()
+        self.offered = 0
+        self._random = random.Random(f"load-{options.seed}")
+        self._keys = create_keys(options.keys, options.zipf, options.seed)
+        self._tasks = Group()
+        self.addresses = list(options.addresses)
+        self._name = f"l{next(_RUNS)}"
+        self._clients: dict[str, HTTPClient] = {}
+        self._body = b"x" * options.body_bytes
+
+    def run(self) -> LoadReport:
+        """Offer all arrivals, wait a bounded time for the rest, report."""
+        try:
+            self._offer_all()
+            self._tasks.join(self.options.deadline_ms / 1000 + ANSWER_MARGIN_S)
+        finally:
+            self._tasks.kill()
+            for client in self._clients.values():
+                client.close()
+        options = self.options
+        return create_report(
+            self.tally, self.offered, options.seed, options.rate, options.duration_s
+        )
+
+    def _offer_all(self) -> None:
+        options = self.options
+        start_ns = self.clock.now_ns()
+        for offset_ns in create_arrivals(
+            options.rate, options.duration_s, options.seed
+        ):
+            due_ns = start_ns + offset_ns
+            wait_ns = due_ns - self.clock.now_ns()
+            if wait_ns > 0:
+                gevent.sleep(wait_ns / NS_PER_S)
+            self._offer(due_ns)
+
+    def _offer(self, due_ns: int) -> None:
+        self.offered += 1
+        is_order = self._random.random() < self.options.order_share
+        order_id = create_order_id() if is_order else ""
+        arrival = Arrival(
+            due_ns,
+            self._random.choice(self.addresses),
+            self._keys.draw(),
+            order_id or f"{self._name}-{self.offered}",
+            order_id,
+        )
+        if len(self._tasks) >= self.options.in_flight:
+            self.tally.unsent += 1
+            return
+        self._tasks.start(gevent.Greenlet(self._send, arrival))
+
+    def _send(self, arrival: Arrival) -> None:
+        method = "POST" if arrival.order_id else "GET"
+        path = self._fill_path(arrival)
+        status, headers, body = 0, {}, b""
+        try:
+            response = self._exchange(arrival, method, path)
+            body = bytes(response.read())
+            status = response.status_code
+            headers = {str(name).lower(): str(text) for name, text in response.headers}
+        except ConnectionRefusedError:
+            headers = {"knapweedrock-outcome": Outcome.NOT_RUN.value}
+        except (OSError, ValueError):
+            headers = {"knapweedrock-outcome": Outcome.MAY_HAVE_RUN.value}
+        code = read_code(status, headers)
+        sample = Sample(
+            ORDER if arrival.order_id else READ,
+            arrival.key,
+            arrival.address,
+            arrival.due_ns,
+            self.clock.now_ns(),
+            status,
+            code,
+            headers.get("knapweedrock-outcome") or read_outcome(status),
+            "retry-after" in headers,
+            arrival.tag,
+            arrival.order_id,
+            code != Code.DONE or self._is_own(arrival, path, body),
+        )
+        self.tally.add(sample)
+        if self.observe is not None:
+            self.observe(sample)
+
+    def _exchange(self, arrival: Arrival, method: str, path: str):
+        options = self.options
+        sent = {"Request-Deadline-Ms": str(options.deadline_ms)}
+        if options.key_header:
+            sent[options.key_header] = arrival.key
+        if arrival.order_id:
+            sent["Idempotency-Key"] = arrival.order_id
+        body = self._body if arrival.order_id else b""
+        return self._find_client(arrival.address).request(method, path, body, sent)
+
+    def _fill_path(self, arrival: Arrival) -> str:
+        options = self.options
+        path = options.order_path if arrival.order_id else options.read_path
+        return path.replace("{key}", arrival.key).replace("{tag}", arrival.tag)
+
+    def _find_client(self, address: str) -> HTTPClient:
+        client = self._clients.get(address)
+        if client is None:
+            timeout_s = self.options.deadline_ms / 1000 + ANSWER_MARGIN_S
+            client = create_client(address, timeout_s, self.options.connections)
+            self._clients[address] = client
+        return client
+
+    def _is_own(self, arrival: Arrival, path: str, body: bytes) -> bool:
+        if not self.options.check_echo:
+            return True
+        try:
+            value = msgspec.json.decode(body, type=Echo)
+        except msgspec.DecodeError:
+            return False
+        keyed = bool(self.options.key_header)
+        return value.path == path and value.key == (arrival.key if keyed else "")
+
+
+def read_code(status: int, headers: dict[str, str]) -> int:
+    """Read the result code; a plain server without codes counts by status."""
+    text = headers.get("knapweedrock-code", "")
+    if text.isdigit():
+        return int(text)
+    return int(Code.DONE) if 200 <= status < 300 else NO_CODE
+
+
+def read_outcome(status: int) -> str:
+    """Tell the outcome of an answer of a plain server from its status."""
+    done = 200 <= status < 300
+    return (Outcome.DONE if done else Outcome.MAY_HAVE_RUN).value
+
+
+def offer_load(
+    options: LoadOptions, observe: Callable[[Sample], None] | None = None
+) -> LoadReport:
+    """Offer load and return the report; `observe` is called with each sample.
+
+    Takes `duration_s`, the deadline and one second at the most.
+    """
+    return LoadRun(options, observe).run()
