--- a/knapweedrock/demo/program.py
+++ b/knapweedrock/demo/program.py
@@ -17,9 +17,9 @@
 from knapweedrock.load.samples import Sample
 from knapweedrock.status import ExitStatus
 
-KEYED_RATE = 120.0
-UNKEYED_RATE = 60.0
-KEYS = 60
+KEYED_RATE = 24.0
+UNKEYED_RATE = 12.0
+KEYS = 40
 ORDER_SHARE = 0.3
 LOSE_NODE_AT = 0.2
 ZONE_OUT_AT = 0.45
