Announce moves before the release; keep the ranges of cold owners

Cause, each found by a proof that failed: (1) ranges in the middle of a move when an outage of the platform began stayed unserved for all of it, since the grant waited for a write; (2) targets that warmed up at different times drew ranges from cold ones, moves without use. Ruled out: granting on an unsettled write (a successor could read the other owner). After: the platform holds the announced move before the owner releases; the grant needs no platform, and a successor resolves what it finds announced only when both nodes have released it. A cold target is given a part of its share and keeps what it has.

--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from http.client import HTTPException
 
 import gevent
 from behave import given, step, then, when
@@ -29,14 +30,19 @@
 DEADLINE_MS = 800
 SETTLE_S = 1.0
 BALANCE_SLACK_RANGES = 4
+QUIET_S = 1.0
 CLOCK = create_clock()
 
 
 def is_balanced(mesh) -> bool:
-    """Tell whether all running nodes own about the same number of ranges."""
-    owners = [entry["owner"] for entry in read_ranges(mesh)]
+    """Tell whether all running nodes own about as many ranges, and none moves."""
+    ranges = read_ranges(mesh)
+    owners = [entry["owner"] for entry in ranges]
     counts = [owners.count(vm.spec.node_id) for vm in mesh.list_running()]
-    return is_covered(mesh) and max(counts) - min(counts) <= BALANCE_SLACK_RANGES
+    if not is_covered(mesh) or max(counts) - min(counts) > BALANCE_SLACK_RANGES:
+        return False
+    gevent.sleep(QUIET_S)
+    return ranges == read_ranges(mesh)
 
 
 def create_callers(context, seed: int) -> Callers:
@@ -214,8 +220,10 @@
 
 def kill(context, *names: str) -> None:
     """Kill nodes at once; their targets go on."""
+    context.at_loss = read_ranges(context.mesh)
     for name in names:
         context.mesh.vms[name].node.send_signal(9)
+        context.callers.nodes.pop(name, None)
     for name in names:
         context.mesh.vms[name].node.kill()
     context.lost |= set(names)
@@ -246,6 +254,7 @@
     kill(context, *names)
     for name in names:
         context.mesh.start_node(name)
+        context.callers.nodes[name] = context.mesh.vms[name].caller
     context.lost = set()
 
 
@@ -308,7 +317,7 @@
 def check_kept(context):
     """Check that ranges moved only from the lost."""
     after = {entry["start"]: entry["owner"] for entry in read_ranges(context.mesh)}
-    kept = [r for r in context.before if r["owner"] not in context.lost]
+    kept = [r for r in context.at_loss if r["owner"] not in context.lost]
     moved = [r for r in kept if after[r["start"]] != r["owner"]]
     assert not moved, moved[:3]
 
@@ -341,7 +350,7 @@
 
 def find_former_owner(context, key: str) -> str:
     """Find the owner that a key had before the loss."""
-    return find_owner(context.before, hash_key(key))
+    return find_owner(context.at_loss, hash_key(key))
 
 
 def describe_refusals(context) -> dict:
@@ -474,7 +483,7 @@
             value["services"][SERVICE]["longest_request_ms"] = 1000 + operator
             try:
                 version = context.mesh.put_configuration(value)
-            except RuntimeError:
+            except (RuntimeError, OSError, HTTPException):
                 continue
             context.accepted.append((CLOCK.now_ns(), version))
             time.sleep(context.random.uniform(0.1, 0.6))
@@ -516,18 +525,18 @@
             for accepted_ns, version in context.accepted
             if accepted_ns + seconds * NS_PER_S < at_ns
         ]
-        if not due or dump["lease"]["remaining_ms"] <= 0:
+        if not due or dump["parts"]["lease"]["remaining_ms"] <= 0:
             continue
         checked += 1
-        if dump["membership"]["config_version"] < max(due):
-            late.append((name, at_ns, max(due), dump["membership"]))
+        if dump["parts"]["membership"]["config_version"] < max(due):
+            late.append((name, at_ns, max(due), dump["parts"]["membership"]))
     assert checked > 50, checked
     assert not late, late[:3]
     final = max(version for _, version in context.accepted)
     last = {name: dump for _, name, _, dump in context.versions}
     assert len(last) == len(context.mesh.vms)
     for name, dump in last.items():
-        assert dump["membership"]["config_version"] >= final, name
+        assert dump["parts"]["membership"]["config_version"] >= final, name
 
 
 @then("no node's version ever went back")
@@ -535,6 +544,6 @@
     """Check the versions of each process in order."""
     held: dict[tuple[str, int], int] = {}
     for _, name, pid, dump in context.versions:
-        version = dump["membership"]["config_version"]
+        version = dump["parts"]["membership"]["config_version"]
         assert version >= held.get((name, pid), 0), (name, version)
         held[(name, pid)] = version
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -3,6 +3,7 @@
 import json
 import random
 import time
+from http.client import HTTPException
 from typing import NamedTuple
 
 import gevent
@@ -51,7 +52,7 @@
         method = "POST" if request.order_id else "GET"
         try:
             reply = self._exchange(node, method, tag, request)
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, HTTPException) as error:
             reply = self._describe_failure(error)
         call = self._record(request, node, tag, method, reply, intended_ns, sent_ns)
         self.history.append(call)
--- a/features/support/http.py
+++ b/features/support/http.py
@@ -1,6 +1,7 @@
 """Small HTTP calls of the tests to the processes that they started."""
 
 import json
+from http.client import HTTPException
 from typing import Any, NamedTuple
 
 from knapweedrock.load.client import create_client
@@ -49,5 +50,5 @@
     """Send one request; return nothing where nobody answers."""
     try:
         return call(address, method, path, timeout_s=1.0)
-    except (OSError, ValueError):
+    except (OSError, ValueError, HTTPException):
         return None
--- a/knapweedrock/nodes/assignment.py
+++ b/knapweedrock/nodes/assignment.py
@@ -2,11 +2,11 @@
 
 from typing import NamedTuple
 
-from knapweedrock.nodes.view import HASH_SPACE, Member, Range, Table
+from knapweedrock.nodes.view import HASH_SPACE, Member, NextOwner, Range, Table
 
 RANGES_PER_TABLE = 256
-COLD_WEIGHT_SHARE = 0.25
-REBALANCE_SLACK_RANGES = 2
+COLD_SHARE = 0.25
+SLACK_RANGES = 2
 LOAD_HYSTERESIS_RATIO = 1.25
 LOAD_MOVE_SHARE = 0.25
 HOT_SHARE = 0.2
@@ -47,10 +47,17 @@
     }
 
 
-def weigh_member(member: Member) -> float:
-    """Weigh what a member can bear beside others."""
-    weight = float(max(member["slots"], 1))
-    return weight * COLD_WEIGHT_SHARE if member["cold"] else weight
+def plan_limits(total: int, owners: dict[str, Member]) -> dict[str, int]:
+    """Plan up to how many ranges each member is given.
+
+    A cold target is given a part of its share; what it has already it keeps.
+    """
+    weights = {name: float(max(m["slots"], 1)) for name, m in owners.items()}
+    shares = plan_shares(total, weights)
+    return {
+        name: int(share * COLD_SHARE) if owners[name]["cold"] else share
+        for name, share in shares.items()
+    }
 
 
 def count_ranges(table: Table) -> dict[str, int]:
@@ -62,6 +69,11 @@
     return counts
 
 
+def is_fixed(entry: Range) -> bool:
+    """Tell whether a range is not to be moved for balance: hot, or on the move."""
+    return "next" in entry or bool(entry.get("hot"))
+
+
 def plan_shares(total: int, weights: dict[str, float]) -> dict[str, int]:
     """Divide a number of ranges by weight, rounded so that the sum stays."""
     whole = sum(weights.values())
@@ -76,14 +88,13 @@
 def plan_orphans(
     table: Table, starts: set[int], owners: dict[str, Member]
 ) -> list[Move]:
-    """Give each of the ranges to the member furthest below its share.
+    """Give each of the ranges to the member with the most room.
 
     `owners` are the members that may take ranges.
     """
     if not owners or not starts:
         return []
-    weights = {name: weigh_member(member) for name, member in owners.items()}
-    shares = plan_shares(len(table["ranges"]), weights)
+    limits = plan_limits(len(table["ranges"]), owners)
     counts = count_ranges(table)
     moves = []
     for entry in table["ranges"]:
@@ -91,10 +102,7 @@
             continue
         receiver = max(
             owners,
-            key=lambda name: (
-                (shares[name] - counts.get(name, 0)) / weights[name],
-                name,
-            ),
+            key=lambda name: (limits[name] - counts.get(name, 0), name),
         )
         counts[receiver] = counts.get(receiver, 0) + 1
         first = not entry["owner"] and entry["token"] == 0
@@ -109,23 +117,24 @@
     """
     if len(owners) < 2:
         return []
-    weights = {name: weigh_member(member) for name, member in owners.items()}
     counts = count_ranges(table)
-    shares = plan_shares(sum(counts.values()), weights)
+    total = sum(counts.values())
+    warm: dict[str, Member] = {n: {**m, "cold": False} for n, m in owners.items()}
+    shares, limits = plan_limits(total, warm), plan_limits(total, owners)
     surplus = {name: counts.get(name, 0) - shares[name] for name in owners}
+    room = {name: limits[name] - counts.get(name, 0) for name in owners}
     moves: list[Move] = []
     for entry in table["ranges"]:
         owner = entry["owner"]
         if len(moves) >= limit:
             break
-        if entry.get("hot") or surplus.get(owner, 0) <= 0:
+        if is_fixed(entry) or surplus.get(owner, 0) <= 0:
             continue
-        receiver = min(surplus, key=lambda name: (surplus[name], name))
-        gap = surplus[owner] - surplus[receiver]
-        if surplus[receiver] >= 0 or gap <= REBALANCE_SLACK_RANGES:
+        receiver = max(room, key=lambda name: (room[name], name))
+        if room[receiver] <= 0 or surplus[owner] + room[receiver] <= SLACK_RANGES:
             continue
         surplus[owner] -= 1
-        surplus[receiver] += 1
+        room[receiver] -= 1
         moves.append(Move(entry["start"], owner, receiver))
     return moves
 
@@ -149,7 +158,7 @@
     own = [
         entry["start"]
         for entry in table["ranges"]
-        if entry["owner"] == source and not entry.get("hot")
+        if entry["owner"] == source and not is_fixed(entry)
     ]
     excess = (known[source] - known[receiver]) / 2 / known[source]
     count = min(limit, int(len(own) * min(excess, LOAD_MOVE_SHARE)))
@@ -161,7 +170,7 @@
     ranges = table["ranges"]
     index = max(i for i, entry in enumerate(ranges) if entry["start"] <= key_hash)
     entry = ranges[index]
-    if entry.get("hot"):
+    if is_fixed(entry):
         return False
     end = ranges[index + 1]["start"] if index + 1 < len(ranges) else HASH_SPACE
     pieces: list[Range] = []
@@ -174,28 +183,60 @@
     return True
 
 
-def apply_moves(
-    table: Table,
-    moves: list[Move],
-    incarnations: dict[str, str],
-    since_ms: int,
+def announce_moves(
+    table: Table, moves: list[Move], incarnations: dict[str, str]
 ) -> Table:
-    """Return the table after the moves, each range with a higher fencing token."""
-    by_start = {move.start: move for move in moves}
+    """Return the table with the next owner of each range and a higher token."""
+    receivers = {move.start: move.receiver for move in moves}
     token = table["next_token"]
     ranges: list[Range] = []
     for entry in table["ranges"]:
-        move = by_start.get(entry["start"])
-        if move is None:
-            ranges.append(entry)
-            continue
-        moved: Range = {
-            **entry,
-            "owner": move.receiver,
-            "incarnation": incarnations[move.receiver],
-            "token": token,
-            "since_ms": entry["since_ms"] if move.complete else since_ms,
-        }
-        ranges.append(moved)
-        token += 1
+        receiver = receivers.get(entry["start"])
+        if receiver is not None:
+            following: NextOwner = {
+                "owner": receiver,
+                "incarnation": incarnations[receiver],
+                "token": token,
+            }
+            entry = {**entry, "next": following}
+            token += 1
+        ranges.append(entry)
     return {**table, "next_token": token, "ranges": ranges}
+
+
+def settle_moves(
+    table: Table, moves: list[Move], starts: set[int], since_ms: int
+) -> Table:
+    """Return the table after announced moves: those done have their next owner.
+
+    Ranges of `starts` whose move was not done keep their owner.
+    """
+    done = {move.start: move for move in moves}
+    ranges = [
+        settle_range(entry, done.get(entry["start"]), since_ms)
+        if entry["start"] in starts
+        else entry
+        for entry in table["ranges"]
+    ]
+    return {**table, "ranges": ranges}
+
+
+def settle_range(entry: Range, move: Move | None, since_ms: int) -> Range:
+    """Return a range after its announced move, or without it."""
+    settled: Range = {**entry}
+    following = settled.pop("next")
+    if move is None:
+        return settled
+    if not move.complete:
+        settled["since_ms"] = since_ms
+    settled.update(following)
+    return settled
+
+
+def apply_moves(
+    table: Table, moves: list[Move], incarnations: dict[str, str], since_ms: int
+) -> Table:
+    """Return the table after takeovers, each range with a higher fencing token."""
+    starts = {move.start for move in moves}
+    announced = announce_moves(table, moves, incarnations)
+    return settle_moves(announced, moves, starts, since_ms)
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -66,6 +66,7 @@
         self.tables.load()
         if self.office.ended:
             return False
+        self.moving = self.tables.list_announced()
         self.publish()
         self.publish_to(set(self.roster.entries))
         log.info("office taken epoch={}", self.office.epoch)
@@ -214,8 +215,8 @@
             name: entry.member for name, entry in self.roster.entries.items()
         }
         tables = {
-            service: self._mark_moving(service, stored.value)
-            for service, stored in self.tables.stored.items()
+            service: self._mark_moving(service, table)
+            for service, table in self.tables.current.items()
         }
         return {
             "cell": self.env.settings.cell,
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -1,4 +1,9 @@
-"""Changes of owners: takeovers after a loss, and planned moves with a handover."""
+"""Changes of owners: takeovers after a loss, and planned moves with a handover.
+
+A planned move is announced in the platform before the owner releases the range, so
+its end needs no platform. A successor that finds an announced move cannot know how
+far it came: nobody serves the range until both nodes have released it.
+"""
 
 from collections import defaultdict
 from typing import TYPE_CHECKING
@@ -6,20 +11,23 @@
 import gevent
 from logbook import Logger
 
+from knapweedrock.clock import NS_PER_MS
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.nodes.assignment import (
     HOT_SHARE,
     Move,
+    announce_moves,
     apply_moves,
     plan_balance,
     plan_load,
     plan_orphans,
+    settle_moves,
     split_hot_key,
 )
 from knapweedrock.nodes.messages import Adopt, Release, Released
 from knapweedrock.nodes.roster import Process
 from knapweedrock.nodes.tables import UnwrittenError
-from knapweedrock.nodes.view import HASH_SPACE, Table
+from knapweedrock.nodes.view import HASH_SPACE, Range, Table
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
@@ -69,9 +77,10 @@
         if tables.get(self.service) is None:
             tables.create(self.service)
             self.term.publish()
-        if self._take_over() or not self.env.coordinator.platform_ok:
+        tables.flush(self.service)
+        if self._resolve_announced() or self._take_over():
             return
-        if self._evacuate():
+        if not self.env.coordinator.platform_ok or self._evacuate():
             return
         if self._is_due("balanced_ns", BALANCE_INTERVAL_MS) and self._balance():
             return
@@ -80,61 +89,94 @@
 
     def _take_over(self) -> bool:
         """Give away the ranges whose owner is gone for sure."""
-        table = self.term.tables.get(self.service)
-        now = self.env.clock.now_ns()
-        roster = self.term.roster
-        orphans = set()
-        for entry in table["ranges"]:
-            process = Process(entry["owner"], entry["incarnation"])
-            if roster.is_alive(process):
-                continue
-            if entry["owner"] and now < roster.free_at_ns(process, self.service):
-                continue
-            orphans.add(entry["start"])
-        moves = plan_orphans(table, orphans, roster.list_owners(self.service))
+        table = self._get_table()
+        orphans = {
+            entry["start"]
+            for entry in table["ranges"]
+            if "next" not in entry
+            and self._is_free(Process(entry["owner"], entry["incarnation"]))
+        }
+        moves = plan_orphans(table, orphans, self._list_owners())
         if not moves:
             return False
-        self._write_moves(moves)
+        self._write_takeovers(moves)
         log.info("ranges taken over service={} ranges={}", self.service, len(moves))
         return True
 
+    def _resolve_announced(self) -> bool:
+        """Settle the moves that a predecessor announced and may have finished."""
+        table = self._get_table()
+        announced = [
+            entry
+            for entry in table["ranges"]
+            if "next" in entry and (self.service, entry["start"]) in self.term.moving
+        ]
+        resolved = {r["start"] for r in announced if self._is_released_by_both(r)}
+        moves = plan_orphans(table, resolved, self._list_owners())
+        if not moves:
+            return False
+        self._write_takeovers(moves)
+        log.info("moves resolved service={} ranges={}", self.service, len(moves))
+        return True
+
+    def _is_released_by_both(self, entry: Range) -> bool:
+        following = entry["next"]
+        processes = {
+            Process(entry["owner"], entry["incarnation"]),
+            Process(following["owner"], following["incarnation"]),
+        }
+        return all(self._is_released_by(entry, process) for process in processes)
+
+    def _is_released_by(self, entry: Range, process: Process) -> bool:
+        """Tell whether a process surely serves the range no more."""
+        if not self.term.roster.is_alive(process):
+            return self._is_free(process)
+        if not self.term.roster.is_heard(process):
+            return False
+        order = self._create_release({entry["start"]})
+        try:
+            self.term.ask(process.node_id, order, RELEASE_TIMEOUT_MS)
+        except KnapweedrockError as error:
+            self._count_failed_release(process.node_id, error)
+            return False
+        return True
+
     def _evacuate(self) -> bool:
         """Move ranges away from owners that leave or whose zone is out."""
-        table = self.term.tables.get(self.service)
+        table = self._get_table()
         roster = self.term.roster
-        owners = roster.list_owners(self.service)
+        owners = self._list_owners()
         starts = [
             entry["start"]
             for entry in table["ranges"]
             if entry["owner"] not in owners
+            and "next" not in entry
             and roster.is_heard(Process(entry["owner"], entry["incarnation"]))
         ]
         batch = set(starts[:EVACUATION_BATCH_RANGES])
         return self._move(plan_orphans(table, batch, owners))
 
     def _balance(self) -> bool:
-        table = self.term.tables.get(self.service)
-        owners = self.term.roster.list_owners(self.service)
-        return self._move(plan_balance(table, owners, BALANCE_BATCH_RANGES))
+        owners = self._list_owners()
+        return self._move(plan_balance(self._get_table(), owners, BALANCE_BATCH_RANGES))
 
     def _balance_load(self) -> None:
         """Isolate hot keys, and move ranges when one owner stays overloaded."""
         self._isolate_hot_keys()
-        table = self.term.tables.get(self.service)
-        owners = self.term.roster.list_owners(self.service)
+        owners = self._list_owners()
         entries = self.term.roster.entries
         loads = {name: float(entries[name].load) for name in owners if name in entries}
-        moves = plan_load(table, owners, loads, BALANCE_BATCH_RANGES)
+        moves = plan_load(self._get_table(), owners, loads, BALANCE_BATCH_RANGES)
         self.load_rounds = self.load_rounds + 1 if moves else 0
         if self.load_rounds >= LOAD_ROUNDS:
             self.load_rounds = 0
             self._move(moves)
 
     def _isolate_hot_keys(self) -> None:
-        table = self.term.tables.get(self.service)
-        copy: Table = {**table, "ranges": [dict(r) for r in table["ranges"]]}
+        table = self._get_table()
+        copy: Table = {**table, "ranges": list(table["ranges"])}
         changed = False
-        for entry in self.term.roster.entries.values():
+        for entry in list(self.term.roster.entries.values()):
             for service, key_hash, share in entry.hot:
                 if service == self.service and share >= HOT_SHARE:
                     changed = split_hot_key(copy, key_hash) or changed
@@ -144,39 +186,47 @@
             self.env.counters.count("hot_keys_isolated")
 
     def _move(self, moves: list[Move]) -> bool:
-        """Release ranges at their owners, write the table, then grant them."""
+        """Announce moves, release the ranges at their owners, then grant them."""
         if not moves:
             return False
-        by_source: dict[str, list[Move]] = defaultdict(list)
-        for move in moves:
-            by_source[move.source].append(move)
+        tables = self.term.tables
+        announced = announce_moves(
+            self._get_table(), moves, self.term.roster.list_incarnations()
+        )
+        tables.write(self.service, announced)
         names = {(self.service, move.start) for move in moves}
         self.term.moving |= names
         self.term.publish()
+        done: list[Move] = []
         try:
-            calls = [
-                gevent.spawn(self._hand_over, source, part)
-                for source, part in by_source.items()
-            ]
-            gevent.joinall(calls)
-            done = [move for call in calls for move in call.value or []]
-            if done:
-                self._write_moves(done, names)
+            done = self._release_all(moves)
         finally:
+            starts = {move.start for move in moves}
+            now_ms = self.env.clock.wall_ms()
+            settled = settle_moves(announced, done, starts, now_ms)
+            tables.put_in_force(self.service, settled)
             self.term.moving -= names
-            self.term.publish_to({move.source for move in moves})
+            informed = {move.source for move in moves}
+            self.term.publish_to(informed | {move.receiver for move in done})
+        self.env.counters.count("ranges_moved", len(done))
+        tables.flush(self.service)
         return bool(done)
 
+    def _release_all(self, moves: list[Move]) -> list[Move]:
+        """Release ranges at their owners in parallel; return the moves done."""
+        by_source: dict[str, list[Move]] = defaultdict(list)
+        for move in moves:
+            by_source[move.source].append(move)
+        calls = [
+            gevent.spawn(self._hand_over, source, part)
+            for source, part in by_source.items()
+        ]
+        gevent.joinall(calls)
+        return [move for call in calls for move in call.value or []]
+
     def _hand_over(self, source: str, moves: list[Move]) -> list[Move]:
         """Release ranges at one owner and pass its records to the receivers."""
-        starts = {move.start for move in moves}
-        order = Release(
-            self.term.office.epoch,
-            self.term.count,
-            self.service,
-            self._find_spans(starts),
-            RELEASE_TIMEOUT_MS,
-        )
+        order = self._create_release({move.start for move in moves})
         try:
             released: Released = self.term.ask(
                 source, order, RELEASE_TIMEOUT_MS + ADOPT_TIMEOUT_MS
@@ -189,6 +239,15 @@
         informed = {name for name in receivers if self._pass_records(name, released)}
         return [move._replace(complete=move.receiver in informed) for move in moves]
 
+    def _create_release(self, starts: set[int]) -> Release:
+        return Release(
+            self.term.office.epoch,
+            self.term.count,
+            self.service,
+            self._find_spans(starts),
+            RELEASE_TIMEOUT_MS,
+        )
+
     def _pass_records(self, receiver: str, released: Released) -> bool:
         adopt = Adopt(self.term.office.epoch, self.service, released.orders)
         try:
@@ -210,22 +269,35 @@
         entry.suspended = True
         log.warning("lease withheld node={} reason={}", source, error)
 
-    def _write_moves(self, moves: list[Move], names: set | None = None) -> None:
-        table = self.term.tables.get(self.service)
-        incarnations = {
-            name: entry.member["incarnation"]
-            for name, entry in self.term.roster.entries.items()
-        }
-        moves = [move for move in moves if move.receiver in incarnations]
-        now_ms = self.env.clock.wall_ms()
-        changed = apply_moves(table, moves, incarnations, now_ms)
+    def _write_takeovers(self, moves: list[Move]) -> None:
+        changed = apply_moves(
+            self._get_table(),
+            moves,
+            self.term.roster.list_incarnations(),
+            self.env.clock.wall_ms(),
+        )
         self.term.tables.write(self.service, changed)
-        self.term.moving -= names or set()
+        self.term.moving -= {(self.service, move.start) for move in moves}
         self.env.counters.count("ranges_moved", len(moves))
         self.term.publish_to({move.receiver for move in moves})
 
+    def _get_table(self) -> Table:
+        return self.term.tables.get(self.service)
+
+    def _list_owners(self):
+        return self.term.roster.list_owners(self.service)
+
+    def _is_free(self, process: Process) -> bool:
+        """Tell whether the ranges of a process may be given away."""
+        roster = self.term.roster
+        if roster.is_alive(process):
+            return False
+        if not process.node_id:
+            return True
+        return self.env.clock.now_ns() >= roster.free_at_ns(process, self.service)
+
     def _find_spans(self, starts: set[int]) -> list[tuple[int, int]]:
-        ranges = self.term.tables.get(self.service)["ranges"]
+        ranges = self._get_table()["ranges"]
         ends = [entry["start"] for entry in ranges[1:]] + [HASH_SPACE]
         return [
             (entry["start"], end)
@@ -235,7 +307,7 @@
 
     def _is_due(self, name: str, interval_ms: int) -> bool:
         now = self.env.clock.now_ns()
-        if now - getattr(self, name) < interval_ms * 1_000_000:
+        if now - getattr(self, name) < interval_ms * NS_PER_MS:
             return False
         setattr(self, name, now)
         return True
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -120,6 +120,12 @@
             and self.may_own(entry.member, service)
         }
 
+    def list_incarnations(self) -> dict[str, str]:
+        """Return the incarnation of each member."""
+        return {
+            name: entry.member["incarnation"] for name, entry in self.entries.items()
+        }
+
     def may_own(self, member: Member, service: str) -> bool:
         """Tell whether a member's target may own ranges of the service."""
         return (
--- a/knapweedrock/nodes/tables.py
+++ b/knapweedrock/nodes/tables.py
@@ -1,4 +1,4 @@
-"""Tables as the coordinator keeps them: every change is written before it counts."""
+"""Tables as the coordinator keeps them in the platform and in force."""
 
 from typing import TYPE_CHECKING
 
@@ -25,12 +25,17 @@
 
 
 class Tables:
-    """Tables of a cell during one office."""
+    """Tables of a cell during one office.
+
+    `stored` is what the platform holds. `current` is in force; it differs only by
+    moves that the platform holds as announced.
+    """
 
     def __init__(self, env: "Environment", office: Office) -> None:
         self.env = env
         self.office = office
         self.stored: dict[str, Stored] = {}
+        self.current: dict[str, Table] = {}
 
     def load(self) -> None:
         """Put the office's epoch into every table, then read who owns what.
@@ -44,9 +49,17 @@
         gevent.joinall(calls, raise_error=True)
 
     def get(self, service: str) -> Table | None:
-        """Return a table; None where it does not exist."""
-        stored = self.stored.get(service)
-        return None if stored is None else stored.value
+        """Return a table in force; None where it does not exist."""
+        return self.current.get(service)
+
+    def list_announced(self) -> set[tuple[str, int]]:
+        """List service and start of the ranges with an announced move."""
+        return {
+            (service, entry["start"])
+            for service, table in self.current.items()
+            for entry in table["ranges"]
+            if "next" in entry
+        }
 
     def create(self, service: str) -> None:
         """Create the table of a service, owned by nobody."""
@@ -60,6 +73,15 @@
         """
         self._settle(service, table, self.stored[service].version)
 
+    def put_in_force(self, service: str, table: Table) -> None:
+        """Put the end of announced moves in force; `flush` writes it later."""
+        self.current[service] = table
+
+    def flush(self, service: str) -> None:
+        """Write what is in force if the platform does not hold it yet."""
+        if self.current[service] != self.stored[service].value:
+            self.write(service, self.current[service])
+
     def _settle(self, service: str, table: Table, expected: int) -> None:
         name = name_table(service, self.env.settings.cell)
         try:
@@ -70,7 +92,11 @@
             self._read_back(service, name, table, error)
             return
         self.env.coordinator.platform_ok = True
-        self.stored[service] = Stored(stored.version, table)
+        self._hold(service, Stored(stored.version, table), table)
+
+    def _hold(self, service: str, stored: Stored, table: Table) -> None:
+        self.stored[service] = stored
+        self.current[service] = table
 
     def _read_back(
         self, service: str, name: str, table: Table, error: PlatformError
@@ -87,7 +113,7 @@
                     self.office.end("another coordinator wrote a table")
                     break
                 if stored is not None and stored.value == table:
-                    self.stored[service] = stored
+                    self._hold(service, stored, table)
                     return
                 if stored is not None:
                     fresh = self.env.platform.put(name, stored.value, stored.version)
@@ -110,7 +136,7 @@
             table: Table = {**stored.value, "epoch": self.office.epoch}
             try:
                 fresh = self.env.platform.put(name, table, stored.version)
-                self.stored[table["service"]] = Stored(fresh.version, table)
+                self._hold(table["service"], Stored(fresh.version, table), table)
                 return
             except PlatformError as error:
                 if error.code != Code.PLATFORM_CONFLICT:
--- a/knapweedrock/nodes/view.py
+++ b/knapweedrock/nodes/view.py
@@ -30,12 +30,21 @@
     cold: bool
 
 
+class NextOwner(TypedDict):
+    """Node that a range is being moved to, with its fencing token."""
+
+    owner: str
+    incarnation: str
+    token: int
+
+
 class Range(TypedDict):
     """Hashes from `start` up to the next range, with owner and fencing token.
 
     An empty owner means that nobody owns the range. `since_ms` is the wall time at
-    which this ownership was written. `moving` stands in views only: the owner has
-    been told to release the range.
+    which this ownership was written. With a `next` the range is being moved to it, or
+    has been: the coordinator who wrote it alone knows. `moving` stands in views only:
+    nobody serves the range.
     """
 
     start: int
@@ -44,6 +53,7 @@
     token: int
     since_ms: int
     hot: NotRequired[bool]
+    next: NotRequired["NextOwner"]
     moving: NotRequired[bool]
 
 
