Feed settings and a node's answers with arbitrary input

Cause: an 'errors' field that is no list, or holds no objects, ended a command with a traceback; found by the new scenario.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -48,6 +48,10 @@
       | emulate target --listen 127.0.0.1:1 --slots 0       | 3      | 601  |
       | emulate platform --listen here                      | 3      | 601  |
 
+  Scenario: No setting and no answer of a node breaks a command
+    Then arbitrary settings raise nothing but setting errors
+    And arbitrary answers of a node raise nothing but numbered errors
+
   Scenario: The help of every command has an example that its options accept
     Then each command's help closes with an example that can be read
 
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -1,5 +1,6 @@
 """Steps about commands, the operator server and the docs beside them."""
 
+import json
 import re
 import shlex
 import socket
@@ -33,10 +34,17 @@
 from knapweedrock.codes import INFO, Code
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
+from knapweedrock.errors import KnapweedrockError, SettingError
 from knapweedrock.nodes.view import ViewHolder
-from knapweedrock.operators.client import exchange
+from knapweedrock.operators.client import decode_answer, exchange, raise_errors
 from knapweedrock.platform.http import create_client
-from knapweedrock.settings import create_node_settings, parse_address
+from knapweedrock.settings import (
+    create_load_settings,
+    create_node_settings,
+    create_operator_settings,
+    create_target_settings,
+    parse_address,
+)
 
 CODES_PAGE = Path(__file__).resolve().parents[2] / "docs/operators/codes.md"
 START_TIMEOUT_S = 15.0
@@ -111,6 +119,54 @@
         yield from walk_commands(child, (*path, name))
 
 
+@then("arbitrary settings raise nothing but setting errors")
+def feed_settings(context):
+    """Feed the checker of every program with arbitrary values."""
+    values = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+    values |= st.from_regex(r"\[?[0-9.:]{0,9}\]?:[0-9]{0,6}", fullmatch=True)
+    names = [
+        option.name for command in cli.commands.values() for option in command.params
+    ]
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=200)
+    @arbitrary(st.dictionaries(st.sampled_from(sorted(set(names))), values))
+    def feed(given):
+        for create in (
+            create_node_settings,
+            create_target_settings,
+            create_load_settings,
+            create_operator_settings,
+        ):
+            try:
+                create(given)
+            except ExceptionGroup as group:
+                assert all(isinstance(e, SettingError) for e in group.exceptions)
+
+    feed()
+
+
+@then("arbitrary answers of a node raise nothing but numbered errors")
+def feed_answers(context):
+    """Feed the client with arbitrary bodies, well formed and not."""
+    address = parse_address("127.0.0.1:1")
+    body = st.binary(max_size=40) | st.dictionaries(
+        st.sampled_from(["code", "detail", "errors", "x"]),
+        st.integers() | st.text(max_size=3) | st.lists(st.none() | st.just({})),
+    ).map(lambda value: json.dumps(value).encode())
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @arbitrary(body)
+    def feed(content):
+        try:
+            raise_errors(decode_answer(address, content))
+        except ExceptionGroup as group:
+            assert all(isinstance(e, KnapweedrockError) for e in group.exceptions)
+        except KnapweedrockError:
+            pass
+
+    feed()
+
+
 @then("each command's help closes with an example that can be read")
 def check_examples_of_help(context):
     """Parse the example of every command against the options there are."""
--- a/knapweedrock/operators/client.py
+++ b/knapweedrock/operators/client.py
@@ -70,15 +70,18 @@
 
 def raise_errors(value: dict[str, Any]) -> None:
     """Raise the errors that a node answered with."""
-    errors = [create_error(item) for item in value.get("errors") or [value]]
+    items = value.get("errors")
+    if not isinstance(items, list) or not items:
+        items = [value]
+    errors = [create_error(item) for item in items]
     if errors[0].code // 100 == Code.TICKET_MALFORMED // 100:
         raise ExceptionGroup("the node refused the ticket", errors)
     raise errors[0]
 
 
-def create_error(item: dict[str, Any]) -> KnapweedrockError:
+def create_error(item: Any) -> KnapweedrockError:
     """Create the error that a node described."""
     try:
         return KnapweedrockError(Code(item["code"]), str(item["detail"]))
-    except (KeyError, ValueError):
+    except (KeyError, TypeError, ValueError):
         return KnapweedrockError(Code.BAD_FRAME, f"unknown error {item}")
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -267,7 +267,8 @@
 
 def _read_nodes(checker: Checker) -> tuple[Address, ...]:
     """Read the caller addresses of one or more nodes."""
-    found = tuple(checker.given.get("node") or ())
+    given = checker.given.get("node") or ()
+    found = given if isinstance(given, tuple | list) else (given,)
     addresses = []
     for text in found:
         try:
