--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -188,28 +188,27 @@
         return all(self.node_is_ready(vm, len(running)) for vm in running)
 
     def node_is_ready(self, vm: Vm, expected: int) -> bool:
-        """Tell whether a node is ready and sees this many serving members."""
+        """Tell whether a node is ready, sees the members, and all keys have owners."""
         ready = call_or_none(vm.operator, "GET", "/readyz")
         if ready is None or ready.status != 200:
             return False
-        return len(self.list_serving(vm.spec.node_id)) >= expected
+        status = self.read_status(vm.spec.node_id)
+        if len(list_serving(status)) < expected:
+            return False
+        tables = status.get("tables", {})
+        return all(
+            name in tables and not tables[name]["unowned_share"]
+            for name in self.layout.keyed
+        )
 
     def list_serving(self, name: str) -> list[str]:
         """List the node ids that serve, in the eyes of one node."""
-        members = self.read_view(name).get("members", {})
-        return [
-            node_id
-            for node_id, member in members.items()
-            if member["state"] == "serving"
-        ]
-
-    def read_view(self, name: str) -> dict[str, Any]:
-        """Read the view of the cell that a node holds."""
+        return list_serving(self.read_status(name))
+
+    def read_status(self, name: str) -> dict[str, Any]:
+        """Read the status of the cell that a node gives; empty without an answer."""
         reply = call_or_none(self.vms[name].operator, "GET", "/status")
-        if reply is None or reply.status != 200:
-            return {}
-        status = reply.json()
-        return status.get("view", status)
+        return reply.json() if reply is not None and reply.status == 200 else {}
 
     # Configuration
 
@@ -358,6 +357,12 @@
         return "\n".join(lines)
 
 
+def list_serving(status: dict[str, Any]) -> list[str]:
+    """List the node ids that serve."""
+    members = status.get("members", {})
+    return [name for name, found in members.items() if found.get("state") == "serving"]
+
+
 def create_mesh(context, layout: Layout, **options: Any) -> Mesh:
     """Create a mesh that ends with behave's scenario; keep its logs on failure."""
     mesh = Mesh(layout, **options)
