Count a connection that ends without an answer as may have run

A trial of the losses showed tasks of the load program that ended by HTTPConnectionClosed, which is no OSError: those requests were counted nowhere but under unanswered. Now they count as may have run, in the load program and in the callers of the tests; a feature with a server that closes each connection shows it.

--- a/features/load.feature
+++ b/features/load.feature
@@ -37,3 +37,8 @@
     Given a plain server that stalls once for 600 ms
     When load is offered at 100 a second for 1 s with 5 in flight
     Then requests are unsent and every request is accounted for
+
+  Scenario: A connection that ends without an answer counts as may have run
+    Given a server that reads a request and closes the connection
+    When load is offered at 50 a second for 1 s
+    Then every request counts as may have run
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from behave import given, then, when
+from gevent.server import StreamServer
 
 from features.support.processes import Ports, create_loopback_host
 from knapweedrock.clock import NS_PER_MS
@@ -42,6 +43,21 @@
     context.address = Ports(create_loopback_host()).take()
 
 
+@given("a server that reads a request and closes the connection")
+def start_closing_server(context):
+    """Start a server that never answers."""
+
+    def close(connection, _address):
+        connection.recv(4096)
+        connection.close()
+
+    context.address = Ports(create_loopback_host()).take()
+    host, _, port = context.address.rpartition(":")
+    server = StreamServer((host, int(port)), close)
+    server.start()
+    context.add_cleanup(server.stop, 0)
+
+
 @when("load is offered at {rate:d} a second for {duration_s:d} s")
 def offer_counted_load(context, rate, duration_s, in_flight=1000):
     """Offer load and keep all samples."""
@@ -134,6 +150,13 @@
     assert context.report.not_run == context.report.offered > 0, context.report
 
 
+@then("every request counts as may have run")
+def expect_may_have_run(context):
+    """Expect connections that ended without an answer to stay open."""
+    report = context.report
+    assert report.may_have_run == report.offered > 0, report
+
+
 @then("requests are unsent and every request is accounted for")
 def expect_unsent(context):
     """Expect the sum of all counts to be what was offered."""
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -12,7 +12,7 @@
 from features.support.http import Reply, read_reply
 from knapweedrock.clock import NS_PER_MS, create_clock
 from knapweedrock.codes import Code, Outcome
-from knapweedrock.load.client import create_client
+from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.orders import create_order_id
 
 CONNECTIONS_PER_NODE = 64
@@ -51,7 +51,7 @@
         method = "POST" if request.order_id else "GET"
         try:
             reply = self._exchange(node, method, tag, request)
-        except (OSError, ValueError) as error:
+        except EXCHANGE_ERRORS as error:
             reply = self._describe_failure(error)
         call = self._record(request, node, tag, method, reply, intended_ns, sent_ns)
         self.history.append(call)
--- a/features/support/http.py
+++ b/features/support/http.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, NamedTuple
 
-from knapweedrock.load.client import create_client
+from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
 
 DEFAULT_TIMEOUT_S = 3.0
 
@@ -49,5 +49,5 @@
     """Send one request; return nothing where nobody answers."""
     try:
         return call(address, method, path, timeout_s=1.0)
-    except (OSError, ValueError):
+    except EXCHANGE_ERRORS:
         return None
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -13,7 +13,7 @@
 from knapweedrock.clock import NS_PER_S, Clock, create_clock
 from knapweedrock.codes import Code, Outcome
 from knapweedrock.load.arrivals import create_arrivals
-from knapweedrock.load.client import create_client
+from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.keys import KeySource, create_keys
 from knapweedrock.load.orders import create_order_id
 from knapweedrock.load.report import LoadReport, create_report
@@ -143,7 +143,7 @@
             headers = {str(name).lower(): str(text) for name, text in response.headers}
         except ConnectionRefusedError:
             headers = {"knapweedrock-outcome": Outcome.NOT_RUN.value}
-        except (OSError, ValueError):
+        except EXCHANGE_ERRORS:
             headers = {"knapweedrock-outcome": Outcome.MAY_HAVE_RUN.value}
         code = read_code(status, headers)
         sample = Sample(
