--- a/knapweedrock/callers/choice.py
+++ b/knapweedrock/callers/choice.py
@@ -7,6 +7,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Collection
+from typing import NamedTuple
 
 from knapweedrock.callers.loads import Load
 from knapweedrock.environment import Environment
@@ -17,8 +18,16 @@
 STRAGGLER_FACTOR = 2.0
 STRAGGLER_MIN_MS = 3.0
 
+
+class Choice(NamedTuple):
+    """A chosen member; a trial sends it one request to see if it is fast again."""
+
+    member: Member
+    trial: bool = False
+
+
 Loads = defaultdict[str, Load]
-Policy = Callable[[list[Member], bool], Member]
+Policy = Callable[[list[Member], bool], Choice]
 PolicyFactory = Callable[[Environment, Loads], Policy]
 
 POLICIES: dict[str, PolicyFactory] = {}
@@ -51,10 +60,10 @@
     """Create the baseline: each target in turn, whatever its load."""
     turns: dict[str, int] = defaultdict(int)
 
-    def choose(members: list[Member], covered: bool) -> Member:
+    def choose(members: list[Member], covered: bool) -> Choice:
         service = members[0]["service"]
         turns[service] += 1
-        return members[turns[service] % len(members)]
+        return Choice(members[turns[service] % len(members)])
 
     return choose
 
@@ -67,23 +76,23 @@
     with one request at a time, ever more rarely, until it is fast again.
     """
 
-    def choose(members: list[Member], covered: bool) -> Member:
+    def choose(members: list[Member], covered: bool) -> Choice:
         now_ns = env.clock.now_ns()
         fit = leave_refusing(members, loads, now_ns)
         usual_ms = find_usual_ms(fit, loads, now_ns)
         slow = find_stragglers(fit, loads, now_ns, usual_ms)
         for member in slow:
             if loads[member["node_id"]].take_probe(now_ns, covered):
-                return member
+                return Choice(member, trial=True)
         fit = leave_cold([member for member in fit if member not in slow])
         if len(fit) == 1:
-            return fit[0]
+            return Choice(fit[0])
         first, second = random.sample(fit, 2)
         if score(second, loads, now_ns, usual_ms) < score(
             first, loads, now_ns, usual_ms
         ):
-            return second
-        return first
+            return Choice(second)
+        return Choice(first)
 
     return choose
 
--- a/knapweedrock/callers/spreading.py
+++ b/knapweedrock/callers/spreading.py
@@ -14,7 +14,7 @@
 from knapweedrock.nodes.view import Member
 
 COPY_QUANTILE = 0.97
-COPY_MEDIANS = 1.3
+COPY_MEDIANS = 2.0
 COPY_UNKNOWN_MS = 250.0
 TRIAL_MEDIANS = 0.5
 LEAST_COPY_MS = 2.0
@@ -64,26 +64,24 @@
         if not members:
             return Routed(create_refused(Code.NO_LIVE_TARGET), None)
         covered = len(members) > 1 and self._may_copy(request)
-        member = self._choose(members, covered)
+        member, trial = self._choose(members, covered)
         tried.add(member["node_id"])
         if not covered:
             return self._attempt(request, member)
-        delay_ms = self._copy_delay_ms(request, member)
+        delay_ms = self._copy_delay_ms(request, trial)
         race = Race(lambda: self._send_copy(request, tried), is_done, delay_ms)
         return race.run(lambda: self._attempt(request, member))
 
     def _may_copy(self, request: CallerRequest) -> bool:
         return request.idempotent and self._env.settings.copies_enabled
 
-    def _copy_delay_ms(self, request: CallerRequest, member: Member) -> float:
+    def _copy_delay_ms(self, request: CallerRequest, trial: bool) -> float:
         latencies = self._latencies[request.route.service]
         usual_ms = latencies.quantile_ms(0.5)
         tail_ms = latencies.quantile_ms(COPY_QUANTILE) or COPY_UNKNOWN_MS
-        delay_ms = max(tail_ms, COPY_MEDIANS * usual_ms, LEAST_COPY_MS)
-        # A target known to be slow is only being tried: its copy goes out early.
-        if usual_ms and self._loads[member["node_id"]].latency_ms > delay_ms:
+        if trial and usual_ms:
             return max(usual_ms * TRIAL_MEDIANS, LEAST_COPY_MS)
-        return delay_ms
+        return max(tail_ms, COPY_MEDIANS * usual_ms, LEAST_COPY_MS)
 
     def _send_copy(self, request: CallerRequest, tried: set[str]) -> Routed | None:
         service = request.route.service
@@ -94,7 +92,7 @@
             self._env.counters.count("caller_copies_denied", service=service)
             return None
         self._env.counters.count("caller_copies", service=service)
-        member = self._choose(members, False)
+        member, _ = self._choose(members, False)
         tried.add(member["node_id"])
         routed = self._attempt(request, member)
         if is_done(routed):
