--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -49,15 +49,23 @@
         self.received[node_id].append(message)
         return self.behaviours[node_id](message)
 
+
+class FakeDelivery:
+    """Delivery to the target beside one of the fake nodes."""
+
+    def __init__(self, nodes: FakeNodes, node_id: str) -> None:
+        self.nodes = nodes
+        self.node_id = node_id
+
     def deliver(self, message: Deliver) -> Delivered:
         """Stand in for `env.delivery.deliver`."""
-        self.received["node-0"].append(message)
-        return self.behaviours["node-0"](message)
+        self.nodes.received[self.node_id].append(message)
+        return self.nodes.behaviours[self.node_id](message)
 
 
 def create_fake_environment(nodes: FakeNodes, **changes: object) -> Environment:
     """Create an environment whose other nodes are fakes."""
     env = Environment(build_settings(**changes), incarnation="1")
     env.links = nodes
-    env.delivery = nodes
+    env.delivery = FakeDelivery(nodes, env.settings.node_id)
     return env
--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -5,8 +5,6 @@
 
 import random
 
-import gevent
-
 from knapweedrock.callers.attempts import Routed, attempt, create_refused
 from knapweedrock.callers.budgets import create_retry_budgets
 from knapweedrock.callers.requests import CallerRequest
@@ -20,7 +18,6 @@
 LEAST_ATTEMPT_MS = 10.0
 MAX_FOLLOWING = 1024
 RETRY_AFTER_MS = 500
-MS_PER_S = 1000
 
 # Refusals that end once the key has its next owner.
 FOLLOWED = frozenset(
@@ -100,7 +97,7 @@
             return False
         self._following += 1
         try:
-            gevent.sleep(pause_ms / MS_PER_S)
+            self._env.views.wait_newer(version, pause_ms)
         finally:
             self._following -= 1
         return True
