--- a/knapweedrock/emulator/behaviour.py
+++ b/knapweedrock/emulator/behaviour.py
@@ -31,6 +31,7 @@
     silent_next: int = 0
     lose_answer_next: int = 0
     double_next: int = 0
+    unframed_next: int = 0
 
 
 class BehaviourHolder:
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -303,6 +303,9 @@
         if self.behaviour.take("truncate_next"):
             sock.sendall(encode_answer(answer)[: -len(answer.body) // 2])
             return None
+        if self.behaviour.take("unframed_next"):
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + answer.body[:-1])
+            return None
         if self.behaviour.take("double_next") and self.last_answer:
             stale = encode_answer(self.last_answer)
             gevent.spawn_later(0.001, send_quietly, sock, stale)
--- a/knapweedrock/targets/admission.py
+++ b/knapweedrock/targets/admission.py
@@ -15,6 +15,9 @@
     from knapweedrock.environment import Environment
 
 MAX_WAIT_MS = 250.0
+STANDING_AFTER_MS = 200.0
+MIN_STANDING_WAIT_MS = 20.0
+LATE_FACTOR = 2.0
 MIN_QUEUE = 4
 SERVICE_WEIGHT = 0.1
 FIRST_SERVICE_MS = 20.0
@@ -35,8 +38,10 @@
 class Admission:
     """Slots of the target in use, and who waits for one.
 
-    Callers take turns; the waiting requests of one caller go in order. A request
-    that runs alone waits until nothing else is in flight and keeps others out.
+    A queue that did not empty for a while only adds delay, so it is kept shorter
+    than one that takes up a burst. Callers take turns; the waiting requests of one
+    caller go in order. A request that runs alone waits until nothing else is in
+    flight and keeps others out.
     """
 
     def __init__(self, env: "Environment", ramp: Ramp) -> None:
@@ -46,11 +51,18 @@
         self.waiting = 0
         self.alone = False
         self.service_ms = FIRST_SERVICE_MS
+        self.emptied_ns = 0
         self.queues: OrderedDict[str, deque[Waiter]] = OrderedDict()
         self.alone_queue: deque[Waiter] = deque()
 
-    def acquire(self, caller: str, until_ns: int, alone: bool = False) -> None:
-        """Take a slot, waiting for one if need be.
+    def acquire(
+        self,
+        caller: str,
+        until_ns: int,
+        alone: bool = False,
+        is_patient: bool = False,
+    ) -> None:
+        """Take a slot, waiting for one if need be; patient ones until the deadline.
 
         Raises `OVERLOADED` at once when the wait would be too long, and
         `QUEUE_TIMEOUT` when it was.
@@ -60,7 +72,7 @@
         if alone and not self.in_flight and not self.alone:
             self.in_flight, self.alone = 1, True
             return
-        self._wait(self._enqueue(caller, until_ns, alone))
+        self._wait(self._enqueue(caller, until_ns, alone, is_patient))
 
     def try_acquire(self) -> bool:
         """Take a slot if one is free now."""
@@ -106,19 +118,30 @@
         wait_ms = self.estimate_wait_ms(self.waiting)
         return int(min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS))
 
-    def _enqueue(self, caller: str, until_ns: int, alone: bool) -> Waiter:
+    def _enqueue(
+        self, caller: str, until_ns: int, alone: bool, is_patient: bool
+    ) -> Waiter:
         now_ns = self.env.clock.now_ns()
-        patience_ms = min((until_ns - now_ns) / NS_PER_MS, MAX_WAIT_MS)
-        if alone:
-            patience_ms = (until_ns - now_ns) / NS_PER_MS
-        elif self._is_full(patience_ms) and not self._make_room(caller):
-            raise self._refuse(Code.OVERLOADED)
-        waiter = Waiter(caller, now_ns + int(patience_ms * NS_PER_MS), alone)
+        left_ms = (until_ns - now_ns) / NS_PER_MS
+        if not self.waiting:
+            self.emptied_ns = now_ns
+        if not is_patient:
+            patience_ms = min(left_ms, self._get_patience_ms(now_ns))
+            if self._is_full(patience_ms) and not self._make_room(caller):
+                raise self._refuse(Code.OVERLOADED)
+            left_ms = min(left_ms, patience_ms * LATE_FACTOR)
+        waiter = Waiter(caller, now_ns + int(left_ms * NS_PER_MS), alone)
         queue = self.alone_queue if alone else self.queues.setdefault(caller, deque())
         queue.append(waiter)
         self.waiting += 1
         return waiter
 
+    def _get_patience_ms(self, now_ns: int) -> float:
+        """Return the wait that is still worth it."""
+        if now_ns - self.emptied_ns < STANDING_AFTER_MS * NS_PER_MS:
+            return MAX_WAIT_MS
+        return min(max(self.service_ms, MIN_STANDING_WAIT_MS), MAX_WAIT_MS)
+
     def _is_full(self, patience_ms: float) -> bool:
         if self.waiting < MIN_QUEUE:
             return False
--- a/knapweedrock/targets/attempts.py
+++ b/knapweedrock/targets/attempts.py
@@ -7,7 +7,7 @@
 
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
-from knapweedrock.errors import KnapweedrockError
+from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.targets.admission import Admission
 from knapweedrock.targets.connections import Connection, ConnectionPool
 from knapweedrock.targets.control import Control
@@ -34,6 +34,16 @@
         self.work = work
         self.exchange = exchange
         self.began_ns = began_ns
+        self.displaced = False
+
+    def displace(self) -> None:
+        """Break the exchange off, so that its request is sent again later."""
+        self.displaced = True
+        self.exchange.connection.shut_down()
+
+
+class DisplacedError(KnapweedrockError):
+    """An attempt that was broken off here, to relieve the target."""
 
 
 class Attempts:
@@ -52,7 +62,7 @@
         self.control = control
         self.admission = admission
         self.crashes = crashes
-        self.sent: dict[str, Work] = {}
+        self.sent: dict[str, Attempt] = {}
 
     def run(self, work: Work) -> Answer:
         """Send a request whose slot is taken, and return its whole answer.
@@ -74,11 +84,22 @@
     def has_sent(self, service: str, ranges: list[tuple[int, int]]) -> bool:
         """Tell whether work on the ranges is or may be at the target."""
         return any(
-            work.request.service == service
-            and any(start <= work.key_hash < end for start, end in ranges)
-            for work in self.sent.values()
+            attempt.work.request.service == service
+            and any(start <= attempt.work.key_hash < end for start, end in ranges)
+            for attempt in self.sent.values()
         )
 
+    def displace_excess(self) -> None:
+        """Break off idempotent attempts, the youngest first, down to the limit."""
+        excess = self.admission.in_flight - self.admission.ramp.get_limit()
+        for attempt in reversed(list(self.sent.values())):
+            if excess <= 0:
+                return
+            if attempt.work.request.idempotent and not attempt.displaced:
+                self.env.counters.count("target_attempts_displaced")
+                attempt.displace()
+                excess -= 1
+
     def _begin(self, work: Work, fresh: bool) -> Attempt:
         """Take a connection and send; the slot is given back on failure."""
         try:
@@ -97,7 +118,7 @@
         is_head = work.request.method == "HEAD"
         exchange = Exchange(self.env.clock, connection, request_id, is_head)
         attempt = Attempt(work, exchange, self.env.clock.now_ns())
-        self.sent[request_id] = work
+        self.sent[request_id] = attempt
         try:
             exchange.send(data, work.deadline_ns)
         except BaseException as error:
@@ -113,7 +134,11 @@
                 self.crashes.note_break(self._list_fingerprints())
             if connection:
                 return connection
-        return self.pool.dial(work.get_left_ms())
+        try:
+            return self.pool.dial(work.get_left_ms())
+        except RefusalError:
+            self.crashes.note_break(self._list_fingerprints())
+            raise
 
     def _finish(self, attempt: Attempt) -> Answer:
         return self._read(attempt, attempt.work.deadline_ns, is_last=True)
@@ -127,8 +152,12 @@
                 self._abandon(attempt, error)
             raise
         except BaseException as error:
-            self._abandon(attempt, error)
-            raise
+            if not attempt.displaced:
+                self._abandon(attempt, error)
+                raise
+            displaced = DisplacedError(Code.ANSWER_LOST, "broken off under overload")
+            self._abandon(attempt, displaced)
+            raise displaced from error
         self._settle(attempt, answer)
         return answer
 
@@ -152,7 +181,7 @@
         gevent.spawn(self._cancel, attempt)
 
     def _list_fingerprints(self) -> set[str]:
-        return {work.fingerprint for work in self.sent.values()}
+        return {attempt.work.fingerprint for attempt in self.sent.values()}
 
     def _cancel(self, attempt: Attempt) -> None:
         request_id = attempt.exchange.request_id
--- a/knapweedrock/targets/connections.py
+++ b/knapweedrock/targets/connections.py
@@ -43,6 +43,11 @@
             return False
         return False
 
+    def shut_down(self) -> None:
+        """Wake whoever reads from the connection, as if its peer had closed it."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the socket."""
         with contextlib.suppress(OSError):
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -12,13 +12,14 @@
 from knapweedrock.nodes.messages import Deliver, Delivered
 from knapweedrock.targets.admission import Admission
 from knapweedrock.targets.announcements import Announcement, Target
-from knapweedrock.targets.attempts import Attempts
+from knapweedrock.targets.attempts import Attempts, DisplacedError
 from knapweedrock.targets.connections import ConnectionPool
 from knapweedrock.targets.control import Control
 from knapweedrock.targets.crashes import Crashes
 from knapweedrock.targets.exchange import BrokenExchangeError
 from knapweedrock.targets.grants import Grants
 from knapweedrock.targets.intake import Intake
+from knapweedrock.targets.jumps import JumpWatch
 from knapweedrock.targets.load import HotKey, LoadMeter
 from knapweedrock.targets.orders import OrderRecord, Orders, OrderState
 from knapweedrock.targets.parser import Answer
@@ -33,7 +34,7 @@
 WATCH_INTERVAL_S = 0.1
 ORDER_GRACE_MS = 20
 POLL_INTERVAL_S = 0.005
-MAX_RETRIES = 3
+MAX_RETRIES = 4
 DEFAULT_RETRY_AFTER_MS = 100
 HOP_HEADERS = frozenset(
     (
@@ -67,6 +68,7 @@
         self.attempts = Attempts(
             env, self.pool, self.control, self.admission, self.crashes
         )
+        self.jumps = JumpWatch(env, self.attempts, self.ramp)
         self.orders = Orders(env)
         self.retries = RetryBudget()
         self.load = LoadMeter(env)
@@ -113,10 +115,10 @@
         grant = self.env.lease.authorize(request.service, request.key)
         work = Work(self.env, request, grant)
         work.check_deadline()
-        self.suspects.check(work.fingerprint)
         self.load.add(request.service, request.key)
         self.retries.count_request()
         if request.idempotent:
+            self.suspects.check(work.fingerprint)
             return self._create_done(self._run(work))
         return self._deliver_order(work)
 
@@ -126,6 +128,7 @@
             raise RefusalError(Code.KEY_MISSING, "an order needs a key")
         record = self.orders.find(work.request, work.fingerprint)
         if record is None:
+            self.suspects.check(work.fingerprint)
             record = self.orders.begin(work.request, work.fingerprint, work.grant)
             gevent.spawn(self._run_order, work, record)
         if not record.ended.wait((max(work.get_left_ms(), 0) + ORDER_GRACE_MS) / 1000):
@@ -169,6 +172,11 @@
                 except BrokenExchangeError:
                     if not work.request.idempotent or not self.retries.take():
                         raise
+                except DisplacedError:
+                    continue
+                except RefusalError as error:
+                    if error.code is not Code.TARGET_UNREACHABLE or not work.lost:
+                        raise
                 self.env.counters.count("target_retries")
                 self.crashes.wait_settled(work.deadline_ns)
                 self.suspects.check(work.fingerprint)
@@ -178,7 +186,8 @@
 
     def _run_once(self, work: Work) -> Answer:
         alone = self.suspects.must_run_alone(work.fingerprint)
-        self.admission.acquire(work.request.caller, work.deadline_ns, alone)
+        is_patient = alone or work.lost is not None
+        self.admission.acquire(work.request.caller, work.deadline_ns, alone, is_patient)
         began_ns = self.env.clock.now_ns()
         answer = self.attempts.run(work)
         self._check_refused(answer)
@@ -306,4 +315,5 @@
     delivery = Delivery(env)
     env.dumps["delivery"] = delivery
     gevent.spawn(delivery.watch)
+    gevent.spawn(delivery.jumps.run)
     return delivery
--- a/knapweedrock/targets/ramp.py
+++ b/knapweedrock/targets/ramp.py
@@ -10,9 +10,8 @@
 DEFAULT_START_SHARE = 0.1
 DEFAULT_RAMP_S = 15.0
 RAMP_MARGIN = 1.05
-JUMP_FACTOR = 4.0
-JUMP_MS = 50.0
-JUMP_ANSWERS = 3
+JUMP_FACTOR = 2.0
+JUMP_MS = 15.0
 SHED_FACTOR = 0.8
 BASELINE_WEIGHT = 0.02
 FIRST_BASELINE_ANSWERS = 20
@@ -30,7 +29,6 @@
         self.limit = 0.0
         self.baseline_ms = 0.0
         self.answers = 0
-        self.slow_answers = 0
         self.confined = False
 
     def begin(self, slots: int, cold_slots: int | None, cold_s: float | None) -> None:
@@ -49,7 +47,6 @@
         self.env.counters.count(counter)
         self.started_ns = self.env.clock.now_ns()
         self.limit = self.start_limit
-        self.slow_answers = 0
 
     def get_limit(self) -> int:
         """Return how many requests may be in flight now."""
@@ -61,12 +58,9 @@
 
     def count_success(self, work_ms: float) -> None:
         """Learn from a whole answer; grow where the time is come."""
-        if self._is_jump(work_ms):
-            self.slow_answers += 1
-            if self.slow_answers >= JUMP_ANSWERS:
-                self.restart("target_latency_jumps")
+        late_ms = self.get_late_ms()
+        if 0 < late_ms < work_ms:
             return
-        self.slow_answers = 0
         self._learn(work_ms)
         if self.limit < self.slots:
             self.limit = min(self._allowed(), self.limit + 1.0)
@@ -88,10 +82,6 @@
         full = self.slots - self.start_limit
         return self.start_limit + full * min(share, 1.0)
 
-    def _is_jump(self, work_ms: float) -> bool:
-        late_ms = self.get_late_ms()
-        return 0 < late_ms < work_ms
-
     def _learn(self, work_ms: float) -> None:
         self.answers += 1
         if self.answers <= FIRST_BASELINE_ANSWERS:
