Build the one binary behind a launcher that execs it

Cause: PyInstaller's one-file binary starts a child process, which is ruled out, and so does Nuitka's (its bootstrap forks before it execs).

PyInstaller's directory is packed into one file behind a small launcher in C. It unpacks the directory once, named by its digest, and execs the program in it, so that the process stays the same one. The C compiler comes from PyPI (ziglang), for a fresh machine has none.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=$(CURDIR) $(BIN)/python
 
-.PHONY: all demo test lint format lock binary bench
+.PHONY: all demo test lint format lock binary binary-check bench
 
 all: lint test
 
@@ -14,6 +14,10 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements-dev.lock
 	touch $@
 
+$(VENV)/binary-installed: $(VENV)/installed requirements-binary.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements-binary.lock
+	touch $@
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -27,3 +31,9 @@
 
 demo: $(VENV)/installed
 	$(RUN) -m knapweedrock demo --for 20
+
+binary: $(VENV)/binary-installed
+	$(RUN) tools/binary.py
+
+binary-check: binary
+	$(RUN) -m behave features/binary
--- /dev/null
+++ b/features/steps/binary.py
@@ -0,0 +1,170 @@
+"""Steps about the one binary."""
+
+import os
+import shutil
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.support.builders_platform import create_test_client
+from features.support.processes import ROOT, Ports, create_loopback_host
+
+BINARY = ROOT / "dist" / "knapweedrock"
+LOOK_S = 0.002
+WATCHED_S = 3.0
+
+
+def start(context, *arguments, binary=BINARY):
+    """Start the binary; it is ended after the scenario."""
+    environment = os.environ | {"KNAPWEEDROCK_UNPACK_DIR": str(context.directory)}
+    process = subprocess.Popen(
+        [binary, *arguments],
+        env=environment,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(process.communicate)
+    context.add_cleanup(process.kill)
+    return process
+
+
+def run(context, *arguments, binary=BINARY):
+    """Run the binary to its end; return status, output and errors."""
+    process = start(context, *arguments, binary=binary)
+    output, errors = process.communicate(timeout=30)
+    return process.returncode, output, errors
+
+
+def list_children(pid):
+    """List the children of all threads of a process."""
+    children = []
+    for task in Path(f"/proc/{pid}/task").iterdir():
+        children += (task / "children").read_text().split()
+    return children
+
+
+def list_unpacked(context):
+    """List what was unpacked."""
+    return sorted(context.directory.iterdir())
+
+
+@given("the built binary and an empty directory to unpack into")
+def find_binary(context):
+    """Find the binary; `make binary` builds it."""
+    assert BINARY.is_file(), "run `make binary` first"
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.directory = Path(directory.name)
+
+
+@when("the binary serves as the platform stand-in")
+def start_stand_in(context):
+    """Start the stand-in and look at its children all the time."""
+    context.address = Ports(create_loopback_host()).take()
+    arguments = ["emulate", "platform", "--listen", context.address]
+    context.process = start(context, *arguments)
+    context.looks = []
+    end_s = time.monotonic() + WATCHED_S
+    while time.monotonic() < end_s:
+        context.looks.append(list_children(context.process.pid))
+        time.sleep(LOOK_S)
+
+
+@then("it was one process at every look from its first moment on")
+def check_one_process(context):
+    """Check that no child was ever seen."""
+    assert context.process.poll() is None, context.process.stderr.read()
+    assert not any(context.looks), [found for found in context.looks if found]
+    print(f"{len(context.looks)} looks")
+
+
+@then("it answers calls of the platform's client")
+def check_answers(context):
+    """Call the stand-in."""
+    client = create_test_client(context.address)
+    assert client.put("config/a", 1, 0).version == 1
+    assert client.get("config/a").value == 1
+
+
+@then("it holds at most {resident_mb:d} MB resident and {file_mb:d} MB on file")
+def check_size(context, resident_mb, file_mb):
+    """Check memory and size."""
+    status = Path(f"/proc/{context.process.pid}/status").read_text().splitlines()
+    line = next(line for line in status if line.startswith("VmRSS"))
+    resident_bytes = int(line.split()[1]) * 1024
+    file_bytes = BINARY.stat().st_size
+    print(f"resident {resident_bytes} bytes, file {file_bytes} bytes")
+    assert resident_bytes <= resident_mb * 1_000_000
+    assert file_bytes <= file_mb * 1_000_000
+
+
+@then("it ends with status 0 on SIGTERM")
+def check_end(context):
+    """End the stand-in."""
+    context.process.terminate()
+    assert context.process.wait(5) == 0
+
+
+@when("the binary is run twice")
+def run_twice(context):
+    """Run twice and note when files were written."""
+    context.ends = [run(context, "--version")]
+    context.written = read_times(context)
+    context.ends.append(run(context, "--version"))
+
+
+def read_times(context):
+    """Read when each file was last changed."""
+    return {p: p.stat().st_ctime_ns for p in context.directory.rglob("*")}
+
+
+@then("all ran and one directory was unpacked")
+def check_unpacked_once(context):
+    """Check all ends and what is left."""
+    for status, output, errors in context.ends:
+        assert (status, errors) == (0, ""), errors
+        assert "version" in output
+    assert len(list_unpacked(context)) == 1, list_unpacked(context)
+
+
+@then("the second start wrote no file")
+def check_nothing_written(context):
+    """Compare the files of both starts."""
+    assert context.written == read_times(context)
+
+
+@when("the binary is run {count:d} times at once")
+def run_at_once(context, count):
+    """Start all before the first one ends."""
+    started = [start(context, "--version") for _ in range(count)]
+    ends = [(process, *process.communicate(timeout=30)) for process in started]
+    context.ends = [(process.returncode, out, err) for process, out, err in ends]
+
+
+@when("the binary is run twice with its directory open to others between")
+def open_directory(context):
+    """Give others the right to write."""
+    run(context, "--version")
+    list_unpacked(context)[0].chmod(0o777)
+    context.end = run(context, "--version")
+
+
+@when("a copy of the binary without its end is run")
+def run_truncated(context):
+    """Cut a copy in the middle."""
+    copy = context.directory / "copy"
+    shutil.copy(BINARY, copy)
+    os.truncate(copy, copy.stat().st_size // 2)
+    context.end = run(context, "--version", binary=copy)
+
+
+@then("{whose} fails and says why")
+def check_failure(context, whose):
+    """Check status and message."""
+    status, output, errors = context.end
+    assert (status, output) == (1, ""), context.end
+    assert errors.startswith("error: can't "), errors
