--- a/knapweedrock/load/client.py
+++ b/knapweedrock/load/client.py
@@ -1,14 +1,15 @@
 """HTTP client of callers: no delay for small writes and no hidden retries."""
 
+from http.client import HTTPException
+
 from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
 
 from knapweedrock.sockets import disable_delay
 
 NO_RETRIES_SIZE = -1
 
 # What a request raises that got no whole answer.
-EXCHANGE_ERRORS = (OSError, ValueError, HTTPParseError)
+EXCHANGE_ERRORS = (OSError, ValueError, HTTPException)
 
 
 def create_client(address: str, timeout_s: float, concurrency: int = 1) -> HTTPClient:
