--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 
 import click  # noqa: E402
 
-from bench import control, delivery, ownership, path, zones  # noqa: E402, F401
+from bench import capacity, control, delivery, ownership, path, zones  # noqa: E402, F401
 from bench.registry import EXPERIMENTS, Plan  # noqa: E402
 from bench.tables import write_tables  # noqa: E402
 
