Hand over no order that still waits; hold no lease without a configuration

Cause, each found by a proof that failed beside other load: (1) an order queued at the old owner was handed over as sent, so its caller, following the key, was told that it may have run; (2) a restarted node used its lease before it had fetched any configuration. Ruled out for (1): the drain (nothing was in flight at the target). After: only orders that may be at the target are handed over as unknown; a node that has no configuration, or stays 2 s behind, does not use its lease.

--- a/knapweedrock/nodes/membership.py
+++ b/knapweedrock/nodes/membership.py
@@ -32,6 +32,7 @@
 LOOKUP_PAUSE_MIN_MS = 250
 LOOKUP_PAUSE_MAX_MS = 2000
 FAILED_BEAT_PAUSE_MS = 60
+BEHIND_LIMIT_MS = 2000
 
 log = Logger("membership")
 
@@ -54,6 +55,7 @@
         self.leaving = False
         self.lookup_pause_ms = LOOKUP_PAUSE_MIN_MS
         self.lookup_after_ns = 0
+        self.behind_since_ns = 0
         env.dumps["membership"] = self
 
     def run(self) -> None:
@@ -168,8 +170,8 @@
         version = ViewVersion(answer.epoch, answer.count)
         if version > self.env.views.version:
             self.fetch_newer(self.env.views.version)
-        if answer.config_version > self.env.configuration.version:
-            gevent.spawn(self._catch_up)
+        if not self._keeps_up(answer.config_version):
+            return
         if answer.lease_ms <= 0 or self.env.views.version < version:
             return
         if not self.env.lease.remaining_ms() > 0:
@@ -178,6 +180,23 @@
         self.last_lease_ns = max(self.last_lease_ns, sent_ns)
         self.lookup_pause_ms = LOOKUP_PAUSE_MIN_MS
 
+    def _keeps_up(self, version: int) -> bool:
+        """Fetch a newer configuration; tell whether the node may use its lease.
+
+        A node that stays behind lets its lease lapse and takes no new work.
+        """
+        held = self.env.configuration
+        now = self.env.clock.now_ns()
+        if version <= held.version:
+            self.behind_since_ns = 0
+            return True
+        self.behind_since_ns = self.behind_since_ns or now
+        if held.version == 0:
+            self.fetch_configuration(self.coordinator)
+            return held.version > 0
+        gevent.spawn(self._catch_up)
+        return now - self.behind_since_ns < BEHIND_LIMIT_MS * NS_PER_MS
+
     def _catch_up(self) -> None:
         try:
             self.fetch_configuration(self.coordinator)
--- a/knapweedrock/targets/attempts.py
+++ b/knapweedrock/targets/attempts.py
@@ -119,6 +119,7 @@
         exchange = Exchange(self.env.clock, connection, request_id, is_head)
         attempt = Attempt(work, exchange, self.env.clock.now_ns())
         self.sent[request_id] = attempt
+        work.mark_sent()
         try:
             exchange.send(data, work.deadline_ns)
         except BaseException as error:
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -146,6 +146,7 @@
 
     def _run_order(self, work: Work, record: OrderRecord) -> None:
         """Run an order to its end, whether or not its caller waits."""
+        work.record = record
         try:
             delivered = self._create_done(self._run(work))
         except KnapweedrockError as error:
--- a/knapweedrock/targets/orders.py
+++ b/knapweedrock/targets/orders.py
@@ -52,6 +52,7 @@
         self.time_ms = time_ms
         self.seen_ms = 0
         self.state = OrderState.RUNNING
+        self.sent = False
         self.delivered: Delivered | None = None
         self.refusal: Delivered | None = None
         self.ended = Event()
@@ -171,6 +172,9 @@
                 continue
             if not any(start <= record.key_hash < end for start, end in ranges):
                 continue
+            # An order that still waits here is refused before it is sent.
+            if record.state is OrderState.RUNNING and not record.sent:
+                continue
             left_bytes -= record.count_bytes()
             handed.append(record.to_plain(with_answer=left_bytes > 0))
         handed.reverse()
--- a/knapweedrock/targets/work.py
+++ b/knapweedrock/targets/work.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
     from knapweedrock.nodes.leases import Grant
+    from knapweedrock.targets.orders import OrderRecord
 
 _numbers = itertools.count(1)
 
@@ -31,6 +32,7 @@
         self.fingerprint = create_fingerprint(request)
         self.head = encode_head(request.method, request.path, request.headers)
         self.lost: KnapweedrockError | None = None
+        self.record: "OrderRecord | None" = None
 
     def get_left_ms(self) -> float:
         """Return the milliseconds until the deadline."""
@@ -50,6 +52,11 @@
             raise RefusalError(Code.MOVING, "the key moved while the order waited")
         self.grant = grant
 
+    def mark_sent(self) -> None:
+        """Note on an order's record that it may be at the target from now on."""
+        if self.record is not None:
+            self.record.sent = True
+
     def settle_error(self, error: KnapweedrockError) -> KnapweedrockError:
         """Return what to answer: not run only if no attempt may have run."""
         if self.lost and error.info.outcome is Outcome.NOT_RUN:
