--- a/features/following.feature
+++ b/features/following.feature
@@ -75,6 +75,12 @@
       | PUT /catalogue HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc        |
       | PUT /catalogue HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9 |
 
+  Scenario: Callers that send a head byte by byte or nothing are closed
+    Given callers have 200 ms for a head and for a body
+    And idle connections are closed after 300 ms
+    When one caller sends a byte of a head every 100 ms and one sends nothing
+    Then both connections are closed within 3000 ms
+
   Scenario: Connections and requests above the bound are refused by number
     Given every node is silent
     And the ingress takes at most 10 connections and 5 requests
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -140,6 +140,12 @@
     patch(context, server, BODY_S=limit_ms / MS_PER_S)
 
 
+@given("idle connections are closed after {limit_ms:d} ms")
+def bound_idle(context, limit_ms):
+    """Lower the time that a connection may be idle."""
+    patch(context, connections, IDLE_S=limit_ms / MS_PER_S)
+
+
 @given("the ingress takes at most {count:d} connections and {requests:d} requests")
 def bound_ingress(context, count, requests):
     """Lower the bounds of connections and requests."""
@@ -226,6 +232,37 @@
     context.taken_ms = (time.monotonic() - start) * MS_PER_S
 
 
+@when("one caller sends a byte of a head every {pause_ms:d} ms and one sends nothing")
+def send_slowly(context, pause_ms):
+    """Keep two connections open as long as the ingress lets us."""
+    start = time.monotonic()
+
+    def drip() -> float:
+        with socket.create_connection(context.address, 5) as sock:
+            sock.sendall(b"GET /depots/Otago HTTP/1.1\r\nHost: ")
+            try:
+                for _ in range(100):
+                    sock.sendall(b"a")
+                    gevent.sleep(pause_ms / MS_PER_S)
+            except OSError:
+                pass
+        return time.monotonic() - start
+
+    def wait() -> float:
+        with socket.create_connection(context.address, 10) as sock:
+            sock.recv(1)
+        return time.monotonic() - start
+
+    calls = [gevent.spawn(drip), gevent.spawn(wait)]
+    context.closed_s = [call.get(timeout=20) for call in calls]
+
+
+@then("both connections are closed within {limit_ms:d} ms")
+def check_closed(context, limit_ms):
+    """Check when the connections ended."""
+    assert max(context.closed_s) * MS_PER_S < limit_ms, context.closed_s
+
+
 @then("every answer is done and repeats its own request")
 def check_all_done(context):
     """Compare each answer with its own request."""
--- a/knapweedrock/callers/connections.py
+++ b/knapweedrock/callers/connections.py
@@ -1,6 +1,7 @@
 """Connections of callers: time limits, bounds and numbered answers to bad HTTP."""
 
 import socket
+import time
 
 import gevent
 from gevent.pywsgi import Input, WSGIServer
@@ -15,6 +16,8 @@
 
 IDLE_S = 60
 HEADERS_S = 5
+SEND_S = 30
+SWEEP_S = 1
 LINGER_S = 1
 LINGER_BYTES = 32 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -24,8 +27,14 @@
 
 
 class CallerHandler(NoDelayHandler):
-    """Handler of one caller's connection."""
+    """Handler of one caller's connection.
 
+    `since_s` and `limit_s` say for how long it may stay as it is; a limit of 0 is
+    none, since the request's deadline bounds it.
+    """
+
+    since_s = 0.0
+    limit_s = 0.0
     head: Head
     departure: DepartureWatch
     busy = False
@@ -52,7 +61,8 @@
         self.busy = False
         self.abandoned = False
         self.refusal = None
-        self.socket.settimeout(IDLE_S)
+        self.since_s, self.limit_s = time.monotonic(), IDLE_S
+        self.socket.settimeout(None)
         result = super().handle_one_request()
         if isinstance(result, tuple):
             error = self.refusal or RefusalError(Code.BAD_REQUEST, "line too long")
@@ -67,8 +77,10 @@
     def read_request(self, raw_requestline: str) -> bool:
         """Read the head within its time."""
         self.busy = True
-        with gevent.Timeout(HEADERS_S, TimeoutError("headers took too long")):
-            self.head = head = read_head(raw_requestline, self.rfile)
+        self.since_s, self.limit_s = time.monotonic(), HEADERS_S + SWEEP_S
+        self.socket.settimeout(HEADERS_S)
+        self.head = head = read_head(raw_requestline, self.rfile)
+        self.limit_s = 0
         self.command = head.method
         self.request_version = f"HTTP/1.{head.minor}"
         asked = head.fields.get("connection", "").lower()
@@ -112,6 +124,7 @@
     def process_result(self) -> None:
         """Send the answer's head and body in one write."""
         answer = Answer(self.status, self.response_headers, b"".join(self.result))
+        self.socket.settimeout(SEND_S)
         self._sendall(encode_answer(answer, self.close_connection))
 
     def log_request(self) -> None:
@@ -170,11 +183,17 @@
         self.env = env
         self.handlers: set[CallerHandler] = set()
         self.draining = False
+        self._sweeper: gevent.Greenlet | None = None
 
     def count_busy(self) -> int:
         """Count the connections with a request in flight."""
         return sum(1 for handler in self.handlers if handler.busy)
 
+    def start(self) -> None:
+        """Open the listener."""
+        super().start()
+        self._sweeper = gevent.spawn(self._sweep)
+
     def stop(self, timeout: float | None = None) -> None:
         """Take no new connection, finish the requests in flight, then close."""
         wait_s = self.env.settings.drain_ms / MS_PER_S if timeout is None else timeout
@@ -185,8 +204,23 @@
                 gevent.sleep(DRAIN_PAUSE_S)
         for handler in list(self.handlers):
             close_quietly(handler.socket)
+        if self._sweeper is not None:
+            self._sweeper.kill(block=False)
         super().stop(0)
 
+    def _sweep(self) -> None:
+        """Close the connections that are idle or slow beyond their limit.
+
+        One task for all costs less than a timer for each request.
+        """
+        while True:
+            gevent.sleep(SWEEP_S)
+            now_s = time.monotonic()
+            for handler in list(self.handlers):
+                if handler.limit_s and now_s - handler.since_s > handler.limit_s:
+                    self.env.counters.count("caller_connections_swept")
+                    close_quietly(handler.socket)
+
 
 def close_quietly(sock: socket.socket) -> None:
     """Shut a socket down, whatever its state."""
--- a/knapweedrock/callers/heads.py
+++ b/knapweedrock/callers/heads.py
@@ -10,12 +10,16 @@
 from knapweedrock.errors import RefusalError
 
 MAX_LINE_BYTES = 8192
+MAX_HEAD_BYTES = 64 * 1024
 MAX_HEADERS = 100
+LINE_END = b"\r\n"
+HEAD_END = b"\r\n\r\n"
 MAX_LENGTH_DIGITS = 15
 
-REQUEST_LINE = re.compile(r"([A-Z][A-Z-]{0,31}) ([\x21-\x7e]+) HTTP/1\.([01])\r?\n")
+REQUEST_LINE = re.compile(r"([A-Z][A-Z-]{0,31}) ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
 FIELD = re.compile(
-    r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*\r?\n"
+    r"^([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*\r\n",
+    re.MULTILINE,
 )
 ORIGIN = re.compile(r"https?://[^/?]*", re.IGNORECASE)
 LENGTH = re.compile(r"[0-9]{1,15}")
@@ -42,21 +46,31 @@
     return RefusalError(Code.BAD_REQUEST, detail)
 
 
+def read_block(rfile) -> str:
+    """Read the header lines up to the empty line, which is left out."""
+    buffered = rfile.peek()
+    end = buffered.find(HEAD_END)
+    if end >= 0 and not buffered.startswith(LINE_END):
+        return rfile.read(end + len(HEAD_END))[: -len(LINE_END)].decode("latin-1")
+    lines, size = [], 0
+    while (line := rfile.readline(MAX_LINE_BYTES)) != LINE_END:
+        size += len(line)
+        if not line.endswith(LINE_END) or size > MAX_HEAD_BYTES:
+            raise refuse("a header line is cut off, or the head is too long")
+        lines.append(line)
+    return b"".join(lines).decode("latin-1")
+
+
 def read_headers(rfile) -> tuple[list[tuple[str, str]], dict[str, str]]:
-    """Read headers up to the empty line."""
-    headers: list[tuple[str, str]] = []
+    """Read and check the headers."""
+    block = read_block(rfile)
+    headers = FIELD.findall(block)
+    if len(headers) != block.count("\n"):
+        raise refuse("a header line is malformed")
+    if len(headers) > MAX_HEADERS:
+        raise refuse(f"more than {MAX_HEADERS} headers")
     fields: dict[str, str] = {}
-    while True:
-        line = rfile.readline(MAX_LINE_BYTES)
-        if line in (b"\r\n", b"\n"):
-            return headers, fields
-        match = FIELD.fullmatch(line.decode("latin-1"))
-        if match is None:
-            raise refuse("a header line is malformed, cut off or too long")
-        if len(headers) == MAX_HEADERS:
-            raise refuse(f"more than {MAX_HEADERS} headers")
-        name, value = match.groups()
-        headers.append((name, value))
+    for name, value in headers:
         lower = name.lower()
         if lower not in fields:
             fields[lower] = value
@@ -64,6 +78,7 @@
             raise refuse(f"header {lower} stands there twice")
         else:
             fields[lower] = f"{fields[lower]},{value}"
+    return headers, fields
 
 
 def read_length(fields: dict[str, str]) -> int:
