--- a/features/answers.feature
+++ b/features/answers.feature
@@ -41,6 +41,20 @@
     Then all requests are done
     And the history keeps every promise
 
+  Scenario: Answers that come after the deadline reach nobody
+    Given a target
+    When 20 requests give up before their late answers come
+    And 200 idempotent requests are sent one after the other
+    Then all requests are done
+    And the history keeps every promise
+
+  Scenario: A request that ran is not said to be not run when it can't be sent again
+    Given a target
+    When the target's next 1 answers are "reset_next"
+    And a request runs while the node loses its key
+    Then its code is ANSWER_LOST
+    And the history keeps every promise
+
   Scenario: Silent connections cost an idempotent request less than a second
     Given a target
     When 20 idempotent requests of 20 callers are sent at once
--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -143,6 +143,26 @@
     context.delivered = [bench.send(create_request(f"s{n}")) for n in range(count)]
 
 
+@when("{count:d} requests give up before their late answers come")
+def send_late(context, count):
+    """Send requests whose deadline passes while the target holds their answers."""
+    bench = context.bench
+    bench.change_target(late_next=count, late_ms=250)
+    requests = [create_request(f"late{n}", deadline_ms=120) for n in range(count)]
+    assert all(d.code == Code.ANSWER_LOST for d in bench.send_all(requests))
+
+
+@when("a request runs while the node loses its key")
+def lose_key(context):
+    """Take the key away before the request can be sent again."""
+    bench = context.bench
+    request = create_request("lost", headers={"Work-Ms": "200"})
+    task = gevent.spawn(bench.send, request)
+    gevent.sleep(0.1)
+    bench.env.lease.refusal = Code.NOT_OWNER
+    context.delivered = [task.get()]
+
+
 @when("a request with a body of 8 MB asks for an answer of 8 MB")
 def send_big(context):
     """Send and receive big bodies."""
