--- a/features/platform.feature
+++ b/features/platform.feature
@@ -86,6 +86,7 @@
   Scenario: A silent connection costs one call at most its deadline
     When an open connection goes silent
     Then a read succeeds over a new one within its deadline
+    And a watch sees a newer version within 4500 ms
 
   Scenario: The judgement of a lost write is never wrong
     Then the judgement agrees with random histories of writes
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -542,16 +542,17 @@
 
 @when("an open connection goes silent")
 def start_silent(context):
-    """Start a server whose first connection goes silent after one answer."""
-    served = []
+    """Start a server whose open connections go silent on request."""
+    context.connections = []
+    context.silent = set()
 
     def answer(sock, _address):
-        served.append(sock)
-        first = len(served) == 1
+        context.connections.append(sock)
         while sock.recv(65536):
-            if first and len(served) == 1 and getattr(context, "silent", False):
+            if sock in context.silent:
                 gevent.sleep(60)
-            sock.sendall(create_answer(200, b'{"version": 1, "value": 1}'))
+            version = len(context.connections)
+            sock.sendall(create_answer(200, b'{"version": %d, "value": 1}' % version))
 
     host = create_loopback_host()
     server = StreamServer((host, 0), answer)
@@ -559,13 +560,22 @@
     context.add_cleanup(server.stop, 0)
     context.client = create_test_client(f"{host}:{server.server_port}")
     assert context.client.get("x").version == 1
-    context.silent = True
+    context.silent.update(context.connections)
 
 
 @then("a read succeeds over a new one within its deadline")
 def check_silent(context):
     """Read once the connection is silent."""
-    assert context.client.get("x", 1000).version == 1
+    assert context.client.get("x", 1000).version == 2
+
+
+@then("a watch sees a newer version within {longest_ms:d} ms")
+def check_silent_watch(context, longest_ms):
+    """Watch over a connection that goes silent again."""
+    context.silent.update(context.connections)
+    started_s = time.monotonic()
+    assert context.client.watch("x", 2).version == 3
+    assert (time.monotonic() - started_s) * 1000 < longest_ms
 
 
 @then("the judgement agrees with random histories of writes")
