--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,9 @@
 demo: $(VENV)/installed
 	$(RUN) -m knapweedrock demo --for 20
 
+bench: $(VENV)/installed
+	$(RUN) -m bench $(EXPERIMENT)
+
 binary: $(VENV)/binary-installed
 	$(RUN) tools/binary.py
 
--- a/features/steps/ingress.py
+++ b/features/steps/ingress.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import socket
+import time
 
 import gevent
 from behave import given, then, when
@@ -112,7 +113,9 @@
 def send_one(context, line, header=""):
     """Send one request."""
     raw = build_request(line, [header] if header else [])
+    start = time.monotonic()
     context.reply = exchange(context.address, raw)
+    context.reply_ms = (time.monotonic() - start) * 1000
 
 
 def list_received(context) -> list:
