--- a/bench/delivery.py
+++ b/bench/delivery.py
@@ -16,7 +16,7 @@
 )
 from features.support.mesh import Mesh
 
-WORK_MS = 40.0
+WORK_MS = 100.0
 CALLER_DELAY_MS = 1.0
 LOAD_SHARE = 0.4
 RUN_S = 15.0
