--- a/knapweedrock/targets/work.py
+++ b/knapweedrock/targets/work.py
@@ -32,7 +32,7 @@
         self.fingerprint = create_fingerprint(request)
         self.head = encode_head(request.method, request.path, request.headers)
         self.lost: KnapweedrockError | None = None
-        self.record: "OrderRecord | None" = None
+        self.record: OrderRecord | None = None
 
     def get_left_ms(self) -> float:
         """Return the milliseconds until the deadline."""
