--- a/features/assignments.feature
+++ b/features/assignments.feature
@@ -17,6 +17,15 @@
     And tokens never went back in the platform
     And the history of all calls keeps every promise
 
+  Scenario: More than half of the voters are lost for good
+    Given a mesh of 5 fenced targets in 3 zones
+    And callers offer reads and orders on 24 keys for 16 s with seed 44
+    When 3 voters are killed for good
+    Then the status names the silent voters
+    When a ticket declares them lost
+    Then within 6 s every key is served by a living owner
+    And the history of all calls keeps every promise
+
   Scenario: Answers of the platform are lost after their effect
     Given a mesh of 5 fenced targets in 3 zones
     And callers offer reads and orders on 24 keys for 10 s with seed 43
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -249,6 +249,37 @@
     wait_for(is_repaired, seconds, "the voters are repaired")
 
 
+@when("{count:d} voters are killed for good")
+def kill_voters(context, count):
+    """Kill more than half of the voters, the coordinator among them."""
+    record = context.mesh.fetch_object(f"cells/{context.mesh.cell}")["value"]
+    others = sorted(set(record["voters"]) - {record["coordinator"]})
+    names = [record["coordinator"], *others][:count]
+    peers = {name: record["voters"][name]["peer"] for name in names}
+    context.lost_voters = [f"{name}@{peer}" for name, peer in peers.items()]
+    kill(context, *names)
+
+
+@then("the status names the silent voters")
+def check_waiting(context):
+    """Check what operators are told, and that nobody took over."""
+    gevent.sleep(4)
+    vm = context.mesh.list_running()[0]
+    troubles = call(vm.operator, "GET", "/status").json()["troubles"]
+    text = " ".join(f"{item['trouble']} {item['action']}" for item in troubles)
+    assert all(voter in text for voter in context.lost_voters), text
+    assert "lost_voters" in text, text
+
+
+@when("a ticket declares them lost")
+def declare_lost(context):
+    """Apply the ticket through the command line at a living node."""
+    voters = ", ".join(f'"{voter}"' for voter in context.lost_voters)
+    text = f'number = 1\n[[cells]]\nname = "{context.mesh.cell}"\n'
+    status, output = context.mesh.apply_ticket(f"{text}lost_voters = [{voters}]\n")
+    assert status == 0, output
+
+
 @when("every node of one zone is killed")
 def kill_zone(context):
     """Kill all nodes of the zone that still has the most."""
--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -28,6 +28,7 @@
     NO_RULE = 109
     KEY_MISSING = 110
     CONFIG_STALE = 111
+    NO_MAJORITY = 112
     # 2xx: admission and delivery
     OVERLOADED = 201
     QUEUE_TIMEOUT = 202
@@ -106,6 +107,9 @@
     Code.CONFIG_STALE: CodeInfo(
         503, _NOT_RUN, True, "The node has no configuration in force yet."
     ),
+    Code.NO_MAJORITY: CodeInfo(
+        503, _NOT_RUN, True, "Too few voters of the cell answer."
+    ),
     Code.OVERLOADED: CodeInfo(503, _NOT_RUN, True, "Slots and queue are full."),
     Code.QUEUE_TIMEOUT: CodeInfo(
         503, _NOT_RUN, True, "The request waited too long for a slot."
--- a/knapweedrock/configuration.py
+++ b/knapweedrock/configuration.py
@@ -46,6 +46,17 @@
     idempotent: NotRequired[list[str]]
 
 
+class Cell(TypedDict):
+    """Operators' word on a cell: voters that are dead for good.
+
+    Each is named `NODE@IP:PORT` by its peer address, so that a node of the same name
+    at another address is not meant.
+    """
+
+    name: str
+    lost_voters: list[str]
+
+
 class TicketRecord(TypedDict):
     """Digest of an applied ticket, kept so that a repeated one is recognised."""
 
@@ -56,20 +67,28 @@
 class Configuration(TypedDict):
     """The whole value of `config/<group>`.
 
-    `touched` maps `services/NAME`, `zones/NAME` and `rules/NAME` to the number of
-    the ticket that last touched it, deleted objects included.
+    `touched` maps `services/NAME`, `zones/NAME`, `rules/NAME` and `cells/NAME` to the
+    number of the ticket that last touched it, deleted objects included.
     """
 
     services: dict[str, Service]
     zones: dict[str, Zone]
     rules: dict[str, Rule]
+    cells: dict[str, Cell]
     touched: dict[str, int]
     recent: list[TicketRecord]
 
 
 def create_configuration() -> Configuration:
     """Create an empty configuration."""
-    return {"services": {}, "zones": {}, "rules": {}, "touched": {}, "recent": []}
+    return {
+        "services": {},
+        "zones": {},
+        "rules": {},
+        "cells": {},
+        "touched": {},
+        "recent": [],
+    }
 
 
 class ConfigurationHolder:
@@ -87,6 +106,11 @@
         self.value = value
         return True
 
+    def list_lost_voters(self, cell: str) -> list[str]:
+        """List the voters of a cell that operators declared lost, `NODE@IP:PORT`."""
+        found = self.value["cells"].get(cell)
+        return found["lost_voters"] if found else []
+
     def zone_is_out(self, zone: str) -> bool:
         """Tell whether the zone is configured to take no new work."""
         found = self.value["zones"].get(zone)
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -9,7 +9,11 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, PlatformError, RefusalError
-from knapweedrock.nodes.cell import VoterRecord, choose_voter_change
+from knapweedrock.nodes.cell import (
+    VoterRecord,
+    choose_voter_change,
+    name_configuration,
+)
 from knapweedrock.nodes.links import Sender, dispatch, handles
 from knapweedrock.nodes.membership import Peer
 from knapweedrock.nodes.messages import Assign, Heartbeat, Lease, ProbePlatform
@@ -31,6 +35,8 @@
 STAND_PAUSE_MIN_MS = 20
 STAND_PAUSE_MAX_MS = 80
 OUTSIDER_PAUSE_MS = 1500
+LOST_VOTERS_AFTER_MS = 2500
+LOST_VOTERS_PAUSE_MS = 1000
 TAKE_OFFICE_TIMEOUT_MS = 1500
 LAPSE_LIMIT_MS = 3000
 PUSH_TIMEOUT_MS = 400
@@ -270,9 +276,11 @@
             try:
                 self._serve_term()
             except KnapweedrockError as error:
-                self.waiting_for = str(error)
+                self.waiting_for = error.detail
                 self.env.counters.count("elections_failed")
                 gevent.sleep(PROMISE_RENEWAL_MS / 1000)
+            if self.env.membership.silent_ms() > LOST_VOTERS_AFTER_MS:
+                self._read_lost_voters()
             if self.env.settings.node_id not in self.env.views.view["voters"]:
                 gevent.sleep(random.uniform(0, self._lengthen_pause()) / 1000)
 
@@ -328,6 +336,17 @@
             limit_ms += OUTSIDER_PAUSE_MS
         return self.env.membership.silent_ms() > limit_ms
 
+    def _read_lost_voters(self) -> None:
+        """Read the configuration, since no coordinator is there to pass it on."""
+        name = name_configuration(self.env.settings.group)
+        try:
+            stored = self.env.platform.get(name)
+        except PlatformError:
+            return
+        if stored is not None:
+            self.env.configuration.replace(stored.version, stored.value)
+        gevent.sleep(random.uniform(0, LOST_VOTERS_PAUSE_MS) / 1000)
+
     def _lengthen_pause(self) -> float:
         """Return a longer pause after each try of a node that is no voter."""
         self.pause_ms = min(self.pause_ms * 2, OUTSIDER_PAUSE_MS)
--- a/knapweedrock/nodes/distribution.py
+++ b/knapweedrock/nodes/distribution.py
@@ -85,6 +85,9 @@
                 for name, entry in term.roster.entries.items()
                 if entry.config_version < self.env.configuration.version
             ),
+            "zones": sorted(
+                {entry.member["zone"] for entry in term.roster.entries.values()}
+            ),
             "members": {
                 name: entry.member["operator"]
                 for name, entry in term.roster.entries.items()
--- a/knapweedrock/nodes/office.py
+++ b/knapweedrock/nodes/office.py
@@ -7,7 +7,7 @@
 
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
-from knapweedrock.errors import LinkError, PlatformError
+from knapweedrock.errors import LinkError, PlatformError, RefusalError
 from knapweedrock.nodes.cell import (
     CellRecord,
     VoterRecord,
@@ -170,18 +170,19 @@
 def stand_for_office(env: "Environment") -> Office | None:
     """Try to be elected coordinator; None where another one holds or is elected.
 
-    Raises `PlatformError` when the platform does not answer.
+    Raises `PlatformError` when the platform does not answer, and `RefusalError` with
+    `NO_MAJORITY`.
     """
     stored = read_cell(env.platform, env.settings.cell)
     if stored is None:
         stored = found_cell(env)
         return Office(env, stored) if stored is not None else None
-    record: CellRecord = stored.value
+    record = leave_out_lost(env, stored.value)
+    if not has_majority(env, record):
+        return None
     own = record["voters"].get(env.settings.node_id)
     if own is None or own["peer"] != str(env.settings.peer):
         return None
-    if not hear_majority(env, record):
-        return None
     won: CellRecord = {
         **record,
         "epoch": record["epoch"] + 1,
@@ -199,8 +200,34 @@
     return Office(env, stored._replace(value=won))
 
 
-def hear_majority(env: "Environment", record: CellRecord) -> bool:
-    """Tell whether a majority of the voters would promise the next epoch."""
+def leave_out_lost(env: "Environment", record: CellRecord) -> CellRecord:
+    """Return the record without the voters that operators declared lost.
+
+    Where none is left this node takes their place; only one candidate can win.
+    """
+    lost = set(env.configuration.list_lost_voters(env.settings.cell))
+    voters = {
+        name: voter
+        for name, voter in record["voters"].items()
+        if name_voter(name, voter) not in lost
+    }
+    if not voters:
+        settings = env.settings
+        voters[settings.node_id] = {"peer": str(settings.peer), "zone": settings.zone}
+    return {**record, "voters": voters}
+
+
+def name_voter(node_id: str, voter: VoterRecord) -> str:
+    """Return the name by which a ticket declares a voter lost."""
+    return f"{node_id}@{voter['peer']}"
+
+
+def has_majority(env: "Environment", record: CellRecord) -> bool:
+    """Tell whether a majority of the voters would promise the next epoch.
+
+    Raises `RefusalError` with `NO_MAJORITY`, and the names of the voters that do not
+    answer, where they are why.
+    """
     cell = env.settings.cell
     ask = AskPromise(cell, record["epoch"] + 1, name_coordinator(env), True)
     calls = [
@@ -208,6 +235,11 @@
         for name, voter in record["voters"].items()
     ]
     gevent.joinall(calls, timeout=PROMISE_TIMEOUT_MS / 1000)
-    granted = [call.value for call in calls if call.value is not None]
-    willing = sum(1 for promise in granted if promise.promise_ms > 0)
-    return willing >= count_majority(record["voters"])
+    willing = sum(1 for call in calls if call.value and call.value.promise_ms > 0)
+    if willing >= count_majority(record["voters"]):
+        return True
+    voters = zip(record["voters"].items(), calls, strict=True)
+    silent = [name_voter(*voter) for voter, call in voters if call.value is None]
+    if silent:
+        raise RefusalError(Code.NO_MAJORITY, f"silent voters: {', '.join(silent)}")
+    return False
--- a/knapweedrock/operators/contents.py
+++ b/knapweedrock/operators/contents.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from knapweedrock.checker import NAME_PATTERN
-from knapweedrock.configuration import Rule, Service, Zone
+from knapweedrock.configuration import Cell, Rule, Service, Zone
 from knapweedrock.operators.schema import TOP, Problem, show_value
 from knapweedrock.operators.tickets import KINDS, Ticket, list_touched
 
@@ -15,7 +15,8 @@
 PATH_PATTERN = re.compile(r"/[!-~]{0,255}")
 KEY_NAME_PATTERN = re.compile(r"[!-~]{1,128}")
 METHOD_PATTERN = re.compile(r"[A-Z]{1,20}")
-DELETE_PATTERN = re.compile(rf"(services|zones|rules)/{NAME_PATTERN.pattern}")
+DELETE_PATTERN = re.compile(rf"(services|zones|rules|cells)/{NAME_PATTERN.pattern}")
+VOTER_PATTERN = re.compile(rf"{NAME_PATTERN.pattern}@[0-9a-fA-F.:\[\]]+:[0-9]{{1,5}}")
 NAME_EXPECTED = "1 to 63 letters, digits, '.', '_' or '-', a letter or digit first"
 
 ObjectCheck = Callable[[Any, str], Iterator[Problem]]
@@ -43,7 +44,7 @@
             yield from check_pattern(item["name"], name, NAME_PATTERN, NAME_EXPECTED)
             yield from OBJECT_CHECKS[kind](item, field)
     for field, path in list_items(value, "delete", unsound):
-        expected = "services/NAME, zones/NAME or rules/NAME"
+        expected = "services/NAME, zones/NAME, rules/NAME or cells/NAME"
         yield from check_pattern(path, field, DELETE_PATTERN, expected)
 
 
@@ -63,7 +64,7 @@
     """Yield what is wrong with the objects of a ticket taken together."""
     touched = Counter(list_touched(ticket))
     if not touched:
-        expected = "at least one of services, zones, rules and delete"
+        expected = "at least one of services, zones, rules, cells and delete"
         yield Problem(TOP, "no object", expected)
     for path, times in touched.items():
         if times > 1:
@@ -105,6 +106,14 @@
     )
 
 
+@object_check("cells")
+def check_cell(cell: Cell, field: str) -> Iterator[Problem]:
+    """Yield the lost voters that name no node at a peer address."""
+    for index, voter in enumerate(cell["lost_voters"]):
+        name = f"{field}.lost_voters[{index}]"
+        yield from check_pattern(voter, name, VOTER_PATTERN, "NODE@IP:PORT")
+
+
 @object_check("rules")
 def check_rule(rule: Rule, field: str) -> Iterator[Problem]:
     """Yield what is wrong with a rule's path, key and methods."""
--- a/knapweedrock/operators/overview.py
+++ b/knapweedrock/operators/overview.py
@@ -99,7 +99,8 @@
     if overview["waiting_for"]:
         yield Trouble(
             f"the cell waits for {overview['waiting_for']}",
-            "start the nodes that are voters again, at their former addresses",
+            "start those nodes again at their former addresses; if they are gone for "
+            f"good, apply a ticket with cells {overview['cell']} and lost_voters",
         )
     elif not overview["coordinator"]:
         yield Trouble(
--- a/knapweedrock/operators/reviews.py
+++ b/knapweedrock/operators/reviews.py
@@ -64,6 +64,7 @@
     """Build the configuration as it is after the ticket."""
     after = deepcopy(before)
     for kind in KINDS:
+        after.setdefault(kind, {})
         for item in ticket.get(kind, []):
             after[kind][item["name"]] = deepcopy(item)
     for path in ticket.get("delete", []):
@@ -120,7 +121,7 @@
     """Refuse to delete what does not exist or is in use."""
     for path in proposal.ticket.get("delete", []):
         kind, _, name = path.partition("/")
-        if name not in proposal.before[kind]:
+        if name not in proposal.before.get(kind, {}):
             detail = f"delete: found {path}, expected an object that exists"
             yield TicketError(Code.TICKET_UNKNOWN_REFERENCE, detail)
         if kind == "zones" and name in proposal.used_zones:
--- a/knapweedrock/operators/tickets.py
+++ b/knapweedrock/operators/tickets.py
@@ -5,22 +5,24 @@
 
 import msgspec
 
-from knapweedrock.configuration import Rule, Service, Zone
+from knapweedrock.configuration import Cell, Rule, Service, Zone
 from knapweedrock.errors import TicketError
 
 MAX_TICKET_BYTES = 262_144
-KINDS = ("services", "zones", "rules")
+KINDS = ("services", "zones", "rules", "cells")
 
 
 class Ticket(TypedDict):
     """A numbered change with the whole new state of each object that it touches.
 
-    `delete` lists objects as `services/NAME`, `zones/NAME` or `rules/NAME`.
+    `delete` lists objects as `services/NAME`, `zones/NAME`, `rules/NAME` or
+    `cells/NAME`.
     """
 
     number: int
     services: NotRequired[list[Service]]
     zones: NotRequired[list[Zone]]
+    cells: NotRequired[list[Cell]]
     rules: NotRequired[list[Rule]]
     delete: NotRequired[list[str]]
 
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -137,7 +137,7 @@
         secret=checker.read_secret("secret"),
         faults_enabled=checker.read_flag("faults_enabled"),
         drain_ms=checker.read_integer("drain_ms", 0, MAX_DRAIN_MS),
-        choice_policy=checker.read_name("choice_policy"),
+        choice_policy=_read_choice_policy(checker),
         copies_enabled=checker.read_flag("copies"),
     )
     _check_listeners(checker, settings)
@@ -154,6 +154,14 @@
     return checker.read_choice("platform_kind", KINDS)
 
 
+def _read_choice_policy(checker: Checker) -> str:
+    """Read a policy that the registry of choices knows."""
+    # Imported here since the ingress imports this module.
+    from knapweedrock.callers.choice import POLICIES
+
+    return checker.read_choice("choice_policy", POLICIES)
+
+
 def _check_listeners(checker: Checker, settings: NodeSettings) -> None:
     """Refuse a listen address that is given twice."""
     if checker.errors:
