Close what the trials without a guard showed to be unproved

Cause: on scratch copies with one guard taken out each, five features stayed green: no time limit for bodies (the socket's own limit caught the case), no check of doubled headers (the lengths were refused by their form), copies of what is not idempotent (too few requests to earn one), the age of a latency, and the client's own check of a body's length.

Now a body that comes byte by byte, a doubled Host and copies sent after the median are tried. The check of the length is removed: the HTTP library finds a cut body by itself, as the feature shows. The age of a latency is still open.

--- a/features/choice.feature
+++ b/features/choice.feature
@@ -48,7 +48,8 @@
   Scenario: What is not idempotent gets no copy
     Given 4 targets that answer in about 5 ms, policy two-choices, copies on
     And every request in 5 of each target takes 200 ms
-    When 100 non-idempotent requests a second come for 1 s
+    And second copies are sent after the median
+    When 300 non-idempotent requests a second come for 1 s
     Then no request ran twice
 
   Scenario: A target that refuses is left alone and nothing is lost
--- a/features/following.feature
+++ b/features/following.feature
@@ -75,6 +75,11 @@
       | PUT /catalogue HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc        |
       | PUT /catalogue HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9 |
 
+  Scenario: A body that comes byte by byte is ended in time
+    Given callers have 300 ms for a head and for a body
+    When a caller sends a byte of a body every 100 ms
+    Then it gets the code BAD_REQUEST within 1500 ms
+
   Scenario: Callers that send a head byte by byte or nothing are closed
     Given callers have 200 ms for a head and for a body
     And idle connections are closed after 300 ms
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -232,6 +232,20 @@
     context.taken_ms = (time.monotonic() - start) * MS_PER_S
 
 
+@when("a caller sends a byte of a body every {pause_ms:d} ms")
+def send_body_slowly(context, pause_ms):
+    """Send a body slowly until an answer comes."""
+    start = time.monotonic()
+    with socket.create_connection(context.address, 5) as sock:
+        sock.sendall(b"PUT /catalogue HTTP/1.1\r\nContent-Length: 50\r\n\r\n")
+        answer = gevent.spawn(read_reply, sock)
+        while not answer.ready():
+            sock.sendall(b"a")
+            answer.join(pause_ms / MS_PER_S)
+        context.reply = answer.get()
+    context.taken_ms = (time.monotonic() - start) * MS_PER_S
+
+
 @when("one caller sends a byte of a head every {pause_ms:d} ms and one sends nothing")
 def send_slowly(context, pause_ms):
     """Keep two connections open as long as the ingress lets us."""
--- a/features/steps/ingress.py
+++ b/features/steps/ingress.py
@@ -30,6 +30,7 @@
     b"GET /depots/a HTTP/x\r\n\r\n",
     b"GET /depots/a b HTTP/1.1\r\n\r\n",
     b"GET /depots/a HTTP/1.1\r\nno colon\r\n\r\n",
+    b"GET /depots/a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
     b"GET /depots/a HTTP/1.1\r\n : x\r\n\r\n",
     b"GET /depots/a HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
     b"GET /depots/a HTTP/1.1\r\nA: b\x00c\r\n\r\n",
--- a/knapweedrock/client/transport.py
+++ b/knapweedrock/client/transport.py
@@ -59,7 +59,6 @@
         except (OSError, HTTPConnectionClosed, HTTPParseError) as error:
             raise TransportError(Code.ANSWER_LOST, f"{node}: {error}") from error
         headers = {str(k).lower(): str(v) for k, v in response.headers}
-        check_length(node, sent.method, headers, body)
         return Received(response.status_code, headers, body)
 
     def close(self) -> None:
@@ -83,12 +82,3 @@
         pool._create_socket = dial_or_tell
         self._clients[node] = client
         return client
-
-
-def check_length(node: str, method: str, headers: dict[str, str], body: bytes) -> None:
-    """Refuse an answer whose body was cut off."""
-    declared = headers.get("content-length")
-    if method == "HEAD" or declared is None or int(declared) == len(body):
-        return
-    detail = f"{node}: {len(body)} of {declared} bytes"
-    raise TransportError(Code.ANSWER_TRUNCATED, detail)
