--- a/knapweedrock/targets/parser.py
+++ b/knapweedrock/targets/parser.py
@@ -28,13 +28,12 @@
     def __init__(self, is_head: bool) -> None:
         super().__init__()
         self.is_head = is_head
-        self.headers: list[tuple[str, str]] = []
         self.answer: Answer | None = None
         self.began = False
         self.trailing = False
         self._field = ""
-        self._value = ""
-        self._has_value = False
+        self._value: str | None = None
+        self._pairs: list[tuple[str, str]] = []
         self._chunks: list[bytes] = []
         self._size = 0
 
@@ -54,30 +53,27 @@
     def _on_message_begin(self) -> None:
         if self.answer is not None:
             self.trailing = True
-            return
-        self.headers = []
+        self._pairs = []
         self._chunks = []
 
     def _on_status(self, text: str) -> None:
         pass
 
     def _on_header_field(self, text: str) -> None:
-        if self._has_value:
-            self._flush_header()
-        self._field += text
+        if self._value is None:
+            self._field += text
+            return
+        self._pairs.append((self._field, self._value))
+        self._field = text
+        self._value = None
 
     def _on_header_value(self, text: str) -> None:
-        self._value += text
-        self._has_value = True
-
-    def _flush_header(self) -> None:
-        if self._field and self.answer is None:
-            self.headers.append((self._field, self._value))
-        self._field = self._value = ""
-        self._has_value = False
+        self._value = text if self._value is None else self._value + text
 
     def _on_headers_complete(self) -> bool:
-        self._flush_header()
+        if self._value is not None:
+            self._pairs.append((self._field, self._value))
+        self._field, self._value = "", None
         return self.is_head
 
     def _on_body(self, data: bytes) -> None:
@@ -93,7 +89,7 @@
             return
         self.answer = Answer(
             self.get_code(),
-            self.headers,
+            self._pairs,
             b"".join(self._chunks),
             bool(self.should_keep_alive()),
         )
