--- a/knapweedrock/callers/connections.py
+++ b/knapweedrock/callers/connections.py
@@ -1,11 +1,13 @@
 """Connections of callers: time limits, bounds and numbered answers to bad HTTP."""
 
 import socket
+import time
 
 import gevent
 from gevent.pywsgi import Input, WSGIServer
 
-from knapweedrock.callers.answers import create_refusal, encode_answer
+from knapweedrock.callers.answers import Answer, create_refusal, encode_answer
+from knapweedrock.callers.departures import DepartureWatch
 from knapweedrock.callers.heads import Head, read_head
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
@@ -14,6 +16,8 @@
 
 IDLE_S = 60
 HEADERS_S = 5
+SEND_S = 30
+SWEEP_S = 1
 LINGER_S = 1
 LINGER_BYTES = 32 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -23,9 +27,16 @@
 
 
 class CallerHandler(NoDelayHandler):
-    """Handler of one caller's connection."""
+    """Handler of one caller's connection.
 
+    `since_s` and `limit_s` say for how long it may stay as it is; a limit of 0 is
+    none, since the request's deadline bounds it.
+    """
+
+    since_s = 0.0
+    limit_s = 0.0
     head: Head
+    departure: DepartureWatch
     busy = False
     abandoned = False
     refusal: RefusalError | None = None
@@ -38,9 +49,11 @@
             self.socket.close()
             return
         server.handlers.add(self)
+        self.departure = DepartureWatch(self.socket)
         try:
             super().handle()
         finally:
+            self.departure.close()
             server.handlers.discard(self)
 
     def handle_one_request(self):
@@ -48,7 +61,8 @@
         self.busy = False
         self.abandoned = False
         self.refusal = None
-        self.socket.settimeout(IDLE_S)
+        self.since_s, self.limit_s = time.monotonic(), IDLE_S
+        self.socket.settimeout(None)
         result = super().handle_one_request()
         if isinstance(result, tuple):
             error = self.refusal or RefusalError(Code.BAD_REQUEST, "line too long")
@@ -63,8 +77,10 @@
     def read_request(self, raw_requestline: str) -> bool:
         """Read the head within its time."""
         self.busy = True
-        with gevent.Timeout(HEADERS_S, TimeoutError("headers took too long")):
-            self.head = head = read_head(raw_requestline, self.rfile)
+        self.since_s, self.limit_s = time.monotonic(), HEADERS_S + SWEEP_S
+        self.socket.settimeout(HEADERS_S)
+        self.head = head = read_head(raw_requestline, self.rfile)
+        self.limit_s = 0
         self.command = head.method
         self.request_version = f"HTTP/1.{head.minor}"
         asked = head.fields.get("connection", "").lower()
@@ -98,6 +114,19 @@
         self.close_connection = True
         self.wsgi_input._chunked_input_error = True
 
+    def start_response(self, status: str, headers: list, exc_info=None):
+        """Keep the head of the answer until its body is there."""
+        self.status = status
+        self.code = int(status[:3])
+        self.response_headers = headers
+        return self.write
+
+    def process_result(self) -> None:
+        """Send the answer's head and body in one write."""
+        answer = Answer(self.status, self.response_headers, b"".join(self.result))
+        self.socket.settimeout(SEND_S)
+        self._sendall(encode_answer(answer, self.close_connection))
+
     def log_request(self) -> None:
         """Write no line for a request."""
 
@@ -121,7 +150,7 @@
     def _send_error(self, code: Code, detail: str) -> None:
         self.server.env.counters.count("caller_refusals", code=code.name)
         try:
-            self.socket.sendall(encode_answer(create_refusal(code, detail)))
+            self.socket.sendall(encode_answer(create_refusal(code, detail), True))
         except OSError:
             self.close_connection = True
 
@@ -154,11 +183,17 @@
         self.env = env
         self.handlers: set[CallerHandler] = set()
         self.draining = False
+        self._sweeper: gevent.Greenlet | None = None
 
     def count_busy(self) -> int:
         """Count the connections with a request in flight."""
         return sum(1 for handler in self.handlers if handler.busy)
 
+    def start(self) -> None:
+        """Open the listener."""
+        super().start()
+        self._sweeper = gevent.spawn(self._sweep)
+
     def stop(self, timeout: float | None = None) -> None:
         """Take no new connection, finish the requests in flight, then close."""
         wait_s = self.env.settings.drain_ms / MS_PER_S if timeout is None else timeout
@@ -169,8 +204,23 @@
                 gevent.sleep(DRAIN_PAUSE_S)
         for handler in list(self.handlers):
             close_quietly(handler.socket)
+        if self._sweeper is not None:
+            self._sweeper.kill(block=False)
         super().stop(0)
 
+    def _sweep(self) -> None:
+        """Close the connections that are idle or slow beyond their limit.
+
+        One task for all costs less than a timer for each request.
+        """
+        while True:
+            gevent.sleep(SWEEP_S)
+            now_s = time.monotonic()
+            for handler in list(self.handlers):
+                if handler.limit_s and now_s - handler.since_s > handler.limit_s:
+                    self.env.counters.count("caller_connections_swept")
+                    close_quietly(handler.socket)
+
 
 def close_quietly(sock: socket.socket) -> None:
     """Shut a socket down, whatever its state."""
--- a/knapweedrock/emulator/platform.py
+++ b/knapweedrock/emulator/platform.py
@@ -44,15 +44,17 @@
 
 
 class PlatformFaults(TypedDict, total=False):
-    """Faults in force; one that is left out stays as it is.
+    """All faults to be in force; one that is left out ends.
 
-    `lose_answers` is the number of coming writes that are applied and then lose
-    their answer; `cut_clients` lists clients whose calls are dropped.
+    The next `lose_calls` writes are dropped before they are applied; the next
+    `lose_answers` lose their answer after it. `cut_clients` lists clients whose
+    calls are dropped. Rates that are left out stay as they are.
     """
 
     outage: bool
     delay_ms: float
     lose_answers: int
+    lose_calls: int
     cut_clients: list[str]
     reads_per_s: float
     writes_per_s: float
@@ -100,8 +102,11 @@
         return _parse_number("If-Version", self._environ.get("HTTP_IF_VERSION", ""))
 
     def read_body(self) -> bytes:
-        """Read the body; None above the limit."""
-        return self._environ["wsgi.input"].read(VALUE_MAX_BYTES + 1)
+        """Read the body, at most one byte above the limit."""
+        try:
+            return self._environ["wsgi.input"].read(VALUE_MAX_BYTES + 1)
+        except OSError as error:
+            raise BadCallError("the body breaks off") from error
 
 
 class BadCallError(Exception):
@@ -125,6 +130,7 @@
         self.outage = False
         self.delay_ms = 0.0
         self.lose_answers = 0
+        self.lose_calls = 0
         self.cut_clients: frozenset[str] = frozenset()
         self._broken = Event()
         self._calls: dict[str, Counter[str]] = defaultdict(Counter)
@@ -143,11 +149,12 @@
             self._server.stop(timeout=1)
 
     def set_faults(self, faults: PlatformFaults) -> None:
-        """Bring the given faults into force and leave the others."""
-        self.outage = faults.get("outage", self.outage)
-        self.delay_ms = faults.get("delay_ms", self.delay_ms)
-        self.lose_answers = faults.get("lose_answers", self.lose_answers)
-        self.cut_clients = frozenset(faults.get("cut_clients", self.cut_clients))
+        """Bring these faults into force in place of the former ones."""
+        self.outage = faults.get("outage", False)
+        self.delay_ms = faults.get("delay_ms", 0.0)
+        self.lose_answers = faults.get("lose_answers", 0)
+        self.lose_calls = faults.get("lose_calls", 0)
+        self.cut_clients = frozenset(faults.get("cut_clients", []))
         if "reads_per_s" in faults:
             self.reads = Rate(faults["reads_per_s"])
         if "writes_per_s" in faults:
@@ -167,7 +174,7 @@
         """Serve one HTTP request."""
         try:
             status, body = self._route(environ)
-        except (BadCallError, msgspec.ValidationError, msgspec.DecodeError) as error:
+        except (BadCallError, msgspec.DecodeError, RecursionError) as error:
             status, body = 400, {"error": str(error)}
         data = b"" if status == 304 else msgspec.json.encode(body)
         headers = [("Content-Type", "application/json")]
@@ -199,11 +206,15 @@
         if self.delay_ms:
             gevent.sleep(self.delay_ms / 1000)
             self._drop_if_down(call)
+        if call.method == "put" and self.lose_calls > 0:
+            self.lose_calls -= 1
+            self._endings["lost_calls"] += 1
+            raise DroppedError()
         answer = _HANDLERS[call.method](self, call)
         self._drop_if_down(call)
         if call.method == "put" and answer[0] == 200 and self.lose_answers > 0:
             self.lose_answers -= 1
-            self._endings["lost"] += 1
+            self._endings["lost_answers"] += 1
             raise DroppedError()
         self._endings[str(answer[0])] += 1
         return answer
