State the faults of the platform's checks as they are sent

Cause: nine steps differed in one field each. The step that changes faults no longer calls the platform first, which had failed while an outage was in force.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -13,18 +13,18 @@
 
   Scenario: No increment is lost or applied twice under lost calls and answers
     When 3 processes with 4 writers each increment one object for 6 s
-    And every 40 ms the platform loses 2 writes and 2 answers
+    And meanwhile calls and answers are lost
     Then the history shows each applied increment once, in order of versions
     And calls and answers were lost and settled
 
   Scenario: No increment is lost or applied twice under outages
     When 3 processes with 4 writers each increment one object for 8 s
-    And the platform goes down and loses answers by turns
+    And meanwhile outages, delays and losses take turns
     Then the history shows each applied increment once, in order of versions
 
   Scenario: A writer whose process is paused neither loses nor repeats an increment
     When 3 processes with 4 writers each increment one object for 6 s
-    And the writers' processes are paused by turns
+    And meanwhile the writers' processes are paused by turns
     Then the history shows each applied increment once, in order of versions
 
   Scenario: Two writers of the same value are told apart
@@ -48,18 +48,18 @@
     Then the write fails with PLATFORM_UNAVAILABLE
 
   Scenario: An outage fails within the deadline and stops no other task
-    When the platform goes down
+    When the platform's faults are {"outage": true}
     Then each method fails with PLATFORM_UNAVAILABLE within its deadline
     And another task was never held up for more than 100 ms
-    When the platform comes back
+    When the platform's faults are {}
     Then an object can be written again
 
   Scenario: A platform that is slow but within the deadline still answers
-    When each call takes 600 ms
+    When the platform's faults are {"delay_ms": 600}
     Then 3 of 4 writes with a deadline of 2000 ms succeed at the least
 
   Scenario: A cut client fails and another goes on
-    When the client "n1" is cut off
+    When the platform's faults are {"cut_clients": ["n1"]}
     Then "n1" fails with PLATFORM_UNAVAILABLE and "n2" writes
 
   Scenario: Cuts inside the process
@@ -79,8 +79,7 @@
     Then the stand-in survives 300 broken requests
 
   Scenario: Broken answers leave the client up
-    Then each broken answer ends a read with a code of the platform
-    And each broken answer ends a write with a code of the platform
+    Then each broken answer ends each call with a code of the platform
     And random answers end with a code of the platform
 
   Scenario: A silent connection costs one call at most its deadline
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -75,6 +75,7 @@
         "the stand-in answers",
     )
     context.client = create_test_client(context.address)
+    context.client.get("x")
 
 
 @when('the objects "{first}" and "{second}" are written')
@@ -139,41 +140,43 @@
     ]
 
 
-@when("every {pause_ms:d} ms the platform loses {count:d} writes and {count:d} answers")
-def lose_writes(context, pause_ms, count):
-    """Lose calls and answers while the writers run."""
-    while any(writer.is_running() for writer in context.writers):
-        set_faults(context, lose_answers=count, lose_calls=count)
-        time.sleep(pause_ms / 1000)
-    set_faults(context)
+def lose_writes(context):
+    """Lose calls and answers."""
+    set_faults(context, lose_answers=2, lose_calls=2)
+    time.sleep(0.04)
 
 
-@when("the platform goes down and loses answers by turns")
-def alternate_outages(context):
-    """Alternate outages, delays and lost answers while the writers run."""
-    turns = [
-        {"outage": True},
-        {"lose_answers": 3, "lose_calls": 3},
-        {"delay_ms": 300},
-        {},
-    ]
-    while any(writer.is_running() for writer in context.writers):
-        for turn in turns:
-            set_faults(context, **turn)
-            time.sleep(0.3)
-    set_faults(context)
+def alternate_faults(context):
+    """Alternate outages, losses and delays."""
+    losses = {"lose_answers": 3, "lose_calls": 3}
+    for turn in ({"outage": True}, losses, {"delay_ms": 300}, {}):
+        set_faults(context, **turn)
+        time.sleep(0.3)
 
 
-@when("the writers' processes are paused by turns")
 def pause_writers(context):
-    """Pause each writer past its deadlines, with answers lost on top."""
+    """Pause each writer past its deadlines, with losses on top."""
+    for writer in context.writers:
+        set_faults(context, lose_answers=2, lose_calls=2)
+        writer.pause()
+        time.sleep(0.3)
+        writer.resume()
+        time.sleep(0.1)
+
+
+TROUBLES = {
+    "calls and answers are lost": lose_writes,
+    "outages, delays and losses take turns": alternate_faults,
+    "the writers' processes are paused by turns": pause_writers,
+}
+
+
+@when("meanwhile {trouble}")
+def make_trouble(context, trouble):
+    """Provoke faults until the writers have ended."""
     while any(writer.is_running() for writer in context.writers):
-        for writer in context.writers:
-            set_faults(context, lose_answers=2, lose_calls=2)
-            writer.pause()
-            time.sleep(0.3)
-            writer.resume()
-            time.sleep(0.1)
+        TROUBLES[trouble](context)
+    set_faults(context)
 
 
 @then("the history shows each applied increment once, in order of versions")
@@ -264,11 +267,10 @@
     assert context.task.exception.code == Code[name], context.task.exception
 
 
-@when("the platform goes down")
-def start_outage(context):
-    """Start an outage and a task that measures how it is held up."""
-    context.client.get("x")
-    set_faults(context, outage=True)
+@when("the platform's faults are {faults}")
+def change_faults(context, faults):
+    """Change the faults, and run a task beside that measures how it is held up."""
+    set_faults(context, **json.loads(faults))
     context.longest_s = 0.0
 
     def tick():
@@ -309,12 +311,6 @@
     assert context.longest_s * 1000 < longest_ms, context.longest_s
 
 
-@when("the platform comes back")
-def end_outage(context):
-    """End the outage."""
-    set_faults(context)
-
-
 @then("an object can be written again")
 def check_back(context):
     """Write after an outage."""
@@ -322,12 +318,6 @@
     assert context.client.dump()["reachable"]
 
 
-@when("each call takes {delay_ms:d} ms")
-def slow_down(context, delay_ms):
-    """Slow the stand-in down."""
-    set_faults(context, delay_ms=delay_ms)
-
-
 @then("{least:d} of {count:d} writes with a deadline of {ms:d} ms succeed at the least")
 def check_slow_writes(context, least, count, ms):
     """Write to a slow platform."""
@@ -341,12 +331,6 @@
     assert codes.count(Code.DONE) >= least, codes
 
 
-@when('the client "{name}" is cut off')
-def cut_client(context, name):
-    """Cut one client off at the stand-in."""
-    set_faults(context, cut_clients=[name])
-
-
 @then('"{cut}" fails with PLATFORM_UNAVAILABLE and "{other}" writes')
 def check_cut_client(context, cut, other):
     """Check both clients."""
@@ -495,9 +479,9 @@
     return create_test_client(f"{host}:{server.server_port}")
 
 
-@then("each broken answer ends a read with a code of the platform")
-def check_broken_reads(context):
-    """Read from each broken server."""
+@then("each broken answer ends each call with a code of the platform")
+def check_broken_answers(context):
+    """Call each broken server; only a plain 4xx may rule a write out."""
     for name, data in BROKEN_ANSWERS.items():
         client = start_broken(context, data)
         for task in (
@@ -506,13 +490,6 @@
             lambda client=client: client.watch("x", 5, 300),
         ):
             assert 500 < fail_with(task) < 600, name
-
-
-@then("each broken answer ends a write with a code of the platform")
-def check_broken_writes(context):
-    """Write to each broken server; only a plain 4xx may rule the write out."""
-    for name, data in BROKEN_ANSWERS.items():
-        client = start_broken(context, data)
         code = fail_with(lambda client=client: client.put("x", 1, 0, 300))
         plain = (Code.PLATFORM_BAD_ANSWER,) if "status" in name else ()
         assert code in (Code.PLATFORM_UNAVAILABLE, *plain), (name, code)
