--- a/features/load.feature
+++ b/features/load.feature
@@ -42,3 +42,8 @@
     Given a server that reads a request and closes the connection
     When load is offered at 50 a second for 1 s
     Then every request counts as may have run
+
+  Scenario: The command reports as JSON and exits with 6 when nobody serves
+    Given an address where nobody listens
+    When the load command offers 20 a second for 1 s
+    Then it exits with status 6 and its report counts all requests as not run
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -1,13 +1,15 @@
 """Steps about the load program."""
 
 import json
+import tempfile
 import time
 from collections import Counter
+from pathlib import Path
 
 from behave import given, then, when
 from gevent.server import StreamServer
 
-from features.support.processes import Ports, create_loopback_host
+from features.support.processes import Child, Ports, create_loopback_host
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import create_keys
@@ -16,6 +18,7 @@
 from knapweedrock.sockets import create_http_server
 
 DRAWS = 2000
+COMMAND_TIMEOUT_S = 30
 
 
 @given("a plain server that stalls once for {stall_ms:d} ms")
@@ -77,6 +80,28 @@
     offer_counted_load(context, rate, duration_s, in_flight)
 
 
+@when("the load command offers {rate:d} a second for {duration_s:d} s")
+def run_load_command(context, rate, duration_s):
+    """Run the command as a process."""
+    directory = tempfile.TemporaryDirectory(prefix="knapweedrock-load-")
+    context.add_cleanup(directory.cleanup)
+    options = ["load", "--node", context.address, "--rate", str(rate)]
+    options += ["--seconds", str(duration_s), "--json"]
+    child = Child("load", options, Path(directory.name))
+    child.start()
+    context.add_cleanup(child.kill)
+    context.status = child.process.wait(COMMAND_TIMEOUT_S)
+    context.output = child.log.read_text()
+
+
+@then("it exits with status {status:d} and its report counts all requests as not run")
+def expect_command_report(context, status):
+    """Expect the exit status and the counts of the report."""
+    assert context.status == status, context.output
+    value = json.loads(context.output)
+    assert value["not_run"] == value["offered"] > 0, value
+
+
 @then(
     "arrivals at {rate:d} a second for {duration_s:d} s are the same for seed "
     "{seed:d} and differ for seed {other:d}"
--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -11,6 +11,7 @@
     Zone,
     create_configuration,
 )
+from knapweedrock.operators.tickets import Ticket
 
 KOWHAI_ZONES = ("nz-north-1", "nz-north-2", "nz-north-3", "nz-north-4")
 HEDELMAVERKKO_ZONES = ("helsinki", "espoo", "vantaa")
@@ -131,6 +132,15 @@
     return value
 
 
+def create_zone_ticket(number: int, layout: Layout, *out: str) -> Ticket:
+    """Create the ticket that takes exactly these availability zones out."""
+    zones = [
+        create_zone(name, layout.region, "out" if name in out else "in")
+        for name in layout.zones
+    ]
+    return {"number": number, "zones": zones}
+
+
 def create_execution(
     target: str = "t1",
     request_id: str = "r1",
--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -1,5 +1,6 @@
 """A whole mesh of real processes on loopback, with faults on request."""
 
+import json
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,7 @@
     wait_for,
 )
 from knapweedrock.configuration import Configuration
+from knapweedrock.operators.tickets import Ticket
 from knapweedrock.platform.writes import open_envelope
 
 START_TIMEOUT_S = 20.0
@@ -76,7 +78,7 @@
         self.vms = {spec.node_id: Vm(spec, self.ports) for spec in layout.nodes}
         self.children: list[Child] = [self.platform]
         self.past_executions: list[Execution] = []
-        self.ticket_number = 0
+        self.ticket_count = 0
 
     # Start and stop
 
@@ -239,15 +241,20 @@
             child.kill()
         return status, child.log.read_text(errors="replace")
 
-    def apply_ticket(self, ticket: str, *options: str) -> tuple[int, str]:
-        """Apply a ticket's text through the command line at the first live node."""
-        self.ticket_number += 1
-        path = self.directory / f"ticket-{self.ticket_number}.toml"
-        path.write_text(ticket)
-        node = next(vm for vm in self.vms.values() if vm.node.is_running())
-        return self.run_command(
-            "ticket", "apply", str(path), "--node", node.operator, *options
-        )
+    def apply_ticket(self, ticket: str | Ticket, *options: str) -> tuple[int, str]:
+        """Apply a ticket, given as TOML text or whole, through the command line.
+
+        Returns exit status and output of the command, which asks a running node.
+        """
+        self.ticket_count += 1
+        if isinstance(ticket, str):
+            path = self.directory / f"ticket-{self.ticket_count}.toml"
+            path.write_text(ticket)
+        else:
+            path = self.directory / f"ticket-{self.ticket_count}.json"
+            path.write_text(json.dumps(ticket))
+        node = self.list_running()[0].operator
+        return self.run_command("ticket", "apply", str(path), "--node", node, *options)
 
     # Faults
 
