--- a/bench/control.py
+++ b/bench/control.py
@@ -10,6 +10,7 @@
 from features.support.mesh import Mesh
 
 SIZES = (2, 4, 8, 16, 32)
+SETTLE_S = 8.0
 IDLE_S = 10.0
 LEASE_RENEWALS_PER_S = 4
 BYTES_METRIC = "link_bytes_sent"
@@ -74,6 +75,7 @@
 def measure_cell(size: int) -> tuple[Cost, Cost, float]:
     """Measure one cell: mean of its members, its coordinator, platform calls."""
     with started_mesh(create_layout({"depot-orders": size})) as mesh:
+        time.sleep(SETTLE_S)
         coordinator = mesh.find_coordinator()
         usage = {name: mesh.read_usage(name) for name in mesh.vms}
         sent = {name: read_metric(mesh, name, BYTES_METRIC) for name in mesh.vms}
