Choose voters without dropping the living or the coordinator

Cause: (1) while two of three nodes lived, the surplus living voter was dropped before the dead one, and the rest had no majority for good (the known red of the mesh); (2) a late heartbeat made a living voter, even the coordinator, look gone. Ruled out: the return at another address. After: the gone leave first, a voter must be silent for 1.5 s after its lease, and the coordinator always stays. The mesh now waits until the votes are spread.

--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -92,6 +92,7 @@
         if configure:
             self.put_configuration(create_full_configuration(self.layout))
         self.wait_until_ready()
+        wait_for(self.has_spread_votes, READY_TIMEOUT_S, "the votes are spread", 0.1)
 
     def start_platform(self) -> None:
         """Start the platform stand-in and wait until it answers."""
@@ -178,6 +179,12 @@
         except TimeoutError as error:
             raise TimeoutError(f"{error}\n{self.describe()}") from None
 
+    def has_spread_votes(self) -> bool:
+        """Tell whether a cell of three nodes or more no longer has a lone voter."""
+        stored = self.fetch_object(f"cells/{self.cell}")
+        voters = stored["value"]["voters"] if stored else {}
+        return len(voters) >= min(len(self.vms), 3) or len(self.vms) < 3
+
     def is_ready(self) -> bool:
         """Tell whether all running nodes are ready and know all serving members.
 
--- a/knapweedrock/nodes/cell.py
+++ b/knapweedrock/nodes/cell.py
@@ -85,30 +85,30 @@
 
 
 def choose_voter_change(
-    voters: dict[str, VoterRecord], candidates: dict[str, VoterRecord]
+    voters: dict[str, VoterRecord], candidates: dict[str, VoterRecord], own: str
 ) -> dict[str, VoterRecord] | None:
     """Choose the next set of voters, at most one different; None when it is good.
 
-    Candidates are the living members that stay. A voter that came back with another
-    address is another process: it leaves the set before it joins again. Without
-    candidates nothing changes, so the last voter always stays.
+    Candidates are the living members that stay, the coordinator `own` among them. A
+    voter that came back with another address is another process: it leaves the set
+    before it joins again.
     """
-    if not candidates:
-        return None
-    wanted = plan_voters(voters, candidates)
+    wanted = plan_voters(voters, candidates, own)
     for node_id, record in wanted.items():
         if node_id not in voters:
             return {**voters, node_id: record}
-    for node_id, record in voters.items():
-        if wanted.get(node_id) != record:
-            return {name: voters[name] for name in voters if name != node_id}
-    return None
+    leaving = [name for name, record in voters.items() if wanted.get(name) != record]
+    # Those that are gone leave first, so that the living keep their majority.
+    leaving.sort(key=lambda name: candidates.get(name) == voters[name])
+    if not leaving:
+        return None
+    return {name: voters[name] for name in voters if name != leaving[0]}
 
 
 def plan_voters(
-    voters: dict[str, VoterRecord], candidates: dict[str, VoterRecord]
+    voters: dict[str, VoterRecord], candidates: dict[str, VoterRecord], own: str
 ) -> dict[str, VoterRecord]:
-    """Plan the whole set of voters: odd, spread over zones, few changes."""
+    """Plan the whole set of voters: `own`, odd, spread over zones, few changes."""
     count = min(MAX_VOTERS, len(candidates))
     count -= 1 - count % 2
     chosen: dict[str, VoterRecord] = {}
@@ -118,6 +118,7 @@
         best = min(
             remaining,
             key=lambda name: (
+                name != own,
                 per_zone.get(remaining[name]["zone"], 0),
                 name not in voters,
                 name,
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -41,6 +41,7 @@
 LAPSE_LIMIT_MS = 3000
 PUSH_TIMEOUT_MS = 400
 VOTER_INTERVAL_MS = 250
+VOTER_GONE_MS = 1500
 PLATFORM_LOST_LIMIT_MS = 300
 PLATFORM_CHECK_INTERVAL_MS = 400
 PROBE_ANSWER_MS = 400
@@ -142,18 +143,12 @@
         self._check_platform(now)
 
     def _tend_voters(self) -> None:
-        now = self.env.clock.now_ns()
-        if now < self.roster.inherited_until_ns:
+        """Replace voters that are gone, and add some up to an odd number."""
+        if self.env.clock.now_ns() < self.roster.inherited_until_ns:
             return
-        candidates: dict[str, VoterRecord] = {
-            name: {"peer": entry.member["peer"], "zone": entry.member["zone"]}
-            for name, entry in self.roster.entries.items()
-            if entry.heard_ns
-            and entry.lease_until_ns > now
-            and entry.member["state"] != "leaving"
-        }
         voters = self.office.record["voters"]
-        change = choose_voter_change(voters, candidates)
+        candidates = {**self._keep_voters(), **self._find_candidates()}
+        change = choose_voter_change(voters, candidates, self.env.settings.node_id)
         if change is None or not self.env.coordinator.platform_ok:
             return
         try:
@@ -164,6 +159,26 @@
         self.publish()
         log.info("voters changed voters={}", sorted(self.office.record["voters"]))
 
+    def _find_candidates(self) -> dict[str, VoterRecord]:
+        """Return this node and the living members that stay."""
+        own = self.env.settings
+        found: dict[str, VoterRecord] = {
+            name: {"peer": entry.member["peer"], "zone": entry.member["zone"]}
+            for name, entry in self.roster.entries.items()
+            if entry.heard_ns and entry.member["state"] != "leaving"
+        }
+        found[own.node_id] = {"peer": str(own.peer), "zone": own.zone}
+        return found
+
+    def _keep_voters(self) -> dict[str, VoterRecord]:
+        """Return the voters that have been silent for a short time only."""
+        return {
+            name: voter
+            for name, voter in self.office.record["voters"].items()
+            if name not in self.roster.entries
+            and self.roster.find_silence_ms(name) < VOTER_GONE_MS
+        }
+
     def _check_platform(self, now: int) -> None:
         """Look for a successor once the platform has been lost here for a while."""
         if self.env.coordinator.platform_ok:
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -120,6 +120,12 @@
             and self.may_own(entry.member, service)
         }
 
+    def find_silence_ms(self, node_id: str) -> float:
+        """Return how long ago the last lease of a node that is gone lapsed."""
+        lapses = [e.lease_until_ns for p, e in self.former.items() if p[0] == node_id]
+        lapsed_ns = max(lapses, default=self.inherited_until_ns)
+        return (self.env.clock.now_ns() - lapsed_ns) / NS_PER_MS
+
     def list_incarnations(self) -> dict[str, str]:
         """Return the incarnation of each member."""
         return {
