--- a/features/intake.feature
+++ b/features/intake.feature
@@ -27,3 +27,21 @@
     When ranges are released while an order runs on them
     Then the records handed over hold the order's answer
     And a release that can't wait fails with MOVING
+
+  Scenario: A target that is killed counts as gone within 2 seconds, without traffic
+    Given a target
+    When the target is killed
+    Then within 2000 ms the member's state is "joining"
+    When the target is started again
+    Then within 5000 ms the member's state is "serving"
+    When an order is sent
+    Then its code is DONE
+
+  Scenario: A target that is paused counts as gone after 3 seconds and comes back
+    Given a target
+    When the target is paused
+    Then within 3500 ms the member's state is "joining"
+    When the target goes on
+    Then within 2000 ms the member's state is "serving"
+    When an order is sent
+    Then its code is DONE
--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -352,7 +352,10 @@
 @when("the target is silent about itself")
 def silence_announcements(context):
     """Let the target come back from a crash without a word."""
-    context.bench.change_target(announcing=False, announces_restart=False)
+    context.bench.change_target(
+        announcing=False, announces_restart=False, restart_ms=100
+    )
+    context.resend_s = 0.2
 
 
 @when("a crashing order is sent {count:d} times under new ids")
@@ -363,7 +366,7 @@
             "crash", order_id=create_order_id(), headers={"Crash-Target": "yes"}
         )
         context.bench.send(order)
-        gevent.sleep(0.6)
+        gevent.sleep(getattr(context, "resend_s", 0.6))
 
 
 @when("the configuration takes its zone out")
--- a/features/support/target_bench.py
+++ b/features/support/target_bench.py
@@ -125,8 +125,12 @@
         wait_for(live, START_TIMEOUT_S, "the target announces itself")
 
     def stop(self) -> None:
-        """End the stand-in and the server."""
+        """End the stand-in and the node's side."""
         self.target.kill()
+        self.close()
+
+    def close(self) -> None:
+        """End the node's side."""
         self.server.close()
         remove_directory(self.directory)
 
--- a/knapweedrock/targets/announcements.py
+++ b/knapweedrock/targets/announcements.py
@@ -12,10 +12,13 @@
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
 
-SILENT_AFTER_MS = 5000
+SILENT_AFTER_MS = 3000
+DOUBTED_AFTER_MS = 1400
+REFUSING_AFTER_MS = 500
 REPLACE_AFTER_MS = 2500
 MAX_SLOTS = 100_000
 MAX_CONNECTIONS = 100_000
+MAX_COLD_S = 3600
 RETRY_AFTER_MS = 1000
 
 
@@ -48,6 +51,10 @@
         raise KnapweedrockError(
             Code.BAD_ANNOUNCEMENT, "service and incarnation must not be empty"
         )
+    if not 0 <= value.get("cold_s", 0) <= MAX_COLD_S:
+        raise KnapweedrockError(
+            Code.BAD_ANNOUNCEMENT, f"cold_s: expected 0 to {MAX_COLD_S}"
+        )
     bounds = (
         ("slots", value["slots"], MAX_SLOTS),
         ("connections", value["connections"], MAX_CONNECTIONS),
@@ -78,13 +85,28 @@
         self.announcement: Announcement | None = None
         self.address = Address("", 0)
         self.heard_ns = 0
+        self.refused_ns = 0
         self.leaving = False
 
     def is_live(self) -> bool:
-        """Tell whether the target announced itself lately."""
+        """Tell whether the target announced itself lately and takes connections."""
         if self.announcement is None:
             return False
-        return self.env.clock.now_ns() - self.heard_ns < SILENT_AFTER_MS * NS_PER_MS
+        now_ns = self.env.clock.now_ns()
+        if self.refused_ns:
+            return now_ns - self.refused_ns < REFUSING_AFTER_MS * NS_PER_MS
+        return now_ns - self.heard_ns < SILENT_AFTER_MS * NS_PER_MS
+
+    def is_doubted(self) -> bool:
+        """Tell whether an announcement is overdue."""
+        if self.announcement is None or self.refused_ns:
+            return False
+        silent_ns = self.env.clock.now_ns() - self.heard_ns
+        return DOUBTED_AFTER_MS * NS_PER_MS < silent_ns < SILENT_AFTER_MS * NS_PER_MS
+
+    def note_refused(self) -> None:
+        """Note that the target refused a connection, since when it counts as gone."""
+        self.refused_ns = self.refused_ns or self.env.clock.now_ns()
 
     def require(self, service: str) -> Announcement:
         """Return the live target's announcement; raises `NO_LIVE_TARGET`."""
@@ -118,6 +140,7 @@
         self.announcement = announcement
         self.address = parse_target_address(announcement["address"])
         self.heard_ns = now_ns
+        self.refused_ns = 0
         is_new = known is None or known["incarnation"] != announcement["incarnation"]
         if is_new:
             self.leaving = False
--- a/knapweedrock/targets/attempts.py
+++ b/knapweedrock/targets/attempts.py
@@ -89,6 +89,10 @@
             for attempt in self.sent.values()
         )
 
+    def note_doubt(self) -> None:
+        """Have it found out whether the target is still there."""
+        self.crashes.note_break(self._list_in_flight())
+
     def displace_excess(self) -> None:
         """Break off idempotent attempts, the youngest first, down to the limit."""
         excess = self.admission.in_flight - self.admission.ramp.get_limit()
--- a/knapweedrock/targets/crashes.py
+++ b/knapweedrock/targets/crashes.py
@@ -9,6 +9,7 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
+from knapweedrock.targets.announcements import Target
 from knapweedrock.targets.connections import ConnectionPool
 from knapweedrock.targets.control import Control
 from knapweedrock.targets.ramp import Ramp
@@ -42,12 +43,14 @@
     def __init__(
         self,
         env: "Environment",
+        target: Target,
         pool: ConnectionPool,
         control: Control,
         ramp: Ramp,
         suspects: Suspects,
     ) -> None:
         self.env = env
+        self.target = target
         self.pool = pool
         self.control = control
         self.ramp = ramp
@@ -133,6 +136,7 @@
                 self.pool.drop(self.pool.dial())
             except RefusalError as error:
                 if "refused" in error.detail:
+                    self.target.note_refused()
                     self._confirm()
             else:
                 self._compare(self.control.read_incarnation())
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -64,7 +64,9 @@
         self.control = Control(env, self.pool)
         self.admission = Admission(env, self.ramp)
         self.suspects = Suspects(env)
-        self.crashes = Crashes(env, self.pool, self.control, self.ramp, self.suspects)
+        self.crashes = Crashes(
+            env, self.target, self.pool, self.control, self.ramp, self.suspects
+        )
         self.attempts = Attempts(
             env, self.pool, self.control, self.admission, self.crashes
         )
@@ -288,9 +290,11 @@
         return True
 
     def watch(self) -> None:
-        """Follow the configuration also while no request comes."""
+        """Follow the configuration and the target also while no request comes."""
         while True:
             gevent.sleep(WATCH_INTERVAL_S)
+            if self.target.is_doubted() and self.crashes.settled.is_set():
+                self.attempts.note_doubt()
             self.intake.refresh()
             self.grants.push_if_due()
 
