--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -349,6 +349,15 @@
     bench.calls = [call for call in bench.calls if call.tag != "crash"]
 
 
+@when("the target is silent about itself")
+def silence_announcements(context):
+    """Let the target come back from a crash without a word."""
+    context.bench.change_target(
+        announcing=False, announces_restart=False, restart_ms=100
+    )
+    context.resend_s = 0.2
+
+
 @when("a crashing order is sent {count:d} times under new ids")
 def send_crashing_orders(context, count):
     """Send a crashing order whose caller makes a new id each time."""
@@ -357,7 +366,7 @@
             "crash", order_id=create_order_id(), headers={"Crash-Target": "yes"}
         )
         context.bench.send(order)
-        gevent.sleep(0.6)
+        gevent.sleep(getattr(context, "resend_s", 0.6))
 
 
 @when("the configuration takes its zone out")
@@ -479,7 +488,7 @@
     assert len(done) >= count, len(done)
 
 
-@then("no request took longer than {limit:d} ms")
+@then("every request took at most {limit:d} ms")
 def check_longest(context, limit):
     """Check the longest request."""
     took = [(c.end_ns - c.sent_ns) / NS_PER_MS for c in context.bench.calls]
