Fail a watch in an outage without any answer

Cause: when the platform took calls and never answered, each slice of a watch timed out after 4 s, the time spent on pauses never reached the limit, and the watch ended with none after 20 s, as if nothing had changed. A coordinator would have held the platform for well all through the outage.

The time since the first failure counts now, and slices after a failure are short. The new scenario failed before (none instead of PLATFORM_UNAVAILABLE); now the watch fails within 6 s. A silent connection still costs no error: the watch goes on over a new one.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -54,6 +54,10 @@
     When the platform's faults are {}
     Then an object can be written again
 
+  Scenario: An outage without any answer is not taken for calm
+    When the platform's faults are {"delay_ms": 60000}
+    Then a watch fails with PLATFORM_UNAVAILABLE within 6000 ms
+
   Scenario: A platform that is slow but within the deadline still answers
     When the platform's faults are {"delay_ms": 600}
     Then 3 of 4 writes with a deadline of 2000 ms succeed at the least
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -305,6 +305,15 @@
     assert not client.dump()["reachable"]
 
 
+@then("a watch fails with PLATFORM_UNAVAILABLE within {longest_ms:d} ms")
+def check_watch_fails(context, longest_ms):
+    """Watch while no call is answered."""
+    started_s = time.monotonic()
+    code = fail_with(lambda: context.client.watch("x", 0, 20_000))
+    assert code == Code.PLATFORM_UNAVAILABLE, code
+    assert (time.monotonic() - started_s) * 1000 < longest_ms
+
+
 @then("another task was never held up for more than {longest_ms:d} ms")
 def check_not_held_up(context, longest_ms):
     """Check the task that ran beside."""
--- a/knapweedrock/platform/backoff.py
+++ b/knapweedrock/platform/backoff.py
@@ -9,11 +9,10 @@
 
 
 class Backoff:
-    """Delays of one series of attempts; `total_ms` sums those since the last reset."""
+    """Delays of one series of attempts."""
 
     def __init__(self) -> None:
         self._delay_ms = FIRST_DELAY_MS
-        self.total_ms = 0.0
 
     def sleep(self, longest_ms: float) -> bool:
         """Wait for the next delay; tell at once where it is longer than allowed."""
@@ -21,11 +20,5 @@
         if delay_ms >= longest_ms:
             return False
         self._delay_ms = min(2 * self._delay_ms, LONGEST_DELAY_MS)
-        self.total_ms += delay_ms
         gevent.sleep(delay_ms / 1000)
         return True
-
-    def reset(self) -> None:
-        """Start again with the first delay."""
-        self._delay_ms = FIRST_DELAY_MS
-        self.total_ms = 0.0
--- a/knapweedrock/platform/http.py
+++ b/knapweedrock/platform/http.py
@@ -31,6 +31,7 @@
 
 VALUE_MAX_BYTES = 1_000_000
 WATCH_SLICE_MS = 3000
+WATCH_PROBE_MS = 200
 WATCH_MARGIN_MS = 1000
 WATCH_RETRY_MS = 1000
 
@@ -74,20 +75,26 @@
     def watch(self, name: str, after: int, wait_ms: int = 20000) -> Stored | None:
         """Wait for a version above `after`; None where none came in time.
 
-        Asks the platform in slices, so that a silent connection is noticed.
+        Asks the platform in slices, so that a silent connection is noticed, and
+        in short ones after a failure, so that an outage is.
         """
         deadline_ns = self._caller.start_deadline(wait_ms)
+        give_up_ns = 0
         backoff = Backoff()
         while (left_ms := self._caller.left_ms(deadline_ns)) > 0:
+            slice_ms = WATCH_PROBE_MS if give_up_ns else WATCH_SLICE_MS
             try:
-                found = self._watch_once(name, after, min(left_ms, WATCH_SLICE_MS))
+                found = self._watch_once(name, after, min(left_ms, slice_ms))
             except PlatformError as error:
-                if backoff.total_ms > WATCH_RETRY_MS or not backoff.sleep(left_ms):
+                give_up_ns = give_up_ns or self._caller.start_deadline(WATCH_RETRY_MS)
+                left_ms = self._caller.left_ms(min(deadline_ns, give_up_ns))
+                if not backoff.sleep(left_ms):
                     raise self._count(error) from error
                 continue
             if found is not None:
                 return found
-            backoff.reset()
+            give_up_ns = 0
+            backoff = Backoff()
         return None
 
     def put(
