--- a/bench/path.py
+++ b/bench/path.py
@@ -1,5 +1,6 @@
 """Cost of the path: processor time a request and added latency."""
 
+import time
 from typing import NamedTuple
 
 from bench.registry import Plan, experiment
@@ -10,7 +11,8 @@
 from knapweedrock.load.keys import ListedKeys
 
 SERVICE = "depot-orders"
-RATE = 100.0
+RATE = 150.0
+IDLE_S = 5.0
 RUN_S = 8.0
 KEYS = 40
 WORK_MS = 1.0
@@ -80,11 +82,12 @@
     flags = ("--work-ms", f"{WORK_MS:g}", "--cold-s", "0", "--connect-ms", "0")
     with started_mesh(layout, target_flags=flags) as mesh:
         owner, other = mesh.vms["n1"], mesh.vms["n2"]
-        measure_way(mesh, owner.caller, "", "n1", seed)
-        by_owner = measure_way(mesh, owner.caller, "", "n1", seed)
-        by_other = measure_way(mesh, other.caller, "n2", "n1", seed)
+        idle = measure_idle(mesh)
+        measure_way(mesh, owner.caller, "", "n1", seed, idle)
+        by_owner = measure_way(mesh, owner.caller, "", "n1", seed, idle)
+        by_other = measure_way(mesh, other.caller, "n2", "n1", seed, idle)
         # Last, since nothing but the node keeps a target from taking too much.
-        direct = measure_way(mesh, owner.target_address, "", "", seed)
+        direct = measure_way(mesh, owner.target_address, "", "", seed, idle)
         return {
             "direct": direct,
             "by the owner": by_owner,
@@ -92,18 +95,40 @@
         }
 
 
+def measure_idle(mesh: Mesh) -> dict[str, float]:
+    """Measure the processor seconds a second that each node takes without load."""
+    before = {name: mesh.read_usage(name).cpu_s for name in mesh.vms}
+    time.sleep(IDLE_S)
+    return {
+        name: (mesh.read_usage(name).cpu_s - before[name]) / IDLE_S for name in mesh.vms
+    }
+
+
 def measure_way(
-    mesh: Mesh, address: str, ingress: str, owner: str, seed: int
+    mesh: Mesh,
+    address: str,
+    ingress: str,
+    owner: str,
+    seed: int,
+    idle: dict[str, float],
 ) -> PathResult:
-    """Measure one way; an empty name stands for a role that it does not have."""
+    """Measure one way; an empty name stands for a role that it does not have.
+
+    What the nodes take without load is not counted to the requests.
+    """
     names = [name for name in (ingress, owner) if name]
     before = {name: mesh.read_usage(name).cpu_s for name in names}
     loads = Loads([address], [Offer(SERVICE, True, RATE, KEYS)], RUN_S, seed)
     keep_keys_of_owner(mesh, loads)
+    start_s = time.monotonic()
     loads.start()
     loads.wait()
+    elapsed_s = time.monotonic() - start_s
     count = max(sum(run.offered for run in loads.runs), 1)
-    spent = {name: mesh.read_usage(name).cpu_s - before[name] for name in names}
+    spent = {
+        name: mesh.read_usage(name).cpu_s - before[name] - idle[name] * elapsed_s
+        for name in names
+    }
     latency = measure_latency(loads.list_samples())
     return PathResult(
         latency.p50_ms,
