Take out one guard at a time and run the scenario that must fail

Cause: the proofs were run with the guards in place only, so none was known to fail without them. Ruled out: patching the product at run time, since nodes and targets are processes of their own; so each guard is a text that is replaced in a copy of the tracked files. A text that is not found exactly once is an error, and a scenario that fails in a Given or before its checks counts as no proof.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=$(CURDIR) $(BIN)/python
 
-.PHONY: all demo test lint format lock binary binary-check bench
+.PHONY: all demo test lint format lock binary binary-check bench guards
 
 all: lint test
 
@@ -40,3 +40,6 @@
 
 binary-check: binary
 	$(RUN) -m behave features/binary
+
+guards: $(VENV)/installed
+	$(RUN) tools/guards.py $(GUARDS)
--- /dev/null
+++ b/tools/guards.py
@@ -0,0 +1,235 @@
+"""Take out one guard at a time and run the scenario that must fail without it.
+
+The guards stand in `guards.toml`. Each runs on a copy of the tree of its own. A
+scenario that passes without its guard, or fails with it, proves nothing.
+"""
+
+import argparse
+import json
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import tomllib
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).resolve().parent.parent
+GUARDS = Path(__file__).resolve().parent / "guards.toml"
+PARALLEL_PROCESSES = int(os.environ.get("TEST_PROCESSES", "2"))
+SCENARIO_TIMEOUT_S = 200
+QUOTE_CHARACTERS = 200
+ASSERTION_PATTERN = re.compile(r"^(?:ASSERT FAILED|AssertionError):? ?", re.MULTILINE)
+
+
+class GuardError(Exception):
+    """A guard that cannot be tried."""
+
+
+class Edit(NamedTuple):
+    """A text of the product, and the same without the guard."""
+
+    file: str
+    old: str
+    new: str
+
+
+class Guard(NamedTuple):
+    """What makes a promise hold, and the scenario that shows it."""
+
+    name: str
+    promise: str
+    feature: str
+    scenario: str
+    edits: list[Edit]
+
+
+class Run(NamedTuple):
+    """Outcome of a scenario; `quote` is the first line of what failed."""
+
+    passed: bool
+    is_check: bool
+    quote: str
+
+
+def read_guards() -> list[Guard]:
+    """Read the guards from the data file."""
+    entries = tomllib.loads(GUARDS.read_text())["guard"]
+    return [
+        Guard(
+            entry["name"],
+            entry["promise"],
+            entry["feature"],
+            entry["scenario"],
+            [Edit(**edit) for edit in entry["edit"]],
+        )
+        for entry in entries
+    ]
+
+
+def choose_guards(guards: list[Guard], names: list[str]) -> list[Guard]:
+    """Choose guards by name, all of them without names; raises `GuardError`."""
+    unknown = set(names) - {guard.name for guard in guards}
+    if unknown:
+        raise GuardError(f"no such guard: {', '.join(sorted(unknown))}")
+    return [guard for guard in guards if not names or guard.name in names]
+
+
+def remove_guard(text: str, edit: Edit) -> str:
+    """Return the text without the guard; raises `GuardError`."""
+    count = text.count(edit.old)
+    if count != 1:
+        raise GuardError(f"{edit.file}: found {count} times, expected 1: {edit.old!r}")
+    return text.replace(edit.old, edit.new)
+
+
+def check_guard(guard: Guard) -> None:
+    """Raise `GuardError` where an edit does not fit the tree."""
+    texts: dict[str, str] = {}
+    for edit in guard.edits:
+        text = texts.get(edit.file) or (ROOT / edit.file).read_text()
+        texts[edit.file] = remove_guard(text, edit)
+
+
+def copy_tree(directory: Path) -> None:
+    """Copy the files that git tracks."""
+    listed = subprocess.run(
+        ["git", "ls-files", "-z"], cwd=ROOT, capture_output=True, check=True
+    )
+    for name in filter(None, listed.stdout.decode().split("\0")):
+        place = directory / name
+        place.parent.mkdir(parents=True, exist_ok=True)
+        shutil.copy2(ROOT / name, place)
+
+
+def run_copy(guard: Guard, edits: list[Edit]) -> Run:
+    """Run the guard's scenario on a copy of the tree with these edits."""
+    with tempfile.TemporaryDirectory(prefix="knapweedrock-guard-") as name:
+        directory = Path(name)
+        copy_tree(directory)
+        for edit in edits:
+            path = directory / edit.file
+            path.write_text(remove_guard(path.read_text(), edit))
+        return run_scenario(directory, guard)
+
+
+def run_scenario(directory: Path, guard: Guard) -> Run:
+    """Run one scenario in a tree and read its outcome."""
+    report = directory / "guard-report.json"
+    command = [sys.executable, "-m", "behave", "--no-capture", "--format", "json"]
+    command += ["--outfile", str(report), "--name", f"^{re.escape(guard.scenario)}"]
+    command.append(f"features/{guard.feature}.feature")
+    environment = os.environ | {"PYTHONPATH": str(directory)}
+    try:
+        subprocess.run(
+            command,
+            cwd=directory,
+            env=environment,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            timeout=SCENARIO_TIMEOUT_S,
+        )
+    except subprocess.TimeoutExpired:
+        return Run(False, False, f"no end within {SCENARIO_TIMEOUT_S} s")
+    return read_report(report, guard)
+
+
+def read_report(report: Path, guard: Guard) -> Run:
+    """Read behave's report of the scenarios that ran."""
+    written = report.read_text() if report.exists() else ""
+    features = json.loads(written) if written.strip() else []
+    elements = [item for found in features for item in found.get("elements", [])]
+    ran = [e for e in elements if e.get("status") not in (None, "skipped", "untested")]
+    if not ran:
+        raise GuardError(f"{guard.name}: no scenario is named {guard.scenario!r}")
+    for element in ran:
+        if element["status"] != "passed":
+            return read_failure(element)
+    return Run(True, False, "")
+
+
+def read_failure(element: dict) -> Run:
+    """Read which step failed; only a check of the outcome counts as one."""
+    for step in element["steps"]:
+        result = step.get("result", {})
+        if result.get("status") in (None, "passed", "skipped", "untested"):
+            continue
+        message = result.get("error_message", "")
+        text = "\n".join(message) if isinstance(message, list) else str(message)
+        asserted = ASSERTION_PATTERN.search(text)
+        is_check = step["step_type"] == "then" or (
+            step["step_type"] == "when" and asserted is not None
+        )
+        rest = text[asserted.end() :] if asserted else text.strip()
+        lines = rest.strip().splitlines() or ["no message"]
+        line = lines[0] if asserted else lines[-1]
+        quote = f"{step['name']}: {line[:QUOTE_CHARACTERS]}"
+        return Run(False, is_check, quote)
+    return Run(False, False, "a hook failed")
+
+
+def try_guard(guard: Guard, baselines: dict[tuple[str, str], Run]) -> tuple[bool, str]:
+    """Run a guard's scenario without it; tell whether the proof holds, and how."""
+    baseline = baselines[guard.feature, guard.scenario]
+    if not baseline.passed:
+        return False, f"FAILED WITH ITS GUARD: {baseline.quote}"
+    run = run_copy(guard, guard.edits)
+    if run.passed:
+        return False, "PASSED WITHOUT ITS GUARD"
+    if not run.is_check:
+        return False, f"FAILED BEFORE ITS CHECKS: {run.quote}"
+    return True, f"failed as it must: {run.quote}"
+
+
+def run_baselines(guards: list[Guard]) -> dict[tuple[str, str], Run]:
+    """Run each scenario once on the untouched tree."""
+    firsts = {(guard.feature, guard.scenario): guard for guard in guards}
+    with ThreadPoolExecutor(PARALLEL_PROCESSES) as pool:
+        runs = pool.map(lambda guard: run_copy(guard, []), firsts.values())
+        return dict(zip(firsts, runs, strict=True))
+
+
+def try_guards(guards: list[Guard]) -> int:
+    """Try guards and print what each run showed; return the exit status."""
+    for guard in guards:
+        check_guard(guard)
+    baselines = run_baselines(guards)
+    held = 0
+    with ThreadPoolExecutor(PARALLEL_PROCESSES) as pool:
+        results = pool.map(lambda guard: try_guard(guard, baselines), guards)
+        for guard, (is_proved, text) in zip(guards, results, strict=True):
+            held += is_proved
+            print(f"{guard.name} | {guard.feature}: {guard.scenario}", flush=True)
+            print(f"    {text}", flush=True)
+    print(f"{held} of {len(guards)} proofs fail without their guard")
+    return 0 if held == len(guards) else 1
+
+
+def list_guards(guards: list[Guard]) -> None:
+    """Print the guards with their promises and scenarios."""
+    for guard in guards:
+        print(f"{guard.name} | {guard.promise} | {guard.feature}: {guard.scenario}")
+
+
+def main() -> int:
+    """Try all guards, or those that are named."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="guards to try; all by default")
+    parser.add_argument("--list", action="store_true", help="list the guards")
+    options = parser.parse_args()
+    try:
+        guards = choose_guards(read_guards(), options.names)
+        if options.list:
+            list_guards(guards)
+            return 0
+        return try_guards(guards)
+    except GuardError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
