Grant leases to the process on the roster only; drop promises of former voters

Cause: two holes found by reading nodes/ as an adversary. 1. Roster.grant looked at the node id alone. A frozen process whose node had been started again at another address got a lease by a heartbeat without its member record, under the entry of the other process; so the roster did not count a lease that its holder believed in, and its ranges could be given away before it lapsed. 2. Office.until_ns counted the promise of a voter that had left the record for the next process of the same name, which had promised nothing. Ruled out: that either is caught elsewhere; the view's incarnations protect the ranges of 1 only while the holder hears views, and 2 had no other check. The same feature shows the table's epoch, a started voter's silence and versions that only grow.

--- /dev/null
+++ b/features/steps/succession.py
@@ -0,0 +1,206 @@
+"""Steps about what a former coordinator, voter or process still sends."""
+
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from features.support.builders_nodes import create_node_settings
+from features.support.fakes import FakePlatform
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
+from knapweedrock.configuration import create_configuration
+from knapweedrock.environment import Environment
+from knapweedrock.nodes.assignment import create_table
+from knapweedrock.nodes.cell import name_table
+from knapweedrock.nodes.messages import AskPromise, Heartbeat
+from knapweedrock.nodes.office import Office
+from knapweedrock.nodes.roster import Process, Roster
+from knapweedrock.nodes.tables import Tables, UnwrittenError
+from knapweedrock.nodes.timing import PROMISE_MS
+from knapweedrock.nodes.voter import create_voter
+from knapweedrock.platform.interface import Stored
+
+SERVICE = "depot-orders"
+CELL = "cell-1"
+TABLE = name_table(SERVICE, CELL)
+
+
+class FakeClock:
+    """Clock that stands still until it is moved."""
+
+    def __init__(self) -> None:
+        self.ns = NS_PER_S
+
+    def now_ns(self) -> int:
+        """Return the time."""
+        return self.ns
+
+
+def create_environment() -> Environment:
+    """Create the environment of a node with a platform and a clock in here."""
+    settings = create_node_settings("node-1", "")
+    env = Environment(settings, "incarnation", FakeClock())
+    env.platform = FakePlatform()
+    env.coordinator = SimpleNamespace(platform_ok=True)
+    return env
+
+
+class FakeOffice:
+    """Office that ends by word alone."""
+
+    def __init__(self, epoch: int) -> None:
+        self.epoch = epoch
+        self.ended = False
+
+    def end(self, _reason: str) -> None:
+        """Stop acting for good."""
+        self.ended = True
+
+
+@given("a coordinator that has loaded a table")
+def load_table(context):
+    """Load a table in epoch 1."""
+    context.env = create_environment()
+    context.env.platform.put(TABLE, create_table(SERVICE, CELL, 1), 0)
+    context.former = Tables(context.env, FakeOffice(1))
+    context.former.load()
+
+
+@when("its successor loads the table and the coordinator then writes it")
+def write_late(context):
+    """Load the table in epoch 2, then write it in epoch 1."""
+    successor = Tables(context.env, FakeOffice(2))
+    successor.load()
+    context.read = successor.get(SERVICE)
+    late = {**context.former.get(SERVICE), "next_token": 99}
+    try:
+        context.former.write(SERVICE, late)
+        context.refused = False
+    except UnwrittenError:
+        context.refused = True
+
+
+@then("the write fails and ends the coordinator's office")
+def check_late_write(context):
+    """Check that the write surely had no effect."""
+    assert context.refused, "the write took effect"
+    assert context.former.office.ended
+
+
+@then("the table is as the successor read it")
+def check_table(context):
+    """Check the platform's table."""
+    assert context.env.platform.get(TABLE).value == context.read
+
+
+@given("a voter that has just started")
+def start_voter(context):
+    """Start a voter."""
+    context.env = create_environment()
+    context.voter = create_voter(context.env)
+
+
+def ask_promise(context):
+    """Ask for a promise."""
+    return context.voter.answer(AskPromise(CELL, 7, "node-2/x", False))
+
+
+@then("it promises nothing until an earlier promise has run out")
+def check_silent(context):
+    """Ask until right before the end of a promise given before the start."""
+    for _ in range(PROMISE_MS):
+        assert ask_promise(context).promise_ms == 0, "it promised too early"
+        context.env.clock.ns += NS_PER_MS
+
+
+@then("it promises a candidate afterwards")
+def check_promise(context):
+    """Ask once more after a while."""
+    context.env.clock.ns += NS_PER_S
+    assert ask_promise(context).promise_ms == PROMISE_MS
+
+
+@given("an office with promises of all its voters")
+def promise_all(context):
+    """Create an office of three voters whose renewals go nowhere."""
+    context.env = create_environment()
+    names = ("a", "b", "c")
+    context.voters = {name: {"peer": f"{name}:1", "zone": name} for name in names}
+    context.env.links = SimpleNamespace(request=lambda *_: None)
+    record = {"epoch": 1, "voters": context.voters}
+    context.office = Office(context.env, Stored(0, record))
+    later_ns = context.env.clock.now_ns() + NS_PER_S
+    context.office.promises = {"a": later_ns, "b": later_ns}
+    assert context.office.holds()
+
+
+@when("one voter is replaced by a process at another address")
+def replace_voter(context):
+    """Take a voter out, then its successor in."""
+    context.office.write_voters({n: context.voters[n] for n in ("a", "c")})
+    other = {"peer": "b:2", "zone": "b"}
+    context.office.write_voters({**context.voters, "b": other})
+
+
+@then("the promise of the former one does not count")
+def check_promises(context):
+    """Check that the office has no majority."""
+    assert not context.office.holds(), "a former voter's promise counts"
+    context.office.end("the scenario is over")
+
+
+def create_heartbeat(incarnation: str, peer: str | None) -> Heartbeat:
+    """Create a heartbeat, with a member where there is an address."""
+    member = {"incarnation": incarnation, "peer": peer, "fenced": True}
+    return Heartbeat(
+        CELL, "node-2", incarnation, 1, 1, 1, 0, True, member if peer else None
+    )
+
+
+def read_process(heartbeat: Heartbeat) -> Process:
+    """Read which process sent a heartbeat."""
+    return Process(heartbeat.node_id, heartbeat.incarnation)
+
+
+@given("a roster in which a process was replaced by one at another address")
+def replace_process(context):
+    """Hear two processes of one node, one after the other."""
+    context.env = create_environment()
+    context.roster = Roster(context.env, {})
+    for incarnation in ("first", "second"):
+        heartbeat = create_heartbeat(incarnation, f"{incarnation}:1")
+        context.roster.hear(heartbeat)
+        assert context.roster.grant(read_process(heartbeat)) > 0
+
+
+@when("the replaced process sends a heartbeat as if nothing had happened")
+def send_old_heartbeat(context):
+    """Send a heartbeat of the first process."""
+    heartbeat = create_heartbeat("first", None)
+    context.roster.hear(heartbeat)
+    context.lease_ms = context.roster.grant(read_process(heartbeat))
+
+
+@then("it gets no lease")
+def check_no_lease(context):
+    """Check that no lease was granted that the roster does not count."""
+    assert context.lease_ms == 0, context.lease_ms
+
+
+@given("a node with version {version:d} of the configuration")
+def hold_version(context, version):
+    """Put a version in force."""
+    context.env = create_environment()
+    assert context.env.configuration.replace(version, create_configuration())
+
+
+@when("it is given version {version:d}")
+def give_version(context, version):
+    """Give the node another version."""
+    context.env.configuration.replace(version, create_configuration())
+
+
+@then("version {version:d} stays in force")
+def check_version(context, version):
+    """Check the version in force."""
+    held = context.env.configuration.version
+    assert held == version, held
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -15,7 +15,7 @@
 from knapweedrock.nodes.messages import Assign, Heartbeat, Lease, ProbePlatform
 from knapweedrock.nodes.moves import TableKeeper
 from knapweedrock.nodes.office import Office, stand_for_office
-from knapweedrock.nodes.roster import Roster
+from knapweedrock.nodes.roster import Process, Roster
 from knapweedrock.nodes.tables import Tables
 from knapweedrock.nodes.timing import (
     DRIFT_MS,
@@ -95,7 +95,8 @@
             self.publish()
         if heartbeat.config_version > self.env.configuration.version:
             self._fetch_configuration(heartbeat)
-        lease_ms = self.roster.grant(heartbeat.node_id)
+        process = Process(heartbeat.node_id, heartbeat.incarnation)
+        lease_ms = self.roster.grant(process)
         version = self.env.configuration.version
         return Lease(self.office.epoch, self.count, lease_ms, version)
 
--- a/knapweedrock/nodes/office.py
+++ b/knapweedrock/nodes/office.py
@@ -105,6 +105,7 @@
         for name in list(self.tasks):
             if name not in self.record["voters"]:
                 self.tasks.pop(name).kill(block=False)
+                self.promises.pop(name, None)
         for name, voter in self.record["voters"].items():
             if name not in self.tasks:
                 self.tasks[name] = gevent.spawn(self._renew, name, voter)
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -68,10 +68,12 @@
         entry.platform_ok = heartbeat.platform_ok
         return changed
 
-    def grant(self, node_id: str) -> int:
+    def grant(self, process: Process) -> int:
         """Grant a lease, counted from now; returns its milliseconds, 0 for none."""
-        entry = self.entries.get(node_id)
-        if entry is None or entry.suspended:
+        if not self.is_alive(process):
+            return 0
+        entry = self.entries[process.node_id]
+        if entry.suspended:
             return 0
         entry.lease_until_ns = (
             self.env.clock.now_ns() + (LEASE_MS + DRIFT_MS) * NS_PER_MS
