Cut a coordinator off from peers and platform at once; tell two steps apart

Cause: single_owner passed with Office.holds no longer asking for promises: a coordinator that is cut off from its peers alone writes takeovers to the platform after LEASE_MS and ends its office by their conflict, before a successor may give its ranges away. So the promise was not what the scenario tried; cut off from both, nothing else stops it. The check is stricter, no bound changed. The step of delivery.py is renamed and keeps its bound (less than 1000 ms). guards.py quotes errors other than assertions from behave's text.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -61,7 +61,7 @@
     And the target's next 20 answers are "silent_next"
     And 20 idempotent requests of 20 callers are sent at once
     Then all requests are done
-    And no request took longer than 1000 ms
+    And each request took less than 1000 ms
 
   Scenario: Big bodies arrive whole both ways
     Given a target
--- a/features/single_owner.feature
+++ b/features/single_owner.feature
@@ -15,11 +15,12 @@
 
   Scenario Outline: Nodes are cut off from peers and from the platform
     Given a mesh of 5 <fencing> targets in 3 zones
-    And callers offer reads and orders on 24 keys for 14 s with seed <seed>
+    And callers offer reads and orders on 24 keys for 18 s with seed <seed>
     When an owner's frames to its peers are cut for 2 s
     And an owner's frames from its peers are cut for 2 s
     And the coordinator is cut off from its peers for 2 s
     And the coordinator is cut off from the platform for 4 s
+    And the coordinator is cut off from peers and platform for 4 s
     Then the history of all calls keeps every promise
     And at least 3 owners changed and 200 requests were done
 
--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -479,7 +479,7 @@
     assert len(done) >= count, len(done)
 
 
-@then("no request took longer than {limit:d} ms")
+@then("each request took less than {limit:d} ms")
 def check_longest(context, limit):
     """Check the longest request."""
     took = [(c.end_ns - c.sent_ns) / NS_PER_MS for c in context.bench.calls]
--- a/features/steps/ownership.py
+++ b/features/steps/ownership.py
@@ -184,6 +184,13 @@
     cut(context, context.mesh.find_coordinator(), seconds, ("*",), ("*",))
 
 
+@when("the coordinator is cut off from peers and platform for {seconds:d} s")
+def cut_coordinator_whole(context, seconds):
+    """Cut the coordinator off from all but its callers and its target."""
+    name = context.mesh.find_coordinator()
+    cut(context, name, seconds, ("*",), ("*",), platform_send=True)
+
+
 @when("the coordinator is cut off from the platform for {seconds:d} s")
 def cut_platform(context, seconds):
     """Drop the coordinator's calls to the platform, then its answers."""
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -22,7 +22,8 @@
 PARALLEL_PROCESSES = int(os.environ.get("TEST_PROCESSES", "2"))
 SCENARIO_TIMEOUT_S = 200
 QUOTE_CHARACTERS = 200
-ASSERTION_PATTERN = re.compile(r"^(?:ASSERT FAILED|AssertionError):? ?", re.MULTILINE)
+ASSERTION_PATTERN = re.compile(r"^ *ASSERT FAILED:(.*)", re.MULTILINE)
+ERROR_PATTERN = re.compile(r"^([A-Za-z.]*(?:Error|Exception)\b.*)", re.MULTILINE)
 
 
 class GuardError(Exception):
@@ -120,24 +121,26 @@
     """Run one scenario in a tree and read its outcome."""
     report = directory / "guard-report.json"
     command = [sys.executable, "-m", "behave", "--no-capture", "--format", "json"]
-    command += ["--outfile", str(report), "--name", f"^{re.escape(guard.scenario)}"]
+    command += ["--outfile", str(report), "--format", "plain"]
+    command += ["--name", f"^{re.escape(guard.scenario)}"]
     command.append(f"features/{guard.feature}.feature")
     environment = os.environ | {"PYTHONPATH": str(directory)}
     try:
-        subprocess.run(
+        done = subprocess.run(
             command,
             cwd=directory,
             env=environment,
-            stdout=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
+            text=True,
             timeout=SCENARIO_TIMEOUT_S,
         )
     except subprocess.TimeoutExpired:
         return Run(False, False, f"no end within {SCENARIO_TIMEOUT_S} s")
-    return read_report(report, guard)
+    return read_report(report, guard, done.stdout)
 
 
-def read_report(report: Path, guard: Guard) -> Run:
+def read_report(report: Path, guard: Guard, text: str) -> Run:
     """Read behave's report of the scenarios that ran."""
     written = report.read_text() if report.exists() else ""
     features = json.loads(written) if written.strip() else []
@@ -147,28 +150,35 @@
         raise GuardError(f"{guard.name}: no scenario is named {guard.scenario!r}")
     for element in ran:
         if element["status"] != "passed":
-            return read_failure(element)
+            return read_failure(element, text)
     return Run(True, False, "")
 
 
-def read_failure(element: dict) -> Run:
+def read_failure(element: dict, text: str) -> Run:
     """Read which step failed; only a check of the outcome counts as one."""
-    for step in element["steps"]:
-        result = step.get("result", {})
-        if result.get("status") in (None, "passed", "skipped", "untested"):
-            continue
-        message = result.get("error_message", "")
-        text = "\n".join(message) if isinstance(message, list) else str(message)
-        asserted = ASSERTION_PATTERN.search(text)
-        is_check = step["step_type"] == "then" or (
-            step["step_type"] == "when" and asserted is not None
-        )
-        rest = text[asserted.end() :] if asserted else text.strip()
-        lines = rest.strip().splitlines() or ["no message"]
-        line = lines[0] if asserted else lines[-1]
-        quote = f"{step['name']}: {line[:QUOTE_CHARACTERS]}"
-        return Run(False, is_check, quote)
-    return Run(False, False, "a hook failed")
+    failed = [step for step in element["steps"] if did_fail(step)]
+    if not failed:
+        return Run(False, False, "a hook failed")
+    step = failed[0]
+    asserted = ASSERTION_PATTERN.search(text)
+    raised = ERROR_PATTERN.search(text)
+    is_assertion = step["result"]["status"] == "failed"
+    is_check = is_assertion or is_timeout(raised)
+    found = asserted if is_assertion else raised
+    line = found[1].strip() if found else ""
+    quote = f"{step['name']}: {line[:QUOTE_CHARACTERS] or 'assertion without text'}"
+    return Run(False, is_check and step["step_type"] != "given", quote)
+
+
+def did_fail(step: dict) -> bool:
+    """Tell whether a step ran and did not pass."""
+    passed = (None, "passed", "skipped", "untested")
+    return step.get("result", {}).get("status") not in passed
+
+
+def is_timeout(raised: re.Match | None) -> bool:
+    """Tell whether a check waited in vain for what it wants to see."""
+    return raised is not None and raised[1].startswith("TimeoutError")
 
 
 def try_guard(guard: Guard, baselines: dict[tuple[str, str], Run]) -> tuple[bool, str]:
