--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -10,8 +10,6 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, PlatformError, RefusalError
 from knapweedrock.nodes.cell import (
-    VoterRecord,
-    choose_voter_change,
     name_configuration,
 )
 from knapweedrock.nodes.links import Sender, dispatch, handles
@@ -19,7 +17,7 @@
 from knapweedrock.nodes.messages import Assign, Heartbeat, Lease, ProbePlatform
 from knapweedrock.nodes.moves import TableKeeper
 from knapweedrock.nodes.office import Office, stand_for_office
-from knapweedrock.nodes.roster import Roster
+from knapweedrock.nodes.roster import Process, Roster
 from knapweedrock.nodes.tables import Tables
 from knapweedrock.nodes.timing import (
     DRIFT_MS,
@@ -41,7 +39,6 @@
 LAPSE_LIMIT_MS = 3000
 PUSH_TIMEOUT_MS = 400
 VOTER_INTERVAL_MS = 250
-VOTER_GONE_MS = 1500
 PLATFORM_LOST_LIMIT_MS = 300
 PLATFORM_CHECK_INTERVAL_MS = 400
 PROBE_ANSWER_MS = 400
@@ -102,7 +99,8 @@
             self.publish()
         if heartbeat.config_version > self.env.configuration.version:
             self._fetch_configuration(heartbeat)
-        lease_ms = self.roster.grant(heartbeat.node_id)
+        process = Process(heartbeat.node_id, heartbeat.incarnation)
+        lease_ms = self.roster.grant(process)
         version = self.env.configuration.version
         return Lease(self.office.epoch, self.count, lease_ms, version)
 
@@ -139,46 +137,9 @@
         now = self.env.clock.now_ns()
         if now - self.voters_checked_ns > VOTER_INTERVAL_MS * NS_PER_MS:
             self.voters_checked_ns = now
-            gevent.spawn(self._tend_voters)
+            gevent.spawn(tend_voters, self.env, self)
         self._check_platform(now)
 
-    def _tend_voters(self) -> None:
-        """Replace voters that are gone, and add some up to an odd number."""
-        if self.env.clock.now_ns() < self.roster.inherited_until_ns:
-            return
-        voters = self.office.record["voters"]
-        candidates = {**self._keep_voters(), **self._find_candidates()}
-        change = choose_voter_change(voters, candidates, self.env.settings.node_id)
-        if change is None or not self.env.coordinator.platform_ok:
-            return
-        try:
-            self.office.write_voters(change)
-        except PlatformError:
-            self.env.counters.count("voter_writes_failed")
-            return
-        self.publish()
-        log.info("voters changed voters={}", sorted(self.office.record["voters"]))
-
-    def _find_candidates(self) -> dict[str, VoterRecord]:
-        """Return this node and the living members that stay."""
-        own = self.env.settings
-        found: dict[str, VoterRecord] = {
-            name: {"peer": entry.member["peer"], "zone": entry.member["zone"]}
-            for name, entry in self.roster.entries.items()
-            if entry.heard_ns and entry.member["state"] != "leaving"
-        }
-        found[own.node_id] = {"peer": str(own.peer), "zone": own.zone}
-        return found
-
-    def _keep_voters(self) -> dict[str, VoterRecord]:
-        """Return the voters that have been silent for a short time only."""
-        return {
-            name: voter
-            for name, voter in self.office.record["voters"].items()
-            if name not in self.roster.entries
-            and self.roster.find_silence_ms(name) < VOTER_GONE_MS
-        }
-
     def _check_platform(self, now: int) -> None:
         """Look for a successor once the platform has been lost here for a while."""
         if self.env.coordinator.platform_ok:
