--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -25,6 +25,7 @@
     PROMISE_RENEWAL_MS,
 )
 from knapweedrock.nodes.view import Member, Range, Table, View
+from knapweedrock.nodes.votes import tend_voters
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
--- a/knapweedrock/nodes/office.py
+++ b/knapweedrock/nodes/office.py
@@ -87,8 +87,8 @@
         ]
         gevent.joinall(calls, timeout=PROMISE_TIMEOUT_MS / 1000)
 
-    def write_voters(self, voters: dict[str, VoterRecord]) -> None:
-        """Record other voters, at most one of them different."""
+    def write_voters(self, voters: dict[str, VoterRecord]) -> bool:
+        """Record other voters, at most one different; tell whether it is written."""
         record: CellRecord = {**self.record, "voters": voters}
         try:
             stored = self.env.platform.put(
@@ -96,9 +96,10 @@
             )
         except PlatformError as error:
             self._settle_voters(error)
-            return
+            return False
         self.version, self.record = stored.version, record
         self.follow_voters()
+        return True
 
     def follow_voters(self) -> None:
         """Run one renewal task for each voter."""
--- a/knapweedrock/nodes/votes.py
+++ b/knapweedrock/nodes/votes.py
@@ -24,15 +24,17 @@
         return
     voters = term.office.record["voters"]
     candidates = {
-        **list_kept(voters, term.roster),
+        **list_kept(voters, term.roster, env.settings.node_id),
         **list_candidates(env, term.roster),
     }
     change = choose_voter_change(voters, candidates, env.settings.node_id)
     if change is None or not env.coordinator.platform_ok:
         return
     try:
-        term.office.write_voters(change)
+        written = term.office.write_voters(change)
     except PlatformError:
+        written = False
+    if not written:
         env.counters.count("voter_writes_failed")
         return
     term.publish()
@@ -40,19 +42,17 @@
 
 
 def list_candidates(env: "Environment", roster: Roster) -> dict[str, VoterRecord]:
-    """List this node and the living members that stay and may become voters.
+    """List the living members that stay and may become voters.
 
     Candidates for office leave out the voters that were declared lost for as long as
     the configuration names them, so none of these may count for a coordinator.
     """
     lost = set(env.configuration.list_lost_voters(env.settings.cell))
-    settings = env.settings
     candidates: dict[str, VoterRecord] = {
         name: {"peer": entry.member["peer"], "zone": entry.member["zone"]}
         for name, entry in roster.entries.items()
         if entry.heard_ns and entry.member["state"] != "leaving"
     }
-    candidates[settings.node_id] = {"peer": str(settings.peer), "zone": settings.zone}
     return {
         name: voter
         for name, voter in candidates.items()
@@ -60,10 +60,13 @@
     }
 
 
-def list_kept(voters: dict[str, VoterRecord], roster: Roster) -> dict[str, VoterRecord]:
-    """List the voters that have been silent for a short time only."""
+def list_kept(
+    voters: dict[str, VoterRecord], roster: Roster, own: str
+) -> dict[str, VoterRecord]:
+    """List the coordinator `own`, and voters that were silent for a short time only."""
     return {
         name: voter
         for name, voter in voters.items()
-        if name not in roster.entries and roster.find_silence_ms(name) < VOTER_GONE_MS
+        if name == own
+        or (name not in roster.entries and roster.find_silence_ms(name) < VOTER_GONE_MS)
     }
