--- a/features/steps/choice.py
+++ b/features/steps/choice.py
@@ -241,7 +241,7 @@
 
 
 @then(
-    "the formerly slowed target got at least {share:d} % of the last {last:d} requests"
+    "the formerly slowed target got at least {share:d} % of the first {first:d} requests"
 )
 def check_return(context, share, first):
     """Check that the target is used again."""
