Let orders be in flight when owners are killed, so that the mesh proves the floor

Cause: with the floor of order ids taken out the mesh scenario still passed: with work of 2 ms no order was in flight at the kill. Before/after: with work of 40 ms and two kills it fails without the floor (an order ran 2 times) and passes with it.

--- a/features/delivery_mesh.feature
+++ b/features/delivery_mesh.feature
@@ -4,6 +4,7 @@
     When orders of 30 keys are sent again on every failure while by seed 41
       | fault                   |
       | a target crashes        |
+      | an owner is killed      |
       | an owner is paused      |
       | an owner is killed      |
       | answers are broken off  |
--- a/features/steps/delivery_mesh.py
+++ b/features/steps/delivery_mesh.py
@@ -16,6 +16,7 @@
 UNDIVIDED = "catalogue"
 FAULT_PAUSE_S = 1.2
 PAUSED_S = 2.5
+WORK_MS = 40.0
 BROKEN = ("reset_next", "truncate_next", "reset_before_next")
 
 
@@ -33,6 +34,8 @@
     print(f"seed {seed}")
     context.chance = random.Random(seed)
     callers = context.callers = create_callers(context, seed)
+    for name in context.mesh.vms:
+        context.mesh.change_target(name, work_ms=WORK_MS)
     ended = []
     senders = [
         gevent.spawn(insist, callers, f"k{number}", ended) for number in range(keys)
