Find a killed target sooner, and doubt none that answers; split the stand-in

Cause: the scenario of a killed target failed once under load: an announcement counted as overdue after 1.4 s, and 500 ms of refusal came on top. Ruled out: a shorter time of refusal, which a target that restarts in 300 ms would meet. Before/after: overdue after 1.15 s or as soon as an idle connection is closed; nothing is overdue while answers come, since a doubt holds the limit down.

--- a/knapweedrock/emulator/requests.py
+++ b/knapweedrock/emulator/requests.py
@@ -87,3 +87,10 @@
     if request.answer_bytes:
         value["padding"] = "x" * request.answer_bytes
     return create_answer("200 OK", value, [("Request-Id", request.request_id)])
+
+
+def encode_answer(answer: WorkAnswer) -> bytes:
+    """Encode an answer as it goes over the wire."""
+    lines = [f"HTTP/1.1 {answer.status}"]
+    lines += [f"{name}: {value}" for name, value in answer.headers]
+    return "\r\n".join([*lines, "", ""]).encode() + answer.body
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import socket
-import struct
 from typing import Any
 
 import gevent
@@ -17,67 +16,30 @@
 from knapweedrock.emulator.behaviour import Behaviour, BehaviourHolder
 from knapweedrock.emulator.capacity import Capacity
 from knapweedrock.emulator.fencing import Fence
+from knapweedrock.emulator.handler import (
+    SOCKET_KEY,
+    BrokenConnectionError,
+    TargetHandler,
+    reset_socket,
+)
 from knapweedrock.emulator.requests import (
     WorkAnswer,
     WorkRequest,
     create_answer,
     create_echo,
     create_refusal,
+    encode_answer,
     read_request,
 )
 from knapweedrock.emulator.worklog import Entry, WorkLog
 from knapweedrock.settings import TargetSettings
-from knapweedrock.sockets import NoDelayHandler, create_http_server
+from knapweedrock.sockets import create_http_server
 
 ANNOUNCE_INTERVAL_S = 1.0
 ANNOUNCE_TIMEOUT_S = 1.0
 COLLAPSE_CHECK_INTERVAL_S = 0.05
 LOAD_SAMPLE_INTERVAL_S = 0.1
 LOAD_SAMPLES = 600
-LINGER_RESET = struct.pack("ii", 1, 0)
-SOCKET_KEY = "knapweedrock.socket"
-
-
-class BrokenConnectionError(Exception):
-    """A connection that the behaviour breaks before its answer is whole."""
-
-
-class TargetHandler(NoDelayHandler):
-    """Connection of the stand-in: counted, slow to open, and open to faults."""
-
-    emulator: "TargetEmulator"
-
-    def handle(self) -> None:
-        """Serve one connection from its accept to its end."""
-        emulator = self.emulator
-        if not emulator.add_connection(self.socket):
-            reset_socket(self.socket)
-            return
-        try:
-            with emulator.accepting:
-                gevent.sleep(emulator.settings.connect_ms / 1000)
-            super().handle()
-        finally:
-            emulator.connections.pop(gevent.getcurrent(), None)
-
-    def handle_error(self, kind, value, trace) -> None:
-        """Close a connection that is to break without a word on it."""
-        if isinstance(value, BrokenConnectionError | gevent.GreenletExit):
-            self.close_connection = True
-            return
-        super().handle_error(kind, value, trace)
-
-    def get_environ(self) -> dict[str, Any]:
-        """Hand the socket to the application, which breaks it on command."""
-        environ = super().get_environ()
-        environ[SOCKET_KEY] = self.socket
-        return environ
-
-
-def reset_socket(sock: socket.socket) -> None:
-    """Make the close of a socket a reset."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
 
 class TargetEmulator:
@@ -362,13 +324,6 @@
                 self.crash()
 
 
-def encode_answer(answer: WorkAnswer) -> bytes:
-    """Encode an answer as it goes over the wire."""
-    lines = [f"HTTP/1.1 {answer.status}"]
-    lines += [f"{name}: {value}" for name, value in answer.headers]
-    return "\r\n".join([*lines, "", ""]).encode() + answer.body
-
-
 def send_quietly(sock: socket.socket, data: bytes) -> None:
     """Send bytes on a socket that may be closed."""
     with contextlib.suppress(OSError):
--- a/knapweedrock/targets/announcements.py
+++ b/knapweedrock/targets/announcements.py
@@ -13,7 +13,7 @@
     from knapweedrock.environment import Environment
 
 SILENT_AFTER_MS = 3000
-DOUBTED_AFTER_MS = 1400
+DOUBTED_AFTER_MS = 1150
 REFUSING_AFTER_MS = 500
 REPLACE_AFTER_MS = 2500
 MAX_SLOTS = 100_000
@@ -97,11 +97,11 @@
             return now_ns - self.refused_ns < REFUSING_AFTER_MS * NS_PER_MS
         return now_ns - self.heard_ns < SILENT_AFTER_MS * NS_PER_MS
 
-    def is_doubted(self) -> bool:
-        """Tell whether an announcement is overdue."""
+    def is_doubted(self, answered_ns: int) -> bool:
+        """Tell whether an announcement is overdue, and no answer came since either."""
         if self.announcement is None or self.refused_ns:
             return False
-        silent_ns = self.env.clock.now_ns() - self.heard_ns
+        silent_ns = self.env.clock.now_ns() - max(self.heard_ns, answered_ns)
         return DOUBTED_AFTER_MS * NS_PER_MS < silent_ns < SILENT_AFTER_MS * NS_PER_MS
 
     def note_refused(self) -> None:
--- a/knapweedrock/targets/attempts.py
+++ b/knapweedrock/targets/attempts.py
@@ -63,6 +63,7 @@
         self.admission = admission
         self.crashes = crashes
         self.sent: dict[str, Attempt] = {}
+        self.answered_ns = 0
 
     def run(self, work: Work) -> Answer:
         """Send a request whose slot is taken, and return its whole answer.
@@ -173,7 +174,8 @@
         else:
             self.pool.drop(connection)
         del self.sent[attempt.exchange.request_id]
-        served_ms = (self.env.clock.now_ns() - attempt.began_ns) / NS_PER_MS
+        self.answered_ns = self.env.clock.now_ns()
+        served_ms = (self.answered_ns - attempt.began_ns) / NS_PER_MS
         self.admission.release(served_ms)
 
     def _abandon(self, attempt: Attempt, error: BaseException) -> None:
--- a/knapweedrock/targets/connections.py
+++ b/knapweedrock/targets/connections.py
@@ -98,6 +98,10 @@
             self.drop(connection)
         return None
 
+    def has_lost_idle(self) -> bool:
+        """Tell whether the idle connection used last was closed by the target."""
+        return bool(self.idle) and not self.idle[-1].is_clean()
+
     def dial(self, timeout_ms: float = CONNECT_TIMEOUT_MS) -> Connection:
         """Open a connection; raises `TARGET_UNREACHABLE`, when nothing was sent."""
         if self.open_count >= self.highest and self.idle:
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -293,7 +293,9 @@
         """Follow the configuration and the target also while no request comes."""
         while True:
             gevent.sleep(WATCH_INTERVAL_S)
-            if self.target.is_doubted() and self.crashes.settled.is_set():
+            is_overdue = self.target.is_doubted(self.attempts.answered_ns)
+            is_doubted = is_overdue or self.pool.has_lost_idle()
+            if is_doubted and self.crashes.settled.is_set():
                 self.attempts.note_doubt()
             self.intake.refresh()
             self.grants.push_if_due()
