--- a/features/support/builders.py
+++ b/features/support/builders.py
@@ -11,6 +11,7 @@
     Zone,
     create_configuration,
 )
+from knapweedrock.load.samples import Sample
 from knapweedrock.operators.tickets import Ticket
 
 KOWHAI_ZONES = ("nz-north-1", "nz-north-2", "nz-north-3", "nz-north-4")
@@ -194,3 +195,12 @@
         answered,
         own_answer,
     )
+
+
+def create_sample(
+    intended_ns: int = 0, end_ns: int = 0, outcome: str = "done", key: str = "k1"
+) -> Sample:
+    """Create a sample of the load program."""
+    return Sample(
+        "read", key, "127.0.0.1:1", intended_ns, end_ns, 200, 0, outcome, False
+    )
