Let the target stand-in name the request that it gave up

Ruled out: a crossed answer (status 504 and code 0 each time, and the node of the call had sent no other); leaving 504 out of the check, which would loosen it. Now the 504 repeats path, key and request id and is checked like any other. Conclusion: the check stays as strict and sees more answers.

--- a/knapweedrock/emulator/requests.py
+++ b/knapweedrock/emulator/requests.py
@@ -73,6 +73,13 @@
     return create_answer(status, {"refused": reason}, [("Not-Run", "true")])
 
 
+def create_unfinished(request: WorkRequest) -> WorkAnswer:
+    """Create the answer to a request that was given up while it ran."""
+    value = {"unfinished": True, "path": request.path, "key": request.key}
+    headers = [("Request-Id", request.request_id)]
+    return create_answer("504 Gateway Timeout", value, headers)
+
+
 def create_echo(request: WorkRequest, incarnation: str) -> WorkAnswer:
     """Create the answer that repeats the identity of its request."""
     value = {
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -23,6 +23,7 @@
     create_answer,
     create_echo,
     create_refusal,
+    create_unfinished,
     read_request,
 )
 from knapweedrock.emulator.worklog import Entry, WorkLog
@@ -242,7 +243,7 @@
             self.log.fenced += 1
             return create_refusal("412 Precondition Failed", "fenced")
         if not self._run(request):
-            return create_answer("504 Gateway Timeout", {"unfinished": True})
+            return create_unfinished(request)
         answer = create_echo(request, self.capacity.incarnation)
         return self._spoil(answer, sock)
 
