Count inherited leases from the end of the old majority; bind records to a process

Cause: (1) a successor counted the predecessor's last lease from its own majority, so an election's length came on top of each takeover; the proof of 2 s failed once beside other load (2063 ms). Voters now say how long ago their promise had run out, and the majority's moment bounds the last lease. (2) Records handed over could be taken by a process started again at the receiver, which then kept the old floor of order ids. (3) Ranges moved for differences in load that chance explains; a move now needs three standard deviations beside the ratio.

--- a/knapweedrock/nodes/assignment.py
+++ b/knapweedrock/nodes/assignment.py
@@ -9,6 +9,7 @@
 SLACK_RANGES = 2
 LOAD_HYSTERESIS_RATIO = 1.25
 LOAD_MOVE_SHARE = 0.25
+LOAD_SPREADS = 3
 HOT_SHARE = 0.2
 
 
@@ -142,6 +143,12 @@
     return moves
 
 
+def exceeds_chance(load: float, mean: float) -> bool:
+    """Tell whether a load is above the mean by the ratio and by more than chance."""
+    spread = LOAD_SPREADS * mean**0.5
+    return load >= mean * LOAD_HYSTERESIS_RATIO and load - mean >= spread
+
+
 def plan_load(
     table: Table, owners: dict[str, Member], loads: dict[str, float], limit: int
 ) -> list[Move]:
@@ -156,7 +163,7 @@
     mean = sum(known.values()) / len(known)
     source = max(known, key=lambda name: known[name])
     receiver = min(known, key=lambda name: known[name])
-    if known[source] < mean * LOAD_HYSTERESIS_RATIO or owners[receiver]["cold"]:
+    if not exceeds_chance(known[source], mean) or owners[receiver]["cold"]:
         return []
     own = [
         entry["start"]
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -66,8 +66,8 @@
         """Take office: promises, then epochs into tables; tell whether it worked."""
         if not self.office.wait_held(TAKE_OFFICE_TIMEOUT_MS):
             return False
-        # Only now has the predecessor surely granted its last lease.
-        self.roster = Roster(self.env, dict(self.env.views.view["members"]))
+        members = dict(self.env.views.view["members"])
+        self.roster = Roster(self.env, members, self.office.free_since_ns())
         self.tables.load()
         if self.office.ended:
             return False
--- a/knapweedrock/nodes/membership.py
+++ b/knapweedrock/nodes/membership.py
@@ -8,7 +8,13 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS
-from knapweedrock.errors import KnapweedrockError, LinkError, PlatformError
+from knapweedrock.codes import Code
+from knapweedrock.errors import (
+    KnapweedrockError,
+    LinkError,
+    PlatformError,
+    RefusalError,
+)
 from knapweedrock.nodes.cell import read_cell
 from knapweedrock.nodes.links import Sender, handles
 from knapweedrock.nodes.messages import (
@@ -256,6 +262,8 @@
 @handles(Adopt)
 def adopt_orders(env: "Environment", _sender: Sender, adopt: Adopt) -> Done:
     """Take over the records of recent order ids."""
+    if adopt.incarnation != env.incarnation:
+        raise RefusalError(Code.NOT_OWNER, "the records are meant for another process")
     env.delivery.adopt(adopt.service, adopt.orders)
     return Done()
 
--- a/knapweedrock/nodes/messages.py
+++ b/knapweedrock/nodes/messages.py
@@ -148,10 +148,12 @@
     """A voter's promise, counted by the coordinator from when it asked.
 
     A `promise_ms` of 0 promises nothing; `epoch` is the highest one it promised.
+    `free_ms` is how long ago its last promise to another coordinator had run out.
     """
 
     epoch: int
     promise_ms: int
+    free_ms: int = 0
 
 
 @message(24)
@@ -238,8 +240,9 @@
 
 @message(33)
 class Adopt(NamedTuple):
-    """Records of recent order ids for ranges that the receiver is about to own."""
+    """Records of recent order ids for ranges that this process is about to own."""
 
     epoch: int
     service: str
+    incarnation: str
     orders: list[dict[str, Any]]
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -190,16 +190,15 @@
         if not moves:
             return False
         tables = self.term.tables
-        announced = announce_moves(
-            self._get_table(), moves, self.term.roster.list_incarnations()
-        )
+        incarnations = self.term.roster.list_incarnations()
+        announced = announce_moves(self._get_table(), moves, incarnations)
         tables.write(self.service, announced)
         names = {(self.service, move.start) for move in moves}
         self.term.moving |= names
         self.term.publish()
         done: list[Move] = []
         try:
-            done = self._release_all(moves)
+            done = self._release_all(moves, incarnations)
         finally:
             starts = {move.start for move in moves}
             now_ms = self.env.clock.wall_ms()
@@ -212,19 +211,23 @@
         tables.flush(self.service)
         return bool(done)
 
-    def _release_all(self, moves: list[Move]) -> list[Move]:
+    def _release_all(
+        self, moves: list[Move], incarnations: dict[str, str]
+    ) -> list[Move]:
         """Release ranges at their owners in parallel; return the moves done."""
         by_source: dict[str, list[Move]] = defaultdict(list)
         for move in moves:
             by_source[move.source].append(move)
         calls = [
-            gevent.spawn(self._hand_over, source, part)
+            gevent.spawn(self._hand_over, source, part, incarnations)
             for source, part in by_source.items()
         ]
         gevent.joinall(calls)
         return [move for call in calls for move in call.value or []]
 
-    def _hand_over(self, source: str, moves: list[Move]) -> list[Move]:
+    def _hand_over(
+        self, source: str, moves: list[Move], incarnations: dict[str, str]
+    ) -> list[Move]:
         """Release ranges at one owner and pass its records to the receivers."""
         order = self._create_release({move.start for move in moves})
         try:
@@ -236,7 +239,11 @@
             return []
         self.failed_releases.pop(source, None)
         receivers = {move.receiver for move in moves}
-        informed = {name for name in receivers if self._pass_records(name, released)}
+        informed = {
+            name
+            for name in receivers
+            if self._pass_records(name, incarnations.get(name, ""), released)
+        }
         return [move._replace(complete=move.receiver in informed) for move in moves]
 
     def _create_release(self, starts: set[int]) -> Release:
@@ -248,8 +255,11 @@
             RELEASE_TIMEOUT_MS,
         )
 
-    def _pass_records(self, receiver: str, released: Released) -> bool:
-        adopt = Adopt(self.term.office.epoch, self.service, released.orders)
+    def _pass_records(
+        self, receiver: str, incarnation: str, released: Released
+    ) -> bool:
+        epoch = self.term.office.epoch
+        adopt = Adopt(epoch, self.service, incarnation, released.orders)
         try:
             self.term.ask(receiver, adopt, ADOPT_TIMEOUT_MS)
         except KnapweedrockError:
--- a/knapweedrock/nodes/office.py
+++ b/knapweedrock/nodes/office.py
@@ -38,6 +38,7 @@
         self.version = stored.version
         self.record: CellRecord = stored.value
         self.promises: dict[str, int] = {}
+        self.freed: dict[str, int] = {}
         self.ended = False
         self.reason = ""
         self.tasks: dict[str, gevent.Greenlet] = {}
@@ -54,6 +55,14 @@
         until = sorted((self.promises.get(name, 0) for name in voters), reverse=True)
         return until[count_majority(voters) - 1]
 
+    def free_since_ns(self) -> int:
+        """Return when the predecessor had surely lost its majority.
+
+        That is when the promises to it of a majority of the voters had run out.
+        """
+        freed = sorted(self.freed[n] for n in self.record["voters"] if n in self.freed)
+        return freed[count_majority(self.record["voters"]) - 1]
+
     def holds(self) -> bool:
         """Tell whether the coordinator may act at this moment."""
         return not self.ended and self.env.clock.now_ns() < self.until_ns()
@@ -138,6 +147,8 @@
         if promise.promise_ms > 0:
             valid_ns = (promise.promise_ms - DRIFT_MS) * NS_PER_MS
             self.promises[name] = sent_ns + valid_ns
+            free_ns = self.env.clock.now_ns() - promise.free_ms * NS_PER_MS
+            self.freed.setdefault(name, free_ns)
 
     def _tell(self, name: str, voter: VoterRecord, note: Resign) -> None:
         if name == self.env.settings.node_id:
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -37,12 +37,19 @@
 class Roster:
     """Members of the cell during one office.
 
-    Leases that the predecessor granted may last until `inherited_until_ns`.
+    Leases that the predecessor granted, at the latest at `granted_ns` (now where it is
+    not known), may last until `inherited_until_ns`.
     """
 
-    def __init__(self, env: "Environment", members: dict[str, Member]) -> None:
+    def __init__(
+        self,
+        env: "Environment",
+        members: dict[str, Member],
+        granted_ns: int | None = None,
+    ) -> None:
         self.env = env
-        self.inherited_until_ns = env.clock.now_ns() + (LEASE_MS + DRIFT_MS) * NS_PER_MS
+        granted_ns = env.clock.now_ns() if granted_ns is None else granted_ns
+        self.inherited_until_ns = granted_ns + (LEASE_MS + DRIFT_MS) * NS_PER_MS
         self.entries = {
             name: Entry(member, self.inherited_until_ns)
             for name, member in members.items()
--- a/knapweedrock/nodes/voter.py
+++ b/knapweedrock/nodes/voter.py
@@ -22,8 +22,9 @@
         self.env = env
         self.epoch = 0
         self.coordinator = ""
-        self.until_ns = 0
         self.silent_until_ns = env.clock.now_ns() + (PROMISE_MS + DRIFT_MS) * NS_PER_MS
+        # A promise forgotten at a restart has run out by then.
+        self.until_ns = self.silent_until_ns
         env.dumps["voter"] = self
 
     def answer(self, ask: AskPromise) -> Promise:
@@ -33,15 +34,16 @@
             return Promise(self.epoch, 0)
         if ask.try_only:
             return Promise(self.epoch, PROMISE_MS)
+        free_ms = max(now - self.until_ns, 0) // NS_PER_MS
         self.epoch = ask.epoch
         self.coordinator = ask.coordinator
         self.until_ns = now + PROMISE_MS * NS_PER_MS
-        return Promise(ask.epoch, PROMISE_MS)
+        return Promise(ask.epoch, PROMISE_MS, free_ms)
 
     def free(self, resign: Resign) -> None:
         """Forget the promise to a coordinator that has stopped acting."""
         if (resign.epoch, resign.coordinator) == (self.epoch, self.coordinator):
-            self.until_ns = 0
+            self.until_ns = min(self.until_ns, self.env.clock.now_ns())
 
     def dump(self) -> dict[str, object]:
         """Return the promise in force."""
