--- a/knapweedrock/callers/copies.py
+++ b/knapweedrock/callers/copies.py
@@ -19,8 +19,8 @@
     """One attempt and, after a delay, its second copy; the first answer wins.
 
     The first attempt runs in the calling greenlet, so that a fast one costs no
-    more than a timer. `second` returns None where no copy may be sent; `merge` is
-    asked for the result when the first attempt ended without an answer.
+    more than a timer. `second` returns None where no copy may be sent; `combine`
+    is asked for the result when the first attempt ended without an answer.
     """
 
     def __init__(
--- a/knapweedrock/callers/spreading.py
+++ b/knapweedrock/callers/spreading.py
@@ -142,11 +142,6 @@
         return True
 
 
-def merge_failed(first: Routed, second: Routed) -> Routed:
-    """Return the second result, unless the first may have run and it did not."""
-    return settle(second, find_uncertain(first))
-
-
 def is_done(routed: Routed) -> bool:
     """Tell whether the target answered."""
     return routed.delivered.code == Code.DONE
