Tell a grown cell from one that still adds voters

A cut node stayed ready for 5 s because it was still the cell's only voter: right by the design, and the scenario's start was wrong.

--- a/features/mesh.feature
+++ b/features/mesh.feature
@@ -7,6 +7,12 @@
     And node "n2" starts at another address
     Then all nodes serve and every request is done
 
+  Scenario: A node is killed while the cell still adds voters
+    Given a mesh of 3 targets that is just ready
+    When node "n2" is killed and its keys are served again
+    And node "n2" starts at another address
+    Then all nodes serve and every request is done
+
   Scenario: A paused node comes back after its lease
     Given a running mesh of 3 targets
     When node "n3" is paused for 2 s
--- a/features/steps/mesh.py
+++ b/features/steps/mesh.py
@@ -18,6 +18,13 @@
 
 
 @given("a running mesh of {count:d} targets")
+def start_grown_mesh(context, count):
+    """Start a mesh and wait until each node is a voter."""
+    start_mesh(context, count)
+    context.mesh.wait_for_voters(count)
+
+
+@given("a mesh of {count:d} targets that is just ready")
 def start_mesh(context, count):
     """Start a mesh with a target in each availability zone."""
     context.mesh = create_mesh(context, create_layout({SERVICE: count}))
--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -347,6 +347,17 @@
         stored = self.fetch_object(f"cells/{self.cell}")
         return stored["value"].get("coordinator", "") if stored else ""
 
+    def wait_for_voters(self, count: int) -> None:
+        """Wait until the cell's record names this many voters."""
+        wait_for(
+            lambda: len(self.list_voters()) == count, READY_TIMEOUT_S, "voters", 0.1
+        )
+
+    def list_voters(self) -> list[str]:
+        """List the voters in the platform's record of the cell."""
+        stored = self.fetch_object(f"cells/{self.cell}")
+        return sorted(stored["value"].get("voters", {})) if stored else []
+
     def list_running(self) -> list[Vm]:
         """List the VMs whose node runs."""
         return [vm for vm in self.vms.values() if vm.node.is_running()]
