--- a/features/orders.feature
+++ b/features/orders.feature
@@ -41,7 +41,7 @@
 
   Scenario: Orders of a mesh are sent again while their owners are killed
     Given a mesh of 5 fenced targets in 3 zones
-    And each target takes 200 ms for a request
+    And each target takes 500 ms for a request
     And callers offer reads and orders on 24 keys for 8 s with seed 33
     When an owner is killed
     And the coordinator is killed
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -21,7 +21,7 @@
 GUARDS = Path(__file__).resolve().parent / "guards.toml"
 PARALLEL_PROCESSES = int(os.environ.get("TEST_PROCESSES", "2"))
 SCENARIO_TIMEOUT_S = 200
-QUOTE_CHARACTERS = 200
+QUOTE_CHARACTERS = 600
 ASSERTION_PATTERN = re.compile(r"^ *ASSERT FAILED:(.*)", re.MULTILINE)
 ERROR_PATTERN = re.compile(r"^([A-Za-z.]*(?:Error|Exception)\b.*)", re.MULTILINE)
 
