Release ranges only at the process that owned them

An owner was killed and started again at its address; a move of the former process's ranges began in the 40 ms between the lapse of its lease and its removal from the roster, the release reached the new process, and that handed over an empty record as if it were complete, so the receiver kept the old floor of order ids. Ruled out: the floor itself, and the takeover, which raises it. After: a release names the incarnation and any other process refuses it; moves start only from processes that were heard.

--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -105,7 +105,7 @@
         Probe(),
         Lease(3, 4, 1000, 5),
         AskPromise("c", 1, "n/1", True),
-        Release(1, 2, "s", [(0, 5), (HASH_SPACE - 1, HASH_SPACE)], 100),
+        Release(1, 2, "i", "s", [(0, 5), (HASH_SPACE - 1, HASH_SPACE)], 100),
         Heartbeat("c", "n", "i", 1, 2, 3, 4, True, None, [("s", 2**64 - 1, 0.5)]),
     ):
         frame = decode_frame(encode_frame(Frame(7, False, message)))
--- a/features/steps/succession.py
+++ b/features/steps/succession.py
@@ -13,7 +13,7 @@
 from knapweedrock.errors import RefusalError
 from knapweedrock.nodes.assignment import create_table
 from knapweedrock.nodes.cell import name_table
-from knapweedrock.nodes.leases import create_lease
+from knapweedrock.nodes.leases import create_lease, release_ranges
 from knapweedrock.nodes.messages import AskPromise, Heartbeat, Release
 from knapweedrock.nodes.office import Office
 from knapweedrock.nodes.roster import Process, Roster
@@ -263,7 +263,7 @@
 @when("the coordinator releases the range")
 def release_range(context):
     """Release all ranges under the next view, which has not come yet."""
-    order = Release(1, 2, SERVICE, [(0, HASH_SPACE)], 100)
+    order = Release(1, 2, context.env.incarnation, SERVICE, [(0, HASH_SPACE)], 100)
     context.lease.release(order)
 
 
@@ -303,3 +303,21 @@
     """Check the version in force."""
     held = context.env.configuration.version
     assert held == version, held
+
+
+@when("the coordinator releases the range at the process before it")
+def release_former(context):
+    """Send the release that was meant for a process that is gone."""
+    order = Release(1, 2, "former", SERVICE, [(0, HASH_SPACE)], 100)
+    context.env.lease = context.lease
+    try:
+        context.answer = release_ranges(context.env, None, order)
+    except RefusalError as error:
+        context.answer = error.code
+
+
+@then("the release is refused with NOT_OWNER and hands nothing over")
+def check_not_released(context):
+    """Check the refusal, and that the range is still served."""
+    assert context.answer == Code.NOT_OWNER, context.answer
+    assert context.lease.authorize(SERVICE, "key").token == 1
--- a/features/succession.feature
+++ b/features/succession.feature
@@ -39,3 +39,8 @@
     Given a node with version 5 of the configuration
     When it is given version 4
     Then version 5 stays in force
+
+  Scenario: A process does not release the ranges of the one before it
+    Given a node that owns a range
+    When the coordinator releases the range at the process before it
+    Then the release is refused with NOT_OWNER and hands nothing over
--- a/knapweedrock/nodes/leases.py
+++ b/knapweedrock/nodes/leases.py
@@ -136,6 +136,8 @@
     """Stop serving ranges, wait for what is in flight, and hand over the records."""
     if order.epoch < env.views.version.epoch:
         raise RefusalError(Code.NOT_OWNER, "the coordinator's epoch is over")
+    if order.incarnation != env.incarnation:
+        raise RefusalError(Code.NOT_OWNER, "another process owned the ranges")
     env.lease.release(order)
     records = env.delivery.release(order.service, order.spans, order.wait_ms)
     return Released(records)
--- a/knapweedrock/nodes/messages.py
+++ b/knapweedrock/nodes/messages.py
@@ -201,11 +201,13 @@
 
     `spans` holds `(start, end)` pairs, the end excluded. The node answers when
     nothing of them is in flight any more, or fails when that takes longer than
-    `wait_ms`. `(epoch, count)` is the first view with the mark.
+    `wait_ms`. `(epoch, count)` is the first view with the mark. Only the process of
+    that incarnation may answer: another one has no records to hand over.
     """
 
     epoch: int
     count: int
+    incarnation: str
     service: str
     spans: list[tuple[int, int]]
     wait_ms: int
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -133,7 +133,7 @@
             return self._is_free(process)
         if not self.term.roster.is_heard(process):
             return False
-        order = self._create_release({entry["start"]})
+        order = self._create_release({entry["start"]}, process.incarnation)
         try:
             self.term.ask(process.node_id, order, RELEASE_TIMEOUT_MS)
         except KnapweedrockError as error:
@@ -187,6 +187,12 @@
 
     def _move(self, moves: list[Move]) -> bool:
         """Announce moves, release the ranges at their owners, then grant them."""
+        sources = {
+            entry["start"]: Process(entry["owner"], entry["incarnation"])
+            for entry in self._get_table()["ranges"]
+        }
+        # A process that was started again under the owner's name owns nothing yet.
+        moves = [m for m in moves if self.term.roster.is_heard(sources[m.start])]
         if not moves:
             return False
         tables = self.term.tables
@@ -229,7 +235,8 @@
         self, source: str, moves: list[Move], incarnations: dict[str, str]
     ) -> list[Move]:
         """Release ranges at one owner and pass its records to the receivers."""
-        order = self._create_release({move.start for move in moves})
+        starts = {move.start for move in moves}
+        order = self._create_release(starts, incarnations.get(source, ""))
         try:
             released: Released = self.term.ask(
                 source, order, RELEASE_TIMEOUT_MS + ADOPT_TIMEOUT_MS
@@ -246,10 +253,11 @@
         }
         return [move._replace(complete=move.receiver in informed) for move in moves]
 
-    def _create_release(self, starts: set[int]) -> Release:
+    def _create_release(self, starts: set[int], incarnation: str) -> Release:
         return Release(
             self.term.office.epoch,
             self.term.count,
+            incarnation,
             self.service,
             self._find_spans(starts),
             RELEASE_TIMEOUT_MS,
