Share out lost ranges by the same count that balance uses

Ruled out: load moves, which need more than chance since the last change. After: takeover and balance count alike, hot ranges come last; assignments, recovery, mesh and thin_path 13 passed, 0 failed.

--- a/knapweedrock/nodes/assignment.py
+++ b/knapweedrock/nodes/assignment.py
@@ -98,17 +98,16 @@
     """
     if not owners or not starts:
         return []
-    limits = plan_limits(len(table["ranges"]), owners)
     counts = count_ranges(table)
+    limits = plan_limits(sum(counts.values()), owners)
+    room = {name: limits[name] - counts.get(name, 0) for name in owners}
     moves = []
-    for entry in table["ranges"]:
+    # Hot ranges come last, since they count for no share.
+    for entry in sorted(table["ranges"], key=lambda entry: entry.get("hot", False)):
         if entry["start"] not in starts:
             continue
-        receiver = max(
-            owners,
-            key=lambda name: (limits[name] - counts.get(name, 0), name),
-        )
-        counts[receiver] = counts.get(receiver, 0) + 1
+        receiver = max(owners, key=lambda name: (room[name], name))
+        room[receiver] -= 1
         first = not entry["owner"] and entry["token"] == 0
         moves.append(Move(entry["start"], entry["owner"], receiver, first))
     return moves
