End links by shutdown and let their readers close the socket

Cause: the event loop aborted the process (exit 134) three times while nodes of the demo were stopped: a socket was closed while another task watched its descriptor. Ruled out: the demo's own order of stopping, which only made it rarer.

--- a/knapweedrock/nodes/links.py
+++ b/knapweedrock/nodes/links.py
@@ -4,9 +4,11 @@
 on the same link. A frame is `[number, is_answer, kind, fields]`.
 """
 
+import contextlib
 import hmac
 import itertools
 import random
+import socket
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
 
@@ -219,13 +221,13 @@
 
 
 def close_quickly(connection) -> None:
-    """Close a connection without waiting for the other end."""
-    try:
-        connection.socket.shutdown(2)
-    except OSError:
-        return
-    finally:
-        connection.socket.close()
+    """End a connection without waiting for the other end.
+
+    Its reader wakes up and closes the socket: closed here, the event loop would still
+    watch its descriptor and abort the process.
+    """
+    with contextlib.suppress(OSError):
+        connection.socket.shutdown(socket.SHUT_RDWR)
 
 
 class Dial(NamedTuple):
@@ -245,6 +247,7 @@
         self.locks: dict[tuple[str, str], RLock] = {}
         self.accepted: set[Any] = set()
         self.server = None
+        self.accepting: gevent.Greenlet | None = None
         env.dumps["links"] = self
 
     def start(self) -> None:
@@ -260,11 +263,12 @@
             ping_interval=None,
             close_timeout=1,
         )
-        gevent.spawn(self.server.serve_forever)
+        self.accepting = gevent.spawn(self.server.serve_forever)
 
     def stop(self) -> None:
         """Close the listener and all links."""
         if self.server is not None:
+            self.accepting.kill()
             self.server.socket.close()
         for connection in list(self.accepted):
             close_quickly(connection)
