Keep the headers that no caller passes in one place; drop a check that was never true

Cause: the read-through found the same 17 names in callers/requests and targets/exchange (the latter with host besides), and fetch_newer comparing the view's version with itself. Ruled out: HOP_HEADERS of delivery, which is another set on purpose.

--- a/knapweedrock/callers/answers.py
+++ b/knapweedrock/callers/answers.py
@@ -6,8 +6,8 @@
 from http.client import responses
 from typing import NamedTuple
 
-from knapweedrock.callers.requests import DROPPED_HEADERS
 from knapweedrock.codes import INFO, Code, Outcome
+from knapweedrock.headers import DROPPED_HEADERS
 from knapweedrock.nodes.messages import Delivered
 
 DEFAULT_RETRY_AFTER_MS = 250
--- a/knapweedrock/callers/requests.py
+++ b/knapweedrock/callers/requests.py
@@ -11,32 +11,11 @@
 from knapweedrock.clock import Clock
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
+from knapweedrock.headers import DROPPED_HEADERS
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
 
-# Headers that end at this connection, and those that only a node may set.
-DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "fencing-token",
-        "idempotency-key",
-        "keep-alive",
-        "lease-until",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "request-deadline-ms",
-        "request-id",
-        "service-key",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 ORDER_ID = re.compile(
     r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
--- a/knapweedrock/nodes/membership.py
+++ b/knapweedrock/nodes/membership.py
@@ -111,10 +111,8 @@
         """Stand for office without waiting for the coordinator to fall silent."""
         self.last_lease_ns = 0
 
-    def fetch_newer(self, version: ViewVersion) -> None:
-        """Fetch a view from the coordinator, if it has one above the version."""
-        if self.env.views.version > version or self.coordinator is None:
-            return
+    def fetch_newer(self) -> None:
+        """Fetch a view from the coordinator, if it has a newer one."""
         answer = self._ask(FetchView(*self.env.views.version), FETCH_TIMEOUT_MS)
         if answer.view is not None:
             self.env.views.replace(answer.view)
@@ -175,7 +173,7 @@
     def _take_lease(self, answer: Lease, sent_ns: int) -> None:
         version = ViewVersion(answer.epoch, answer.count)
         if version > self.env.views.version:
-            self.fetch_newer(self.env.views.version)
+            self.fetch_newer()
         if not self._keeps_up(answer.config_version):
             return
         if answer.lease_ms <= 0 or self.env.views.version < version:
--- a/knapweedrock/targets/exchange.py
+++ b/knapweedrock/targets/exchange.py
@@ -7,6 +7,7 @@
 from knapweedrock.clock import NS_PER_S
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
+from knapweedrock.headers import DROPPED_HEADERS
 from knapweedrock.targets.connections import Connection
 from knapweedrock.targets.parser import Answer, AnswerParser, MalformedAnswerError
 
@@ -20,28 +21,7 @@
 REQUEST_LINE = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+ /[^\x00-\x20\x7f]*")
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 FIELD_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
-OWN_HEADERS = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "fencing-token",
-        "host",
-        "idempotency-key",
-        "keep-alive",
-        "lease-until",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "request-deadline-ms",
-        "request-id",
-        "service-key",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
+OWN_HEADERS = DROPPED_HEADERS | {"host"}
 
 
 class BrokenExchangeError(KnapweedrockError):
