Name each failed scenario again right before the verdict

Ruled out: printing less of a failed feature, whose logs are needed. Before: the failures stood only where they happened. After: a line each, with its reason, stands above the closing line; shown by a run with one step broken on purpose (23 passed, 1 failed, named) and one without (24 passed, 0 failed).

--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -16,6 +16,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARALLEL_PROCESSES = int(os.environ.get("TEST_PROCESSES", "3"))
 FEATURE_TIMEOUT_S = 400
+REASONS = ("ASSERT FAILED:", "Traceback", "timed out")
 
 
 class Result(NamedTuple):
@@ -67,6 +68,12 @@
     ]
 
 
+def find_reason(text: str) -> str:
+    """Find the first line that says why a feature failed."""
+    lines = (line.strip() for line in text.splitlines())
+    return next((line for line in lines if line.startswith(REASONS)), "see above")
+
+
 def main() -> int:
     """Run all features and print the verdict."""
     names = sys.argv[1:]
@@ -74,7 +81,8 @@
     if names:
         paths = [path for path in paths if path.stem in names]
     known_red = read_known_red()
-    passed = failed = red = 0
+    passed = red = 0
+    failures: list[Result] = []
     with ThreadPoolExecutor(PARALLEL_PROCESSES) as pool:
         for results in pool.map(run_feature, paths):
             for result in results:
@@ -86,13 +94,15 @@
                     red += 1
                     print(f"KNOWN RED  {label}", flush=True)
                 else:
-                    failed += 1
+                    failures.append(result)
                     print(f"FAILED  {label}\n{result.text}", flush=True)
     if red:
         print((ROOT / "KNOWN-RED.txt").read_text())
         print(f"{red} known red, not counted below")
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed or not passed else 0
+    for result in failures:
+        print(f"FAILED  {result.feature}: {result.name}: {find_reason(result.text)}")
+    print(f"{passed} passed, {len(failures)} failed")
+    return 1 if failures or not passed else 0
 
 
 if __name__ == "__main__":
