Send views and configurations as differences

Cause: every change of a view was sent whole to each member (29 kB in a full cell, 32 times), and every ticket as the whole configuration to each node, which at the size to design for broke the budget of 14 kB/s. Ruled out: messages for each kind of change, and differences from the last version sent (a push and a fetch cross); see docs/design/differences.md.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,9 +11,16 @@
 
 from bench.registry import Plan, experiment
 from bench.tables import REPORTS, Table
-from knapweedrock.configuration import create_configuration
-from knapweedrock.nodes.assignment import RANGES_PER_TABLE, create_table
-from knapweedrock.nodes.view import Member, create_view
+from knapweedrock.configuration import Configuration, create_configuration
+from knapweedrock.differences import compare_maps
+from knapweedrock.nodes.assignment import (
+    RANGES_PER_TABLE,
+    Move,
+    apply_moves,
+    create_table,
+)
+from knapweedrock.nodes.view import Member, View, create_view
+from knapweedrock.operators.reviews import MAX_RECENT_TICKETS
 
 NODES = 2200
 CELL_NODES = 32
@@ -23,6 +30,10 @@
 RACK_NODES = 20
 ZONES = 4
 DAY_S = 86_400
+SERVICE = "depot-orders"
+FULL_SERVICES = 3000
+MOVED_RANGES = 16
+DIGEST_CHARACTERS = 64
 
 CPU_BUDGET_PERCENT = 2.1
 MEMORY_BUDGET_MIB = 128
@@ -141,43 +152,74 @@
 
 
 def list_distribution() -> list[Line]:
-    """List the bytes of views and configurations that travel whole."""
-    view_bytes = len(cbor2.dumps(create_full_view()))
-    per_service = len(cbor2.dumps(create_full_configuration(1)))
-    empty = len(cbor2.dumps(create_configuration()))
+    """List the bytes of views and configurations, whole and as differences."""
+    view = create_full_view()
+    configuration = create_full_configuration(FULL_SERVICES)
+    moved = measure_bytes(compare_maps(view, move_ranges(view)))
+    ticket = measure_bytes(compare_maps(configuration, apply_ticket(configuration)))
+    publishing = moved * CELL_NODES
     changes = CHANGES_PER_DAY / DAY_S
-    largest = BYTES_BUDGET_PER_S / changes
     return [
-        Line("view", "bytes, one keyed service", float(view_bytes), 0),
+        Line("view", "bytes whole, one keyed service", measure_bytes(view), 0),
+        Line("view", f"bytes of a move of {MOVED_RANGES} ranges", moved, 0),
+        Line("coordinator", "bytes to publish that move to its cell", publishing, 0),
         Line(
             "coordinator",
-            "bytes to publish one view to its cell",
-            float(view_bytes * CELL_NODES),
+            "such moves/s that the byte budget bears",
+            BYTES_BUDGET_PER_S / publishing,
             0,
         ),
         Line(
-            "coordinator",
-            "views/s that the byte budget bears",
-            BYTES_BUDGET_PER_S / (view_bytes * CELL_NODES),
+            "configuration",
+            f"bytes whole, {FULL_SERVICES} services with a rule each",
+            measure_bytes(configuration),
             0,
         ),
-        Line("configuration", "bytes a service and rule", per_service - empty, 0),
+        Line("configuration", "bytes of a ticket for one service", ticket, 0),
+        Line("member", "bytes/s by tickets", ticket * changes, BYTES_BUDGET_PER_S),
         Line(
-            "member",
-            "largest configuration in bytes that the byte budget bears",
-            largest,
-            0,
+            "coordinator",
+            "bytes/s by tickets to its cell",
+            ticket * changes * CELL_NODES,
+            BYTES_BUDGET_PER_S,
         ),
         Line(
-            "member",
-            "bytes/s for changes of a configuration of 900 kB",
-            900_000 * changes,
+            "coordinator, standby",
+            "bytes/s by tickets from the platform, whole values",
+            measure_bytes(configuration) * changes,
             BYTES_BUDGET_PER_S,
         ),
     ]
 
 
-def create_full_view():
+def measure_bytes(value: Any) -> float:
+    """Measure a value on the wire."""
+    return float(len(cbor2.dumps(value)))
+
+
+def move_ranges(view: View) -> View:
+    """Return the view after a move of some ranges, spread over the table."""
+    table = view["tables"][SERVICE]
+    spread = table["ranges"][:: RANGES_PER_TABLE // MOVED_RANGES]
+    moves = [Move(r["start"], r["owner"], "node-0000", True) for r in spread]
+    moved = apply_moves(table, moves, {"node-0000": "0123456789ab"}, 1)
+    return {**view, "count": view["count"] + 1, "tables": {SERVICE: moved}}
+
+
+def apply_ticket(value: Configuration) -> Configuration:
+    """Return the configuration after a ticket with the new state of one service."""
+    name = next(iter(value["services"]))
+    service = {**value["services"][name], "longest_request_ms": 3000}
+    record = {"number": 200_001, "digest": "0" * DIGEST_CHARACTERS}
+    return {
+        **value,
+        "services": {**value["services"], name: service},
+        "touched": {**value["touched"], f"services/{name}": 200_001},
+        "recent": [*value["recent"][1:], record],
+    }
+
+
+def create_full_view() -> View:
     """Create a view of a full cell with one keyed service."""
     view = create_view("cell-01")
     for index in range(CELL_NODES):
@@ -190,25 +232,25 @@
             "caller": "10.100.100.100:7001",
             "operator": "10.100.100.100:7004",
             "state": "serving",
-            "service": "depot-orders",
+            "service": SERVICE,
             "slots": 20,
             "connections": 130,
             "fenced": True,
             "cold": False,
         }
         view["members"][name] = member
-    table = create_table("depot-orders", "cell-01", 7)
+    table = create_table(SERVICE, "cell-01", 7)
     for index, entry in enumerate(table["ranges"]):
         entry["owner"] = f"node-{index % CELL_NODES:04d}"
         entry["incarnation"] = "0123456789ab"
         entry["token"] = 100_000 + index
         entry["since_ms"] = 1_800_000_000_000
     assert len(table["ranges"]) == RANGES_PER_TABLE
-    view["tables"]["depot-orders"] = table
+    view["tables"][SERVICE] = table
     return view
 
 
-def create_full_configuration(services: int):
+def create_full_configuration(services: int) -> Configuration:
     """Create a configuration of this many services with a rule each."""
     value = create_configuration()
     for index in range(services):
@@ -226,6 +268,10 @@
         }
         value["touched"][f"services/{name}"] = 100_000 + index
         value["touched"][f"rules/{name}"] = 100_000 + index
+    value["recent"] = [
+        {"number": 100_000 + index, "digest": f"{index:064x}"}
+        for index in range(MAX_RECENT_TICKETS)
+    ]
     return value
 
 
--- a/knapweedrock/configuration.py
+++ b/knapweedrock/configuration.py
@@ -2,6 +2,10 @@
 
 from typing import Literal, NotRequired, TypedDict
 
+from knapweedrock.differences import Change, History
+
+KEPT_CONFIGURATIONS = 8
+
 
 class Service(TypedDict):
     """A service: how its requests are divided and bounded.
@@ -97,6 +101,7 @@
     def __init__(self) -> None:
         self.version = 0
         self.value = create_configuration()
+        self.history: History[int] = History(KEPT_CONFIGURATIONS)
 
     def replace(self, version: int, value: Configuration) -> bool:
         """Take a higher version; tell whether it was taken."""
@@ -104,8 +109,13 @@
             return False
         self.version = version
         self.value = value
+        self.history.add(version, value)
         return True
 
+    def find_change(self, base: int) -> Change:
+        """Find how the configuration differs from a version that a peer holds."""
+        return self.history.find_change(base, self.value)
+
     def list_lost_voters(self, cell: str) -> list[str]:
         """List the voters of a cell that operators declared lost, `NODE@IP:PORT`."""
         found = self.value["cells"].get(cell)
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -113,9 +113,8 @@
     def publish_to(self, node_ids: set[str]) -> None:
         """Publish the view and push it to some members."""
         self.publish()
-        note = Assign(self.env.views.view)
         for node_id in node_ids:
-            gevent.spawn(self._push, node_id, note)
+            gevent.spawn(self._push, node_id)
 
     def ask(self, node_id: str, message: Any, timeout_ms: float) -> Any:
         """Send a request to a member, which may be this node."""
@@ -181,13 +180,19 @@
         except KnapweedrockError:
             self.env.counters.count("config_fetches_failed")
 
-    def _push(self, node_id: str, note: Assign) -> None:
-        if node_id == self.env.settings.node_id:
+    def _push(self, node_id: str) -> None:
+        """Push the newest view to a member, as a difference from what it holds."""
+        entry = self.roster.entries.get(node_id)
+        if entry is None or node_id == self.env.settings.node_id:
             return
+        version = self.env.views.version
+        note = Assign(*self.env.views.find_change(entry.view_version))
         try:
             self.ask(node_id, note, PUSH_TIMEOUT_MS)
         except KnapweedrockError:
             self.env.counters.count("view_pushes_failed")
+            return
+        entry.note_view(version)
 
     def _list_keyed_services(self) -> list[str]:
         services = self.env.configuration.value["services"]
--- a/knapweedrock/nodes/membership.py
+++ b/knapweedrock/nodes/membership.py
@@ -20,7 +20,6 @@
 from knapweedrock.nodes.messages import (
     Adopt,
     Assign,
-    ConfigAnswer,
     Done,
     FetchConfig,
     FetchView,
@@ -29,6 +28,7 @@
     ViewAnswer,
 )
 from knapweedrock.nodes.timing import HEARTBEAT_MS, HEARTBEAT_TIMEOUT_MS
+from knapweedrock.nodes.versions import NO_VIEW, take_configuration, take_view
 from knapweedrock.nodes.view import Member, ViewVersion
 
 if TYPE_CHECKING:
@@ -114,27 +114,34 @@
     def fetch_newer(self) -> None:
         """Fetch a view from the coordinator, if it has a newer one."""
         answer = self._ask(FetchView(*self.env.views.version), FETCH_TIMEOUT_MS)
-        if answer.view is not None:
-            self.env.views.replace(answer.view)
-            self._follow_view()
+        if not self._take_view(answer):
+            self._take_view(self._ask(FetchView(*NO_VIEW), FETCH_TIMEOUT_MS))
+
+    def accept_view(self, note: Assign | ViewAnswer) -> None:
+        """Take a newer view, and beat at once if the coordinator is new.
 
-    def accept_view(self, view: dict) -> None:
-        """Take a view that was pushed, and beat at once if the coordinator is new."""
+        A view that is not to be had from the difference is fetched after the beat.
+        """
         before = self.coordinator
-        if not self.env.views.replace(view):
-            return
-        self._follow_view()
-        if self.coordinator != before:
+        if not self._take_view(note) or self.coordinator != before:
             self.wake.set()
 
+    def _take_view(self, note: Assign | ViewAnswer) -> bool:
+        """Take a newer view and its coordinator; tell whether the note was of use."""
+        before = self.env.views.version
+        fitted = take_view(self.env, note)
+        if self.env.views.version > before:
+            self._follow_view()
+        return fitted
+
     def fetch_configuration(self, peer: Peer) -> None:
         """Fetch a newer configuration from a peer."""
-        request = FetchConfig(self.env.configuration.version)
-        answer = self.env.links.request(
-            peer.address, peer.node_id, request, FETCH_TIMEOUT_MS
-        )
-        if answer.value is not None:
-            self.env.configuration.replace(answer.version, answer.value)
+        for version in (self.env.configuration.version, 0):
+            answer = self.env.links.request(
+                peer.address, peer.node_id, FetchConfig(version), FETCH_TIMEOUT_MS
+            )
+            if take_configuration(self.env, answer):
+                return
 
     def dump(self) -> dict[str, object]:
         """Return who the coordinator is and when it last answered."""
@@ -246,14 +253,13 @@
             )
         except LinkError:
             return
-        if answer.view is not None:
-            self.accept_view(answer.view)
+        self.accept_view(answer)
 
 
 @handles(Assign)
 def accept_assignment(env: "Environment", _sender: Sender, assign: Assign) -> Done:
     """Take a view that the coordinator pushed."""
-    env.membership.accept_view(assign.view)
+    env.membership.accept_view(assign)
     return Done()
 
 
@@ -266,25 +272,6 @@
     return Done()
 
 
-@handles(FetchView)
-def send_view(env: "Environment", _sender: Sender, fetch: FetchView) -> ViewAnswer:
-    """Send the view if it is newer than the one held."""
-    if env.views.version <= ViewVersion(fetch.epoch, fetch.count):
-        return ViewAnswer(None)
-    return ViewAnswer(env.views.view)
-
-
-@handles(FetchConfig)
-def send_configuration(
-    env: "Environment", _sender: Sender, fetch: FetchConfig
-) -> ConfigAnswer:
-    """Send the configuration if it is newer than the one held."""
-    held = env.configuration
-    if held.version <= fetch.version:
-        return ConfigAnswer(held.version, None)
-    return ConfigAnswer(held.version, held.value)
-
-
 def create_membership(env: "Environment") -> Membership:
     """Create the membership of a node that knows no coordinator yet."""
     return Membership(env)
--- a/knapweedrock/nodes/messages.py
+++ b/knapweedrock/nodes/messages.py
@@ -175,8 +175,13 @@
 
 @message(26)
 class ViewAnswer(NamedTuple):
-    """A view, or none where there is no newer one."""
+    """A newer view: whole, or a difference from the version `(epoch, count)`.
 
+    Both are None where there is no newer one.
+    """
+
+    base: tuple[int, int]
+    difference: dict[str, Any] | None
     view: dict[str, Any] | None
 
 
@@ -189,9 +194,14 @@
 
 @message(28)
 class ConfigAnswer(NamedTuple):
-    """A configuration and its version, or none where there is no newer one."""
+    """A newer configuration: whole, or a difference from the version `base`.
+
+    Both are None where there is no newer one than `version`.
+    """
 
     version: int
+    base: int
+    difference: dict[str, Any] | None
     value: dict[str, Any] | None
 
 
@@ -222,9 +232,11 @@
 
 @message(31)
 class Assign(NamedTuple):
-    """Coordinator's push of a newer view."""
+    """Coordinator's push of a newer view, whole or as a difference."""
 
-    view: dict[str, Any]
+    base: tuple[int, int]
+    difference: dict[str, Any] | None
+    view: dict[str, Any] | None
 
 
 @message(32)
--- a/knapweedrock/nodes/roster.py
+++ b/knapweedrock/nodes/roster.py
@@ -5,7 +5,7 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.nodes.messages import Heartbeat
 from knapweedrock.nodes.timing import DRIFT_MS, LEASE_MS
-from knapweedrock.nodes.view import Member
+from knapweedrock.nodes.view import Member, ViewVersion
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
@@ -32,6 +32,11 @@
         self.hot: list[tuple[str, int, float]] = []
         self.platform_ok = True
         self.suspended = False
+        self.view_version = ViewVersion(0, 0)
+
+    def note_view(self, version: ViewVersion) -> None:
+        """Note that the member holds this view or a newer one."""
+        self.view_version = max(self.view_version, version)
 
 
 class Roster:
@@ -72,6 +77,7 @@
         entry.config_version = heartbeat.config_version
         entry.load = heartbeat.load
         entry.hot = heartbeat.hot
+        entry.note_view(ViewVersion(heartbeat.epoch, heartbeat.count))
         entry.platform_ok = heartbeat.platform_ok
         return changed
 
--- a/knapweedrock/nodes/view.py
+++ b/knapweedrock/nodes/view.py
@@ -6,7 +6,10 @@
 import xxhash
 from gevent.event import Event
 
+from knapweedrock.differences import Change, History
+
 HASH_SPACE = 1 << 64
+KEPT_VIEWS = 16
 
 
 class Member(TypedDict):
@@ -113,6 +116,7 @@
         self.view = create_view(cell)
         self.version = ViewVersion(0, 0)
         self.changed = Event()
+        self.history: History[ViewVersion] = History(KEPT_VIEWS)
         self._starts: dict[str, list[int]] = {}
 
     def replace(self, view: View) -> bool:
@@ -122,6 +126,7 @@
             return False
         self.view = view
         self.version = version
+        self.history.add(version, view)
         self._starts = {
             name: [r["start"] for r in table["ranges"]]
             for name, table in view["tables"].items()
@@ -130,6 +135,10 @@
         changed.set()
         return True
 
+    def find_change(self, base: ViewVersion) -> Change:
+        """Find how the newest view differs from a version that a peer holds."""
+        return self.history.find_change(base, self.view)
+
     def wait_newer(self, version: ViewVersion, timeout_ms: float) -> bool:
         """Wait for a view newer than the version; tell whether there is one."""
         if self.version > version:
