Split keys off only at overloaded owners, and merge them once they are cool

Cause: a key was split off at a share of 0.2 of its own node's requests, however few. With 24 keys on 6 nodes most nodes have such a key. Nothing ever merged the pieces. Balance by count also moved back at once what had left an owner for load, and this went on for as long as the load was uneven.

Change: a key is split off only where its owner is overloaded (by ratio, by more than chance, and by two requests a second and slot); pieces count for no share; a member that has its share of the load gets no ranges for its count. A key that was not hot for 30 s is merged again, after a planned move that drains both pieces and gives them one token. Before, nothing was merged at a higher token: requests under the lower one could have been in flight.

Tried and dropped: capping what balance gives by the missing load; reports near the mean let it move back 10 of 10 ranges.

--- a/knapweedrock/nodes/assignment.py
+++ b/knapweedrock/nodes/assignment.py
@@ -5,12 +5,13 @@
 from knapweedrock.nodes.view import HASH_SPACE, Member, NextOwner, Range, Table
 
 RANGES_PER_TABLE = 256
+RANGE_WIDTH = HASH_SPACE // RANGES_PER_TABLE
 COLD_SHARE = 0.25
 SLACK_RANGES = 2
 LOAD_HYSTERESIS_RATIO = 1.25
 LOAD_MOVE_SHARE = 0.25
 LOAD_SPREADS = 3
-HOT_SHARE = 0.2
+LEAST_LOAD_PER_SLOT_S = 2
 
 
 class Move(NamedTuple):
@@ -28,10 +29,9 @@
 
 def create_table(service: str, cell: str, epoch: int) -> Table:
     """Create a table of equal ranges that nobody owns."""
-    width = HASH_SPACE // RANGES_PER_TABLE
     ranges: list[Range] = [
         {
-            "start": index * width,
+            "start": index * RANGE_WIDTH,
             "owner": "",
             "incarnation": "",
             "token": 0,
@@ -65,17 +65,32 @@
 
 
 def count_ranges(table: Table) -> dict[str, int]:
-    """Count the ranges of each owner, hot ranges of one key left out."""
+    """Count the ranges of each owner; what splits have cut off counts for nothing."""
     counts: dict[str, int] = {}
     for entry in table["ranges"]:
-        if not entry.get("hot"):
+        if not is_piece(entry):
             counts[entry["owner"]] = counts.get(entry["owner"], 0) + 1
     return counts
 
 
+def is_piece(entry: Range) -> bool:
+    """Tell whether a split has cut the range off from the one before it."""
+    return entry["start"] % RANGE_WIDTH != 0
+
+
+def find_whole_start(entry: Range) -> int:
+    """Find the start of the range that an entry was part of before any split."""
+    return entry["start"] - entry["start"] % RANGE_WIDTH
+
+
+def map_homes(table: Table) -> dict[int, str]:
+    """Map the start of each range that is no piece to its owner."""
+    return {e["start"]: e["owner"] for e in table["ranges"] if not is_piece(e)}
+
+
 def is_fixed(entry: Range) -> bool:
-    """Tell whether a range is not to be moved for balance: hot, or on the move."""
-    return "next" in entry or bool(entry.get("hot"))
+    """Tell whether a range is not to be moved for balance."""
+    return "next" in entry or bool(entry.get("hot")) or is_piece(entry)
 
 
 def plan_shares(total: int, weights: dict[str, float]) -> dict[str, int]:
@@ -101,22 +116,30 @@
     counts = count_ranges(table)
     limits = plan_limits(sum(counts.values()), owners)
     room = {name: limits[name] - counts.get(name, 0) for name in owners}
+    homes = map_homes(table)
     moves = []
-    # Hot ranges come last, since they count for no share.
-    for entry in sorted(table["ranges"], key=lambda entry: entry.get("hot", False)):
+    # Pieces come last: they count for no share and follow the range they were part of.
+    for entry in sorted(table["ranges"], key=is_piece):
         if entry["start"] not in starts:
             continue
         receiver = max(owners, key=lambda name: (room[name], name))
+        home = homes[find_whole_start(entry)]
+        if is_piece(entry) and not entry.get("hot") and home in owners:
+            receiver = home
+        homes[entry["start"]] = receiver
         room[receiver] -= 1
         first = not entry["owner"] and entry["token"] == 0
         moves.append(Move(entry["start"], entry["owner"], receiver, first))
     return moves
 
 
-def plan_balance(table: Table, owners: dict[str, Member], limit: int) -> list[Move]:
+def plan_balance(
+    table: Table, owners: dict[str, Member], loads: dict[str, float], limit: int
+) -> list[Move]:
     """Move ranges from members above their share to those below, `limit` at most.
 
-    Counts within a slack of the share stay as they are.
+    Counts within a slack of the share stay as they are, and a member that has its
+    share of the load is given none, so that ranges moved for load are not moved back.
     """
     if len(owners) < 2:
         return []
@@ -125,11 +148,12 @@
     warm: dict[str, Member] = {n: {**m, "cold": False} for n, m in owners.items()}
     shares, limits = plan_limits(total, warm), plan_limits(total, owners)
     surplus = {name: counts.get(name, 0) - shares[name] for name in owners}
-    room = {name: limits[name] - counts.get(name, 0) for name in owners}
+    loaded = find_loaded(owners, loads, shares)
+    room = {n: limits[n] - counts.get(n, 0) for n in owners if n not in loaded}
     moves: list[Move] = []
     for entry in table["ranges"]:
         owner = entry["owner"]
-        if len(moves) >= limit:
+        if len(moves) >= limit or not room:
             break
         if is_fixed(entry) or surplus.get(owner, 0) <= 0:
             continue
@@ -142,6 +166,25 @@
     return moves
 
 
+def find_loaded(
+    owners: dict[str, Member], loads: dict[str, float], shares: dict[str, int]
+) -> set[str]:
+    """Find the members whose load is not clearly below their share, nor trifling."""
+    whole = sum(loads.values()) / max(sum(shares.values()), 1)
+    return {
+        name
+        for name, load in loads.items()
+        if load >= owners[name]["slots"] * LEAST_LOAD_PER_SLOT_S
+        and not exceeds_chance(whole * shares[name], load)
+    }
+
+
+def is_overloaded(member: Member, load: float, mean: float) -> bool:
+    """Tell whether a load is above the mean by more than chance, and not trifling."""
+    least = member["slots"] * LEAST_LOAD_PER_SLOT_S
+    return load >= least and exceeds_chance(load, mean)
+
+
 def exceeds_chance(load: float, mean: float) -> bool:
     """Tell whether a load is above the mean by the ratio and by more than chance."""
     spread = LOAD_SPREADS * mean**0.5
@@ -162,7 +205,9 @@
     mean = sum(known.values()) / len(known)
     source = max(known, key=lambda name: known[name])
     receiver = min(known, key=lambda name: known[name])
-    if not exceeds_chance(known[source], mean) or owners[receiver]["cold"]:
+    if owners[receiver]["cold"]:
+        return []
+    if not is_overloaded(owners[source], known[source], mean):
         return []
     own = [
         entry["start"]
@@ -174,28 +219,10 @@
     return [Move(start, source, receiver) for start in own[:count]]
 
 
-def split_hot_key(table: Table, key_hash: int) -> bool:
-    """Give one hash a range of its own with the same owner; tell whether it changed."""
-    ranges = table["ranges"]
-    index = max(i for i, entry in enumerate(ranges) if entry["start"] <= key_hash)
-    entry = ranges[index]
-    if is_fixed(entry):
-        return False
-    end = ranges[index + 1]["start"] if index + 1 < len(ranges) else HASH_SPACE
-    pieces: list[Range] = []
-    if entry["start"] < key_hash:
-        pieces.append({**entry})
-    pieces.append({**entry, "start": key_hash, "hot": True})
-    if key_hash + 1 < end:
-        pieces.append({**entry, "start": key_hash + 1})
-    ranges[index : index + 1] = pieces
-    return True
-
-
 def announce_moves(
     table: Table, moves: list[Move], incarnations: dict[str, str]
 ) -> Table:
-    """Return the table with the next owner of each range and a higher token."""
+    """Return the table with the next owner of each range and one higher token."""
     receivers = {move.start: move.receiver for move in moves}
     token = table["next_token"]
     ranges: list[Range] = []
@@ -208,9 +235,8 @@
                 "token": token,
             }
             entry = {**entry, "next": following}
-            token += 1
         ranges.append(entry)
-    return {**table, "next_token": token, "ranges": ranges}
+    return {**table, "next_token": token + 1, "ranges": ranges}
 
 
 def settle_moves(
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -14,7 +14,6 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.nodes.assignment import (
-    HOT_SHARE,
     Move,
     announce_moves,
     apply_moves,
@@ -22,12 +21,12 @@
     plan_load,
     plan_orphans,
     settle_moves,
-    split_hot_key,
 )
 from knapweedrock.nodes.messages import Adopt, Release, Released
 from knapweedrock.nodes.roster import Process
+from knapweedrock.nodes.splits import HotKeys, plan_reunions
 from knapweedrock.nodes.tables import UnwrittenError
-from knapweedrock.nodes.view import HASH_SPACE, Range, Table
+from knapweedrock.nodes.view import HASH_SPACE, Member, Range, Table
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
@@ -56,6 +55,7 @@
         self.balanced_ns = 0
         self.load_checked_ns = 0
         self.load_rounds = 0
+        self.hot_keys = HotKeys(env.clock, service)
         self.failed_releases: dict[str, int] = defaultdict(int)
 
     def run(self) -> None:
@@ -154,38 +154,49 @@
             and roster.is_heard(Process(entry["owner"], entry["incarnation"]))
         ]
         batch = set(starts[:EVACUATION_BATCH_RANGES])
-        return self._move(plan_orphans(table, batch, owners))
+        return self._move(plan_orphans(table, batch, owners), "evacuation")
 
     def _balance(self) -> bool:
         owners = self._list_owners()
-        return self._move(plan_balance(self._get_table(), owners, BALANCE_BATCH_RANGES))
+        loads = self._list_loads(owners)
+        moves = plan_balance(self._get_table(), owners, loads, BALANCE_BATCH_RANGES)
+        return self._move(moves, "balance")
 
     def _balance_load(self) -> None:
         """Isolate hot keys, and move ranges when one owner stays overloaded."""
-        self._isolate_hot_keys()
+        if self._follow_hot_keys():
+            return
         owners = self._list_owners()
-        entries = self.term.roster.entries
-        loads = {name: float(entries[name].load) for name in owners if name in entries}
+        reunions = plan_reunions(self._get_table(), owners, BALANCE_BATCH_RANGES)
+        if self._move(reunions, "reunion"):
+            return
+        loads = self._list_loads(owners)
         moves = plan_load(self._get_table(), owners, loads, BALANCE_BATCH_RANGES)
         self.load_rounds = self.load_rounds + 1 if moves else 0
         if self.load_rounds >= LOAD_ROUNDS:
             self.load_rounds = 0
-            self._move(moves)
+            self._move(moves, "load")
 
-    def _isolate_hot_keys(self) -> None:
+    def _follow_hot_keys(self) -> bool:
+        """Split ranges around hot keys or merge them; tell whether any changed."""
         table = self._get_table()
-        copy: Table = {**table, "ranges": list(table["ranges"])}
-        changed = False
-        for entry in list(self.term.roster.entries.values()):
-            for service, key_hash, share in entry.hot:
-                if service == self.service and share >= HOT_SHARE:
-                    changed = split_hot_key(copy, key_hash) or changed
-        if changed:
-            self.term.tables.write(self.service, copy)
-            self.term.publish()
-            self.env.counters.count("hot_keys_isolated")
+        entries = self.term.roster.entries
+        serving = [entries[name] for name in self._list_owners()]
+        changed = self.hot_keys.update(table, serving)
+        if changed == table:
+            return False
+        self.term.tables.write(self.service, changed)
+        self.term.publish()
+        grown = len(changed["ranges"]) - len(table["ranges"])
+        name = "ranges_split" if grown > 0 else "ranges_merged"
+        self.env.counters.count(name, abs(grown))
+        return True
 
-    def _move(self, moves: list[Move]) -> bool:
+    def _list_loads(self, owners: dict[str, Member]) -> dict[str, float]:
+        entries = self.term.roster.entries
+        return {name: float(entries[name].load) for name in owners}
+
+    def _move(self, moves: list[Move], reason: str) -> bool:
         """Announce moves, release the ranges at their owners, then grant them."""
         sources = {
             entry["start"]: Process(entry["owner"], entry["incarnation"])
@@ -213,7 +224,7 @@
             self.term.moving -= names
             informed = {move.source for move in moves}
             self.term.publish_to(informed | {move.receiver for move in done})
-        self.env.counters.count("ranges_moved", len(done))
+        self._count_moved(reason, len(done))
         tables.flush(self.service)
         return bool(done)
 
@@ -296,13 +307,16 @@
         )
         self.term.tables.write(self.service, changed)
         self.term.moving -= {(self.service, move.start) for move in moves}
-        self.env.counters.count("ranges_moved", len(moves))
+        self._count_moved("takeover", len(moves))
         self.term.publish_to({move.receiver for move in moves})
 
+    def _count_moved(self, reason: str, count: int) -> None:
+        self.env.counters.count("ranges_moved", count, reason=reason)
+
     def _get_table(self) -> Table:
         return self.term.tables.get(self.service)
 
-    def _list_owners(self):
+    def _list_owners(self) -> dict[str, Member]:
         return self.term.roster.list_owners(self.service)
 
     def _is_free(self, process: Process) -> bool:
