Send a refusal for want of room again within half of the deadline

Cause (trace of zones, codes by second): at 60 % of capacity with one zone of four out the other targets bear 90 % in the mean, and keys fall unevenly, so some are full for moments. Their OVERLOADED went straight to the caller. At the zone's return reads that a busy target had lost were refused and so 'may have run'. Change: the ingress sends OVERLOADED, QUEUE_TIMEOUT and TARGET_SHED of a key's owner again after their Retry-After, under the budget of retries (10 %), while half of the deadline is left. A refusal that is given up is answered at once.

--- a/bench/running.py
+++ b/bench/running.py
@@ -17,6 +17,7 @@
 KEY_HEADER = "Order-Key"
 DEADLINE_MS = 2000
 SETTLE_S = 2.0
+WARM_UP_S = 3.0
 
 
 class Offer(NamedTuple):
@@ -101,6 +102,13 @@
         remove_directory(mesh.directory)
 
 
+def warm_up(mesh: Mesh, offer: Offer, seed: int) -> None:
+    """Offer some load first, so that connections stand and limits have grown."""
+    loads = Loads(list_callers(mesh), [offer], WARM_UP_S, seed + 1000)
+    loads.start()
+    loads.wait()
+
+
 def list_callers(mesh: Mesh, without: tuple[str, ...] = ()) -> list[str]:
     """List the caller addresses of running nodes, some left out."""
     return [
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -7,7 +7,14 @@
 import gevent
 
 from bench.registry import Plan, experiment
-from bench.running import Loads, Offer, list_callers, measure_latency, started_mesh
+from bench.running import (
+    Loads,
+    Offer,
+    list_callers,
+    measure_latency,
+    started_mesh,
+    warm_up,
+)
 from bench.tables import Table, create_spread
 from features.support.builders import KOWHAI_ZONES, Layout, create_layout
 from knapweedrock.clock import NS_PER_S
@@ -97,9 +104,9 @@
     """Measure one run at a share of capacity."""
     layout = create_keyed_layout()
     with started_mesh(layout, target_flags=TARGET_FLAGS) as mesh:
-        time.sleep(COLD_S)
-        excess_before = len(mesh.fetch_all_excess())
         offer = Offer(SERVICE, True, share * compute_capacity(layout), KEYS)
+        warm_up(mesh, offer, seed)
+        excess_before = len(mesh.fetch_all_excess())
         loads = Loads(list_callers(mesh), [offer], RUN_S, seed)
         start_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         loads.start()
@@ -187,11 +194,12 @@
     capacity = compute_capacity(layout)
     base = RUSH_BASE_SHARE * capacity
     with started_mesh(layout, target_flags=TARGET_FLAGS) as mesh:
-        time.sleep(COLD_S)
+        offer = Offer(SERVICE, True, base, KEYS)
+        warm_up(mesh, offer, seed)
         whole_s = RUSH_BEFORE_S + RUSH_S + RUSH_AFTER_S
         callers = list_callers(mesh)
-        steady = Loads(callers, [Offer(SERVICE, True, base, KEYS)], whole_s, seed)
-        extra = Loads(callers, [Offer(SERVICE, True, base, KEYS)], RUSH_S, seed + 500)
+        steady = Loads(callers, [offer], whole_s, seed)
+        extra = Loads(callers, [offer], RUSH_S, seed + 500)
         start_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
         steady.start()
         gevent.sleep(RUSH_BEFORE_S)
--- a/features/following.feature
+++ b/features/following.feature
@@ -20,6 +20,18 @@
       | LEASE_LAPSED     | 300      | 500      | 800      |
       | PEER_UNREACHABLE | 1000     | 600      | 1600     |
 
+  Scenario: A refusal for want of room is followed too
+    Given node-1 refuses with OVERLOADED until node-0 owns all keys after 50 ms
+    When 2 callers send orders and 2 callers send reads
+    Then every answer is done and repeats its own request
+    And no order ran twice
+
+  Scenario: A refusal for want of room is final after half of the deadline
+    Given every node refuses with OVERLOADED
+    When a caller sends "GET /depots/Otago" with header "Request-Deadline-Ms: 400"
+    Then the answer is 503 with code OVERLOADED and outcome not-run
+    And it came after 0 to 220 ms and says when to come back
+
   Scenario: A lost link repeats reads and never orders
     Given node-1 runs each request once and loses its first answer
     When 20 callers send orders and 20 callers send reads
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -116,6 +116,13 @@
     context.env.views.replace(build_view([build_member(2, "catalogue")], 2))
 
 
+@given("every node refuses with {name}")
+def refuse_all(context, name):
+    """Refuse everything."""
+    for node_id in ("node-0", "node-1"):
+        context.nodes.behaviours[node_id] = lambda _: refuse(Code[name], 20)
+
+
 @given("every node is silent")
 def be_silent(context):
     """Never answer, and note what is cancelled."""
--- a/features/support/mesh.py
+++ b/features/support/mesh.py
@@ -51,6 +51,7 @@
     """Platform stand-in, nodes and targets of a layout as separate processes.
 
     `node_module` is the module that runs in place of the program for each node.
+    Meshes that run at the same time need one `ports` for all of them.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         platform_flags: tuple[str, ...] = (),
         cell: str = "cell-1",
         node_module: str = "knapweedrock",
+        ports: Ports | None = None,
     ) -> None:
         self.node_module = node_module
         self.layout = layout
@@ -68,7 +70,7 @@
         self.node_flags = node_flags
         self.target_flags = target_flags
         self.directory = Path(tempfile.mkdtemp(prefix="knapweedrock-"))
-        self.ports = Ports(create_loopback_host())
+        self.ports = ports or Ports(create_loopback_host())
         self.platform_address = self.ports.take()
         self.platform = Child(
             "platform",
--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -1,6 +1,7 @@
 """Following of a key to its owner while the owner changes.
 
-Only refusals that surely did not run are followed, so any request may be.
+Only refusals that surely did not run are followed, so any request may be. One for
+want of room is sent again after its `Retry-After`, under the budget of retries.
 """
 
 import random
@@ -16,6 +17,7 @@
 from knapweedrock.callers.requests import CallerRequest
 from knapweedrock.codes import Code
 from knapweedrock.environment import Environment
+from knapweedrock.nodes.messages import Delivered
 from knapweedrock.nodes.view import ViewVersion, hash_key
 
 FIRST_PAUSE_MS = 5.0
@@ -43,6 +45,8 @@
 )
 # Losses after which only an idempotent request may be sent again.
 LOST = frozenset({Code.PEER_LOST, Code.ANSWER_LOST, Code.ANSWER_TRUNCATED})
+# Refusals by a target or for want of its slots: sent again only under a budget.
+LOADED = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT, Code.TARGET_SHED})
 
 
 class Follower:
@@ -63,10 +67,10 @@
             version = self._env.views.version
             routed = self._send(request)
             uncertain = find_uncertain(routed) or uncertain
-            code = Code(routed.delivered.code)
-            if not self._may_repeat(request, code, lost_before):
+            delivered = routed.delivered
+            if not self._may_repeat(request, delivered, lost_before):
                 return settle(routed, uncertain)
-            if not self._wait(request, version, pause_ms):
+            if not self._wait(request, version, find_wait_ms(delivered, pause_ms)):
                 return settle(give_up(routed), uncertain)
             self._env.counters.count("caller_retries", service=request.route.service)
             pause_ms = min(pause_ms * 2, LONGEST_PAUSE_MS)
@@ -86,9 +90,12 @@
         return Routed(create_refused(Code.NO_OWNER), None)
 
     def _may_repeat(
-        self, request: CallerRequest, code: Code, lost_before: bool
+        self, request: CallerRequest, delivered: Delivered, lost_before: bool
     ) -> bool:
-        service = request.route.service
+        code, service = Code(delivered.code), request.route.service
+        if code in LOADED:
+            is_early = has_time_for_room(request, delivered.retry_after_ms)
+            return is_early and self._budgets[service].spend()
         if code in FOLLOWED:
             return bool(self._env.views.find_members(service))
         if code in LOST and request.idempotent:
@@ -124,6 +131,22 @@
     return code == Code.PEER_LOST and not lost_before
 
 
+def find_wait_ms(delivered: Delivered, pause_ms: float) -> float:
+    """Find the wait before the next attempt; for room, the owner says how long."""
+    if delivered.code in LOADED:
+        return max(pause_ms, delivered.retry_after_ms)
+    return pause_ms
+
+
+def has_time_for_room(request: CallerRequest, wait_ms: float) -> bool:
+    """Tell whether half of the request's time is left after the wait for room.
+
+    Less could end in the queue or at the target, where a refusal is cheaper.
+    """
+    deadline = request.deadline
+    return deadline.elapsed_ms() + 2 * wait_ms <= deadline.remaining_ms()
+
+
 def give_up(routed: Routed) -> Routed:
     """Say when to come back, unless the owner's node did."""
     delivered = routed.delivered
--- a/knapweedrock/callers/spreading.py
+++ b/knapweedrock/callers/spreading.py
@@ -10,7 +10,7 @@
 from knapweedrock.callers.budgets import create_copy_budgets, create_retry_budgets
 from knapweedrock.callers.choice import create_policy, find_candidates
 from knapweedrock.callers.copies import Race
-from knapweedrock.callers.following import LOST, is_link_loss
+from knapweedrock.callers.following import LOADED, LOST, is_link_loss
 from knapweedrock.callers.latencies import create_latencies
 from knapweedrock.callers.loads import create_loads
 from knapweedrock.callers.requests import CallerRequest
@@ -27,8 +27,6 @@
 LEAST_ATTEMPT_MS = 10.0
 SERVER_ERROR = 500
 
-# Refusals by a target or for want of its slots: sent again only under a budget.
-LOADED = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT, Code.TARGET_SHED})
 # Ends of an attempt whose time says how slow the target is.
 MEASURED = frozenset({Code.ANSWER_LOST, Code.PEER_LOST, Code.QUEUE_TIMEOUT})
 
