Split the frame codec and the registry of handlers out of the links

links.py had 417 lines and three jobs. Frames and their errors are in frames.py, who answers which message in handlers.py.

--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -1,5 +1,6 @@
 """Steps about frames and links between nodes."""
 
+import cbor2
 import gevent
 import websockets.exceptions
 from behave import given, then, when
@@ -11,7 +12,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
 from knapweedrock.faults import Cuts
-from knapweedrock.nodes.links import Frame, cbor2, decode_frame, encode_frame
+from knapweedrock.nodes.frames import Frame, decode_frame, encode_frame
 from knapweedrock.nodes.messages import (
     AskPromise,
     Deliver,
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -12,7 +12,7 @@
 from knapweedrock.nodes.cell import (
     name_configuration,
 )
-from knapweedrock.nodes.links import Sender, dispatch, handles
+from knapweedrock.nodes.handlers import Sender, dispatch, handles
 from knapweedrock.nodes.membership import Peer
 from knapweedrock.nodes.messages import Assign, Heartbeat, Lease, ProbePlatform
 from knapweedrock.nodes.moves import TableKeeper
--- a/knapweedrock/nodes/delivering.py
+++ b/knapweedrock/nodes/delivering.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import Deliver, Delivered
 
 if TYPE_CHECKING:
--- a/knapweedrock/nodes/distribution.py
+++ b/knapweedrock/nodes/distribution.py
@@ -7,7 +7,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError
 from knapweedrock.nodes.cell import name_cell, name_configuration, name_status
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import Done, ProbePlatform
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/knapweedrock/nodes/frames.py
@@ -0,0 +1,46 @@
+"""Frames on links between nodes: `[number, is_answer, kind, fields]` in CBOR."""
+
+from typing import Any, NamedTuple
+
+import cbor2
+import msgspec
+
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError, LinkError
+from knapweedrock.nodes.messages import Failed, find_type, get_kind
+
+
+class Frame(NamedTuple):
+    """One message on a link."""
+
+    number: int
+    is_answer: bool
+    message: Any
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encode a frame as CBOR."""
+    kind = get_kind(type(frame.message))
+    return cbor2.dumps([frame.number, frame.is_answer, kind, list(frame.message)])
+
+
+def decode_frame(data: bytes | str) -> Frame:
+    """Decode and check a frame; raises `LinkError` with `BAD_FRAME`."""
+    if isinstance(data, str):
+        raise LinkError(Code.BAD_FRAME, "found text, expected a binary frame")
+    try:
+        number, is_answer, kind, fields = cbor2.loads(data)
+        if type(number) is not int or type(is_answer) is not bool:
+            raise ValueError("the number or the direction has the wrong type")
+        message_type = find_type(kind)
+        if message_type is None:
+            raise ValueError(f"unknown message number {kind!r}")
+        message = msgspec.convert(fields, message_type, builtin_types=(bytes,))
+    except (ValueError, TypeError, cbor2.CBORError, msgspec.ValidationError) as error:
+        raise LinkError(Code.BAD_FRAME, str(error)) from error
+    return Frame(number, is_answer, message)
+
+
+def create_failed(error: KnapweedrockError) -> Failed:
+    """Create the message that carries an error to the peer."""
+    return Failed(int(error.code), error.detail)
--- a/knapweedrock/nodes/leases.py
+++ b/knapweedrock/nodes/leases.py
@@ -5,7 +5,7 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import Release, Released
 from knapweedrock.nodes.view import Range, ViewVersion, hash_key
 
--- a/knapweedrock/nodes/links.py
+++ b/knapweedrock/nodes/links.py
@@ -1,7 +1,7 @@
 """Links to peers: typed requests and answers over websockets with CBOR.
 
 Each node dials one link to every peer that it sends requests to; the peer answers
-on the same link. A frame is `[number, is_answer, kind, fields]`.
+on the same link.
 """
 
 import contextlib
@@ -9,12 +9,9 @@
 import itertools
 import random
 import socket
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, NamedTuple, TypeVar
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-import cbor2
 import gevent
-import msgspec
 from gevent.event import AsyncResult
 from gevent.lock import RLock
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
@@ -24,15 +21,14 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.nodes.messages import (
-    Cancel,
-    Deliver,
-    Done,
-    Failed,
-    Probe,
-    find_type,
-    get_kind,
+from knapweedrock.nodes.frames import (
+    Frame,
+    create_failed,
+    decode_frame,
+    encode_frame,
 )
+from knapweedrock.nodes.handlers import Sender, dispatch
+from knapweedrock.nodes.messages import Cancel, Deliver, Failed, Probe
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
@@ -48,74 +44,6 @@
 INCARNATION_HEADER = "Knapweedrock-Incarnation"
 
 
-class Sender(NamedTuple):
-    """The peer that sent a request."""
-
-    node_id: str
-    incarnation: str
-
-
-Handler = Callable[["Environment", Sender, Any], Any]
-H = TypeVar("H", bound=Handler)
-
-_HANDLERS: dict[type, Handler] = {}
-
-
-def handles(message_type: type) -> Callable[[H], H]:
-    """Register the handler of a message type."""
-
-    def register(handler: H) -> H:
-        _HANDLERS[message_type] = handler
-        return handler
-
-    return register
-
-
-def dispatch(env: "Environment", sender: Sender, message: Any) -> Any:
-    """Let the registered handler answer a request."""
-    handler = _HANDLERS.get(type(message))
-    if handler is None:
-        raise LinkError(Code.BAD_FRAME, "nobody handles this message")
-    return handler(env, sender, message)
-
-
-@handles(Probe)
-def answer_probe(_env: "Environment", _sender: Sender, _probe: Probe) -> Done:
-    """Answer that the link is alive."""
-    return Done()
-
-
-class Frame(NamedTuple):
-    """One message on a link."""
-
-    number: int
-    is_answer: bool
-    message: Any
-
-
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame as CBOR."""
-    kind = get_kind(type(frame.message))
-    return cbor2.dumps([frame.number, frame.is_answer, kind, list(frame.message)])
-
-
-def decode_frame(data: bytes | str) -> Frame:
-    """Decode and check a frame; raises `LinkError` with `BAD_FRAME`."""
-    if isinstance(data, str):
-        raise LinkError(Code.BAD_FRAME, "found text, expected a binary frame")
-    try:
-        number, is_answer, kind, fields = cbor2.loads(data)
-        if type(number) is not int or type(is_answer) is not bool:
-            raise ValueError("the number or the direction has the wrong type")
-        message_type = find_type(kind)
-        if message_type is None:
-            raise ValueError(f"unknown message number {kind!r}")
-        message = msgspec.convert(fields, message_type, builtin_types=(bytes,))
-    except (ValueError, TypeError, cbor2.CBORError, msgspec.ValidationError) as error:
-        raise LinkError(Code.BAD_FRAME, str(error)) from error
-    return Frame(number, is_answer, message)
-
-
 class Link:
     """One dialled connection to a peer, shared by all requests to it."""
 
@@ -368,7 +296,7 @@
                 self._accept_frame(connection, sender, decode_frame(data), running)
         except LinkError as error:
             self.env.counters.count("bad_frames")
-            self._answer(connection, sender, Frame(0, True, _describe(error)))
+            self._answer(connection, sender, Frame(0, True, create_failed(error)))
         except (ConnectionClosed, OSError):
             pass
         finally:
@@ -394,7 +322,7 @@
         try:
             answer = dispatch(self.env, sender, frame.message)
         except KnapweedrockError as error:
-            answer = _describe(error)
+            answer = create_failed(error)
         self._answer(connection, sender, Frame(frame.number, True, answer))
 
     def _answer(self, connection, sender: Sender, frame: Frame) -> None:
@@ -408,10 +336,6 @@
             self.env.counters.count("answers_unsent")
 
 
-def _describe(error: KnapweedrockError) -> Failed:
-    return Failed(int(error.code), error.detail)
-
-
 def create_links(env: "Environment") -> Links:
     """Create the links of a node."""
     return Links(env)
--- a/knapweedrock/nodes/membership.py
+++ b/knapweedrock/nodes/membership.py
@@ -16,7 +16,7 @@
     RefusalError,
 )
 from knapweedrock.nodes.cell import read_cell
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import (
     Adopt,
     Assign,
--- a/knapweedrock/nodes/voter.py
+++ b/knapweedrock/nodes/voter.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from knapweedrock.clock import NS_PER_MS
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import AskPromise, Done, Promise, Resign
 from knapweedrock.nodes.timing import DRIFT_MS, PROMISE_MS
 
--- a/knapweedrock/targets/suspects.py
+++ b/knapweedrock/targets/suspects.py
@@ -9,7 +9,7 @@
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, RefusalError
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import Deliver, Done, Quarantine
 from knapweedrock.targets.messages import Cleared, Suspect
 
