Give a value that is too large for the platform its own code; end connections after broken bodies

Cause: a value above the limit was BODY_TOO_LARGE (302), which tells a caller to send less; a 413 of the platform itself was "bad answer". Both are now PLATFORM_VALUE_TOO_LARGE (506). The step that named 302 now names 506 and also sends such a value past the client's own limit, so it asks for more than before.

targets/server.read_body let an OSError of a broken body through (500 by the library, no number). It is BAD_REQUEST (301) now. The new scenario then found that after a broken chunk gevent reads the rest of the body as the next request and answers it as well: seen as two answers in one read, on every server of the program. NoDelayHandler closes the connection now; what follows is no request.

--- a/examples/embedded_client.py
+++ b/examples/embedded_client.py
@@ -1,6 +1,8 @@
 """A caller that embeds the client library and goes straight to the owner of a key.
 
-Run it beside a mesh: python examples/embedded_client.py 127.0.0.1:8001 127.0.0.1:8002
+Run it beside a mesh with the ticket examples/kowhai/1-start.toml in force:
+
+    PYTHONPATH=. python examples/embedded_client.py 127.0.0.1:7001
 """
 
 import sys
@@ -23,9 +25,11 @@
         key="otago",
         order_id=order.order_id,
     )
-    print(f"again: {again.status} {again.outcome} from {again.node}")
+    same = order.outcome == "done" and again.body == order.body
+    answer = "the same answer" if same else "another answer"
+    print(f"again: {again.status} {again.outcome}, {answer}")
     client.close()
-    return 0 if order.outcome == "done" else 1
+    return 0 if same else 1
 
 
 if __name__ == "__main__":
--- a/features/announcements.feature
+++ b/features/announcements.feature
@@ -24,6 +24,19 @@
     When a target announces itself
     Then the member's state is "serving"
 
+  Scenario Outline: A body that <breaks> is refused by number and the node goes on
+    Given a node without a target
+    When a body that <breaks> is announced
+    Then the announcement is refused with BAD_REQUEST
+    When a target announces itself
+    Then the member's state is "serving"
+
+    Examples:
+      | breaks                 |
+      | ends before its length |
+      | has a broken chunk     |
+      | is cut in a chunk      |
+
   Scenario: A second target beside the same node is refused while the first is live
     Given a node without a target
     When a target announces itself
--- a/features/commands.feature
+++ b/features/commands.feature
@@ -94,6 +94,17 @@
       | knapweedrock_members{state="serving",zone="zone-a"} 1            |
     And a label's value is escaped
 
+  Scenario Outline: A request of an operator's command is sent once
+    Given a server that reads a request and closes the connection
+    When "<command>" runs
+    Then it ends with status 6 and code 208
+    And the server has read 1 request
+
+    Examples:
+      | command                                                       |
+      | status --node NODE                                            |
+      | ticket apply --node NODE examples/kowhai/1-start.toml         |
+
   Scenario: A ticket goes in by a node, and waiting names the node that is behind
     Given an operator server without a secret
     When "ticket apply --node NODE --wait 0.3 examples/kowhai/1-start.toml" runs
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -76,7 +76,7 @@
     And the stand-in and the client counted the same calls
 
   Scenario: Values above the limit
-    Then a value above the limit is refused by the client with BODY_TOO_LARGE
+    Then a value above the limit is refused with PLATFORM_VALUE_TOO_LARGE
     And the stand-in refuses it with 413 and takes one of 1000000 bytes
 
   Scenario: Broken requests leave the stand-in up
--- a/features/steps/announcements.py
+++ b/features/steps/announcements.py
@@ -1,6 +1,7 @@
 """Steps about the announcements of targets."""
 
 import json
+import socket
 
 from behave import given, then, when
 from hypothesis import given as generate
@@ -9,9 +10,17 @@
 
 from features.support.http import Reply, call
 from features.support.processes import wait_for
+from features.support.raw_http import build_request
+from features.support.raw_http import read_reply as read_raw_reply
 from features.support.target_bench import TargetBench
 from knapweedrock.codes import Code
 
+BREAKS = {
+    "ends before its length": ["Content-Length: 100"],
+    "has a broken chunk": ["Transfer-Encoding: chunked"],
+    "is cut in a chunk": ["Transfer-Encoding: chunked"],
+}
+
 
 def create_announcement(**changes) -> dict:
     """Create a right announcement."""
@@ -71,6 +80,18 @@
     send()
 
 
+@when("a body that {breaks} is announced")
+def announce_broken(context, breaks):
+    """Send a broken body and close the sending side."""
+    raw = build_request("POST /announce", BREAKS[breaks])
+    raw += b"zz\r\n" if "broken" in breaks else b"5\r\n{"
+    with socket.create_connection(context.bench.env.settings.target, 5) as sock:
+        sock.sendall(raw)
+        sock.shutdown(socket.SHUT_WR)
+        context.reply = Reply(*read_raw_reply(sock))
+        assert not sock.recv(1), "what follows a broken body was answered too"
+
+
 @when("the target is killed")
 def kill_target(context):
     """Kill the target's process."""
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -77,7 +77,8 @@
 def run_line(context, command):
     """Run a command; NODE stands for the operator server's address."""
     if hasattr(context, "env"):
-        command = command.replace("NODE", str(context.env.settings.operator))
+        context.address = str(context.env.settings.operator)
+    command = command.replace("NODE", getattr(context, "address", "NODE"))
     context.run = run_command(shlex.split(command))
 
 
@@ -112,6 +113,12 @@
     assert text in context.run.text, context.run.text
 
 
+@then("the server has read {count:d} request")
+def check_read(context, count):
+    """Check how many requests a closing server has read."""
+    assert len(context.read) == count, context.read
+
+
 def walk_commands(command, path=()):
     """Yield every command with its path."""
     yield path, command
--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -16,10 +16,10 @@
     create_orders,
     create_request,
 )
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.configuration import create_configuration
-from knapweedrock.load.orders import create_order_id
 from knapweedrock.nodes.messages import Quarantine
 from knapweedrock.nodes.view import HASH_SPACE
 from knapweedrock.targets.messages import Suspect
--- a/features/steps/handover.py
+++ b/features/steps/handover.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from features.support.builders_nodes import create_node_settings
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.environment import Environment
-from knapweedrock.load.orders import create_order_id
 from knapweedrock.nodes.leases import Grant
 from knapweedrock.nodes.view import HASH_SPACE
 from knapweedrock.targets.orders import Orders, OrderState
--- a/features/steps/history.py
+++ b/features/steps/history.py
@@ -15,8 +15,8 @@
     read_excess,
     read_tag,
 )
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.clock import NS_PER_MS
-from knapweedrock.load.orders import create_order_id
 
 QUARTER = 1 << 62
 
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -49,9 +49,10 @@
 @given("a server that reads a request and closes the connection")
 def start_closing_server(context):
     """Start a server that never answers."""
+    context.read = []
 
     def close(connection, _address):
-        connection.recv(4096)
+        context.read.append(connection.recv(4096))
         connection.close()
 
     context.address = Ports(create_loopback_host()).take()
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -19,12 +19,14 @@
     create_test_client,
 )
 from features.support.http import call, call_or_none
+from features.support.patches import patch
 from features.support.platform_writer import OBJECT
 from features.support.processes import Child, Ports, create_loopback_host, wait_for
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import PlatformError
 from knapweedrock.faults import Cuts, Faults
+from knapweedrock.platform import http as platform_http
 from knapweedrock.platform.rates import Limits
 from knapweedrock.platform.writes import Fate, History, Write, find_version, judge_write
 
@@ -408,12 +410,15 @@
     assert read_stats(context)["calls"]["fast"] == counted
 
 
-@then("a value above the limit is refused by the client with BODY_TOO_LARGE")
+@then("a value above the limit is refused with PLATFORM_VALUE_TOO_LARGE")
 def check_client_limit(context):
     """Write a large value."""
     code = fail_with(lambda: context.client.put("x", "a" * 1_000_000, 0))
-    assert code == Code.BODY_TOO_LARGE
+    assert code == Code.PLATFORM_VALUE_TOO_LARGE
     assert context.client.put("x", "a" * 999_900, 0).version == 1
+    patch(context, platform_http, VALUE_MAX_BYTES=2_000_000)
+    code = fail_with(lambda: context.client.put("x", "a" * (1 << 20), 1))
+    assert code == Code.PLATFORM_VALUE_TOO_LARGE
 
 
 @then("the stand-in refuses it with 413 and takes one of {size:d} bytes")
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -10,10 +10,10 @@
 
 from features.support.history import Call
 from features.support.http import Reply, read_reply
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.clock import NS_PER_MS, create_clock
 from knapweedrock.codes import Code, Outcome
-from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
-from knapweedrock.load.orders import create_order_id
+from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 
 CONNECTIONS_PER_NODE = 64
 ANSWER_MARGIN_S = 2.0
--- a/features/support/http.py
+++ b/features/support/http.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, NamedTuple
 
-from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
+from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 
 DEFAULT_TIMEOUT_S = 3.0
 
--- a/features/support/target_bench.py
+++ b/features/support/target_bench.py
@@ -13,11 +13,11 @@
 from features.support.http import call
 from features.support.mesh import remove_directory
 from features.support.processes import Child, Ports, create_loopback_host, wait_for
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.clock import NS_PER_S
 from knapweedrock.codes import INFO, Code
 from knapweedrock.environment import Environment
 from knapweedrock.errors import RefusalError
-from knapweedrock.load.orders import create_order_id
 from knapweedrock.nodes.leases import Grant
 from knapweedrock.nodes.messages import Deliver, Delivered
 from knapweedrock.settings import parse_address
--- a/knapweedrock/callers/budgets.py
+++ b/knapweedrock/callers/budgets.py
@@ -2,35 +2,12 @@
 
 from collections import defaultdict
 
-RETRY_SHARE = 0.1
+from knapweedrock.budgets import RETRY_BURST, RETRY_SHARE, Budget
+
 COPY_SHARE = 0.05
-RETRY_BURST = 20.0
 COPY_BURST = 50.0
 
 
-class Budget:
-    """Token bucket of one service, filled by its ordinary requests."""
-
-    __slots__ = ("_burst", "_share", "tokens")
-
-    def __init__(self, share: float, burst: float, tokens: float) -> None:
-        self._share = share
-        self._burst = burst
-        self.tokens = tokens
-
-    def earn(self) -> None:
-        """Add the share that one ordinary request allows."""
-        if self.tokens < self._burst:
-            self.tokens += self._share
-
-    def spend(self) -> bool:
-        """Take one extra request; tell whether the budget allows it."""
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 def create_retry_budgets() -> defaultdict[str, Budget]:
     """Create budgets of retries by service; a quiet service may retry at once."""
     return defaultdict(lambda: Budget(RETRY_SHARE, RETRY_BURST, RETRY_BURST))
--- a/knapweedrock/client/calls.py
+++ b/knapweedrock/client/calls.py
@@ -6,12 +6,12 @@
 
 import gevent
 
-from knapweedrock.callers.budgets import RETRY_BURST, RETRY_SHARE, Budget
+from knapweedrock.budgets import RETRY_BURST, RETRY_SHARE, Budget
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.client.owners import Owners
 from knapweedrock.client.transport import Received, Sent, Transport, TransportError
 from knapweedrock.clock import NS_PER_MS, Clock, create_clock
 from knapweedrock.codes import INFO, Code, Outcome
-from knapweedrock.load.orders import create_order_id
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 ANSWER_MARGIN_MS = 200
--- a/knapweedrock/client/owners.py
+++ b/knapweedrock/client/owners.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from knapweedrock.nodes.view import ViewVersion
+from knapweedrock.versions import ViewVersion
 
 MAX_OWNERS = 10_000
 
--- a/knapweedrock/client/transport.py
+++ b/knapweedrock/client/transport.py
@@ -8,7 +8,7 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.load.client import create_client as create_http_client
+from knapweedrock.http_client import create_client as create_http_client
 
 MS_PER_S = 1000
 
--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -53,6 +53,8 @@
     BAD_FRAME = 304
     PEER_UNAUTHENTICATED = 305
     BAD_PATH = 306
+    REPORT_MALFORMED = 307
+    REPORT_NOT_WRITTEN = 308
     # 4xx: tickets and configuration
     TICKET_MALFORMED = 401
     TICKET_NUMBER_OLD = 402
@@ -67,6 +69,7 @@
     PLATFORM_NOT_FOUND = 503
     PLATFORM_RATE_LIMITED = 504
     PLATFORM_BAD_ANSWER = 505
+    PLATFORM_VALUE_TOO_LARGE = 506
     # 6xx: settings and start
     SETTING_INVALID = 601
     ADDRESS_IN_USE = 602
@@ -169,6 +172,12 @@
         401, _NOT_RUN, False, "The shared secret is missing or wrong."
     ),
     Code.BAD_PATH: CodeInfo(404, _NOT_RUN, False, "There is no such page here."),
+    Code.REPORT_MALFORMED: CodeInfo(
+        400, _NOT_RUN, False, "The report file is malformed or of another kind."
+    ),
+    Code.REPORT_NOT_WRITTEN: CodeInfo(
+        409, _NOT_RUN, False, "The report file can't be written."
+    ),
     Code.TICKET_MALFORMED: CodeInfo(400, _NOT_RUN, False, "The ticket is malformed."),
     Code.TICKET_NUMBER_OLD: CodeInfo(
         409,
@@ -204,6 +213,9 @@
     Code.PLATFORM_BAD_ANSWER: CodeInfo(
         502, _MAYBE, False, "The platform's answer is malformed."
     ),
+    Code.PLATFORM_VALUE_TOO_LARGE: CodeInfo(
+        413, _NOT_RUN, False, "The value is too large for the platform."
+    ),
     Code.SETTING_INVALID: CodeInfo(400, _NOT_RUN, False, "A setting is wrong."),
     Code.ADDRESS_IN_USE: CodeInfo(
         400, _NOT_RUN, False, "A listen address can't be bound."
--- a/knapweedrock/load/client.py
+++ b/knapweedrock/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client of callers: no delay for small writes and no hidden retries."""
+"""HTTP client for callers and operators: no delayed writes, no hidden retries."""
 
 from http.client import HTTPException
 
@@ -16,7 +16,7 @@
     """Create a client of one `host:port` that sends each request exactly once."""
     host, _, port = address.rpartition(":")
     client = HTTPClient(
-        host,
+        host.strip("[]"),
         int(port),
         concurrency=concurrency,
         connection_timeout=timeout_s,
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -10,12 +10,12 @@
 from gevent.pool import Group
 from geventhttpclient import HTTPClient
 
+from knapweedrock.client.order_ids import create_order_id
 from knapweedrock.clock import NS_PER_S, Clock, create_clock
 from knapweedrock.codes import Code, Outcome
+from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.arrivals import create_arrivals
-from knapweedrock.load.client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.keys import KeySource, create_keys
-from knapweedrock.load.orders import create_order_id
 from knapweedrock.load.report import LoadReport, create_report
 from knapweedrock.load.samples import NO_CODE, Sample, Tally
 
--- a/knapweedrock/nodes/view.py
+++ b/knapweedrock/nodes/view.py
@@ -1,11 +1,13 @@
 """The view of a cell: members, and tables of ranges to owners."""
 
 from bisect import bisect_right
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import NotRequired, TypedDict
 
 import xxhash
 from gevent.event import Event
 
+from knapweedrock.versions import ViewVersion
+
 HASH_SPACE = 1 << 64
 
 
@@ -67,13 +69,6 @@
     ranges: list[Range]
 
 
-class ViewVersion(NamedTuple):
-    """Order of views: epoch of the coordinator, then its count of changes."""
-
-    epoch: int
-    count: int
-
-
 class View(TypedDict):
     """All that a coordinator tells the members of its cell."""
 
--- a/knapweedrock/operators/client.py
+++ b/knapweedrock/operators/client.py
@@ -4,13 +4,13 @@
 
 import gevent
 import msgspec
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
 
 from knapweedrock.checker import Address
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.sockets import disable_delay
+from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
+
+DEFAULT_TIMEOUT_S = 5.0
 
 
 def fetch_json(
@@ -33,11 +33,13 @@
         headers["Authorization"] = f"Bearer {secret}"
     try:
         with gevent.Timeout(timeout_ms / 1000):
-            status, content = exchange(address, method, target, headers, body)
+            status, content = exchange(
+                address, method, target, headers, body, timeout_ms / 1000
+            )
     except ConnectionRefusedError as error:
         detail = f"{address}: {error}"
         raise KnapweedrockError(Code.PEER_UNREACHABLE, detail) from None
-    except (OSError, HTTPParseError, gevent.Timeout) as error:
+    except (*EXCHANGE_ERRORS, gevent.Timeout) as error:
         detail = f"{address}: {error or 'no answer in time'}"
         raise KnapweedrockError(Code.PEER_LOST, detail) from None
     value = decode_answer(address, content)
@@ -47,11 +49,15 @@
 
 
 def exchange(
-    address: Address, method: str, target: str, headers: dict[str, str], body: bytes
+    address: Address,
+    method: str,
+    target: str,
+    headers: dict[str, str],
+    body: bytes,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
 ) -> tuple[int, bytes]:
-    """Send one request on a connection of its own and read its whole answer."""
-    client = HTTPClient(address.host, address.port, concurrency=1)
-    client._connection_pool.after_connect = disable_delay
+    """Send one request once, on a connection of its own, and read its answer."""
+    client = create_client(str(address), timeout_s)
     try:
         response = client.request(method, target, body=body, headers=headers)
         return response.status_code, bytes(response.read())
--- a/knapweedrock/platform/http.py
+++ b/knapweedrock/platform/http.py
@@ -102,8 +102,7 @@
     ) -> Stored:
         """Write an object if its version is `expected` (0: does not exist yet).
 
-        Raises `BODY_TOO_LARGE` for a value above the limit, and otherwise as
-        `interface.Platform` says.
+        Raises as `interface.Platform` says.
         """
         deadline_ns = self._caller.start_deadline(timeout_ms)
         try:
@@ -182,9 +181,8 @@
         writes = self._history.continue_from(name, write)
         body = msgspec.json.encode({"writes": writes, "value": value})
         if len(body) > VALUE_MAX_BYTES:
-            raise PlatformError(
-                Code.BODY_TOO_LARGE, f"{len(body)} bytes, at most {VALUE_MAX_BYTES}"
-            )
+            detail = f"{name}: {len(body)} bytes, at most {VALUE_MAX_BYTES}"
+            raise PlatformError(Code.PLATFORM_VALUE_TOO_LARGE, detail)
         backoff = Backoff()
         in_doubt = False
         while True:
@@ -278,6 +276,8 @@
         return
     if answer.status == 429:
         raise PlatformError(Code.PLATFORM_RATE_LIMITED)
+    if answer.status == 413:
+        raise PlatformError(Code.PLATFORM_VALUE_TOO_LARGE)
     if answer.status >= 500:
         raise PlatformError(Code.PLATFORM_UNAVAILABLE, f"status {answer.status}")
     raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"status {answer.status}")
--- a/knapweedrock/platform/interface.py
+++ b/knapweedrock/platform/interface.py
@@ -32,7 +32,8 @@
         A lost answer is settled by reading back: the call returns only when the
         write is known to have taken effect, and raises `PLATFORM_CONFLICT` only
         when it is known not to have. `PLATFORM_UNAVAILABLE` leaves it open.
-        A value above 1,000,000 bytes as JSON raises `BODY_TOO_LARGE`.
+        A value above 1,000,000 bytes as JSON, or above what the platform takes,
+        raises `PLATFORM_VALUE_TOO_LARGE`.
         """
 
     def watch(self, name: str, after: int, wait_ms: int = 20000) -> Stored | None:
--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -17,6 +17,12 @@
         disable_delay(sock)
         super().__init__(sock, address, server, rfile)
 
+    def handle_one_response(self) -> None:
+        """Answer a request; what follows a broken chunk is no request."""
+        super().handle_one_response()
+        if self.wsgi_input._chunked_input_error:
+            self.close_connection = True
+
 
 def create_http_server(address: tuple[str, int], application) -> WSGIServer:
     """Create an HTTP server with the delay switched off and without request logs."""
--- a/knapweedrock/targets/server.py
+++ b/knapweedrock/targets/server.py
@@ -45,8 +45,11 @@
 
 
 def read_body(environ: dict[str, Any]) -> bytes:
-    """Read a bounded body; raises `BODY_TOO_LARGE`."""
-    body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    """Read a bounded body; raises `BODY_TOO_LARGE`, or `BAD_REQUEST` if broken."""
+    try:
+        body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
+    except (OSError, ValueError) as error:
+        raise KnapweedrockError(Code.BAD_REQUEST, f"broken body: {error}") from None
     if len(body) > MAX_BODY_BYTES:
         raise KnapweedrockError(Code.BODY_TOO_LARGE, f"above {MAX_BODY_BYTES} bytes")
     return body
