--- a/features/commands.feature
+++ b/features/commands.feature
@@ -150,5 +150,45 @@
     When 6 operators apply 8 tickets each by own clients
     Then the stand-in holds one version for each accepted ticket
 
+  Scenario: Two reports of a cell show what changed between them
+    Given an operator server without a secret
+    When "report take --node NODE DIR/a.json" runs
+    Then it ends with status 0 and code 0
+    And it says "cell c1, 2 of 2 nodes"
+    When all keys move to n2, 3 callers are refused, and n2 stops
+    And "report take --node NODE DIR/b.json" runs
+    Then it says "1 of 2 nodes"
+    And it says "not read: n2: 209 PEER_UNREACHABLE"
+    When "report compare DIR/a.json DIR/b.json" runs
+    Then it ends with status 0 and code 0
+    And it says "depot-orders  n1            n2     100.00%"
+    And it says "n2    not read"
+    And it says "NOT_OWNER        +3"
+    And arbitrary changes of a report raise nothing but REPORT_MALFORMED
+
+  Scenario Outline: "<command>" ends with code <code>
+    Given reports of a cell and of loads
+    When "<command>" runs
+    Then it ends with status <status> and code <code>
+
+    Examples:
+      | command                                  | status | code |
+      | report take --node NODE DIR/cell.json    | 1      | 308  |
+      | report take --node NODE DIR/no/cell.json | 1      | 308  |
+      | report compare DIR/cell.json README.md   | 1      | 307  |
+      | report compare DIR/cell.json DIR/l.json  | 1      | 307  |
+      | report plot DIR/cell.json                | 1      | 307  |
+      | report plot DIR/nowhere.json             | 1      | 307  |
+      | report plot DIR/l.json DIR/l.json        | 0      | 0    |
+
+  Scenario: A plot shows the share of each latency and of each second
+    Given reports of a cell and of loads
+    When "report plot DIR/l.json" runs
+    Then it says "       2  ############              50.0%"
+    And it says "       1  ######                    25.0%"
+
+  Scenario: The page of settings lists each flag, variable and default
+    Then docs/operators/settings.md lists exactly the options of each command
+
   Scenario: The table of codes in the docs is the one of the program
     Then docs/operators/codes.md lists exactly the codes with their meanings
--- a/features/load.feature
+++ b/features/load.feature
@@ -43,6 +43,14 @@
     When load is offered at 50 a second for 1 s
     Then every request counts as may have run
 
+  Scenario: The key goes where the rule of a service looks for it
+    Given a server that reads a request and closes the connection
+    When the load command offers 20 a second for 1 s with
+      | option       | value            |
+      | --key-header | Depot            |
+      | --path       | /x/{key}?k={key} |
+    Then each request carries its key in header "Depot", path and query
+
   Scenario: The command reports as JSON and exits with 6 when nobody serves
     Given an address where nobody listens
     When the load command offers 20 a second for 1 s
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -1,5 +1,6 @@
 """Steps about commands, the operator server and the docs beside them."""
 
+import copy
 import json
 import re
 import shlex
@@ -14,6 +15,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from features.support.builders import create_sample
 from features.support.http import call
 from features.support.operators import (
     SECRET,
@@ -30,13 +32,18 @@
     wait_for,
 )
 from features.support.tickets import CONFIG, attempt_ticket, create_zone
-from knapweedrock.clock import create_clock
+from knapweedrock.clock import NS_PER_MS, NS_PER_S, create_clock
 from knapweedrock.codes import INFO, Code
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
 from knapweedrock.errors import KnapweedrockError, SettingError
+from knapweedrock.load.report import FORMATTERS as LOAD_FORMATTERS
+from knapweedrock.load.report import create_report
+from knapweedrock.load.samples import Tally
 from knapweedrock.nodes.view import ViewHolder
 from knapweedrock.operators.client import decode_answer, exchange, raise_errors
+from knapweedrock.operators.comparison import compare_reports
+from knapweedrock.operators.reports import read_report
 from knapweedrock.platform.http import create_client
 from knapweedrock.settings import (
     create_load_settings,
@@ -46,8 +53,20 @@
     parse_address,
 )
 
-CODES_PAGE = Path(__file__).resolve().parents[2] / "docs/operators/codes.md"
+PAGES = Path(__file__).resolve().parents[2] / "docs/operators"
+CODES_PAGE = PAGES / "codes.md"
+SETTINGS_PAGE = PAGES / "settings.md"
 START_TIMEOUT_S = 15.0
+# Second in which a request was due, its latency in ms, and its outcome.
+LOAD = [(0, 1, "done"), *[(1, 3, "not-run")] * 3, (1, 0, "done")]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
+    lambda values: (
+        st.lists(values, max_size=3)
+        | st.dictionaries(st.text(max_size=3), values, max_size=3)
+    ),
+    max_leaves=5,
+)
 NODE_FLAGS = {
     "--node-id": "n1",
     "--cell": "c7",
@@ -79,6 +98,7 @@
     if hasattr(context, "env"):
         context.address = str(context.env.settings.operator)
     command = command.replace("NODE", getattr(context, "address", "NODE"))
+    command = command.replace("DIR", getattr(context, "directory", "DIR"))
     context.run = run_command(shlex.split(command))
 
 
@@ -245,6 +265,9 @@
     context.env.configuration.replace(1, context.env.configuration.value)
     context.server = start_operator_server(context.env)
     context.add_cleanup(context.server.stop, timeout=0)
+    directory = tempfile.TemporaryDirectory(prefix="knapweedrock-")
+    context.add_cleanup(directory.cleanup)
+    context.directory = directory.name
 
 
 @given("every member holds the configuration")
@@ -340,6 +363,7 @@
         head = answer.partition(b"\r\n\r\n")[0]
         assert head.startswith(b"HTTP/1.1 4"), (request, answer)
         assert b"Knapweedrock-Code: 3" in head, (request, answer)
+        assert answer.count(b"HTTP/1.1 ") == 1, (request, answer)
 
 
 @then("the metrics hold")
@@ -448,3 +472,90 @@
         expected = [code.name, str(info.http_status), info.outcome.value, repeat]
         assert rows[code][:5] == [*expected, info.meaning], (rows[code], info)
         assert rows[code][5].endswith("."), f"{code.name} has no action"
+
+
+@when("all keys move to n2, {count:d} callers are refused, and n2 stops")
+def change_cell(context, count):
+    """Change what a report shows."""
+    env = context.env
+    view = json.loads(json.dumps(env.views.view)) | {"count": 2}
+    view["tables"]["depot-orders"]["ranges"][0]["owner"] = "n2"
+    view["members"]["n2"]["operator"] = "127.0.0.1:1"
+    env.views.replace(view)
+    env.counters.count("caller_refusals", count, code="NOT_OWNER")
+
+
+@given("reports of a cell and of loads")
+def create_reports(context):
+    """Take a report of a cell and write one of a load of four requests."""
+    start_server(context, "")
+    directory = Path(context.directory)
+    context.address = str(context.env.settings.operator)
+    run_command(["report", "take", "--node", context.address, f"{directory}/cell.json"])
+    tally = Tally()
+    for second, took_ms, outcome in LOAD:
+        due_ns = second * NS_PER_S
+        tally.offer(due_ns)
+        tally.add(create_sample(due_ns, due_ns + took_ms * NS_PER_MS, outcome))
+    report = create_report(tally, len(LOAD), 1, 5.0, 1.0)
+    (directory / "l.json").write_text(LOAD_FORMATTERS["json"](report))
+
+
+@then("arbitrary changes of a report raise nothing but REPORT_MALFORMED")
+def feed_reports(context):
+    """Replace parts of a report at random and compare it."""
+    path = Path(context.directory) / "b.json"
+    sound = json.loads(path.read_text())
+
+    @settings(derandomize=True, database=None, deadline=None, max_examples=150)
+    @arbitrary(st.lists(st.integers(0, 9), max_size=6), JSON_VALUES)
+    def feed(way, value):
+        changed = [copy.deepcopy(sound)]
+        holder, name = changed, 0
+        for step in way:
+            inner = holder[name]
+            if not isinstance(inner, dict | list) or not inner:
+                break
+            names = sorted(inner) if isinstance(inner, dict) else range(len(inner))
+            holder, name = inner, names[step % len(names)]
+        holder[name] = value
+        path.write_text(json.dumps(changed[0]))
+        try:
+            compare_reports(read_report(path), read_report(path))
+        except KnapweedrockError as error:
+            assert error.code == Code.REPORT_MALFORMED, error
+
+    feed()
+
+
+@then("docs/operators/settings.md lists exactly the options of each command")
+def check_settings_page(context):
+    """Compare the rows of each section with the options of its commands."""
+    sections = re.split(r"^## ", SETTINGS_PAGE.read_text(), flags=re.MULTILINE)[1:]
+    listed = {
+        section.partition("\n")[0].strip(): {
+            tuple(cell.strip(" `") for cell in row.split("|")[1:4])
+            for row in section.splitlines()
+            if row.startswith("| `--")
+        }
+        for section in sections
+    }
+    found = {}
+    for path, command in walk_commands(cli):
+        for option in command.params:
+            if option.envvar or getattr(option, "show_envvar", False):
+                title, row = describe_option(path, option)
+                found.setdefault(title, set()).add(row)
+    for title, rows in found.items():
+        assert listed.get(title) == rows, (title, rows ^ listed.get(title, set()))
+
+
+def describe_option(path, option):
+    """Return the section of an option, and its flag, variable and default."""
+    words = ["KNAPWEEDROCK", *path, option.name]
+    variable = option.envvar or "_".join(words).upper().replace("-", "_")
+    shared = variable.startswith("KNAPWEEDROCK_OPERATOR_")
+    title = "Operators' commands" if shared else " ".join(path) or "All commands"
+    default = str("" if option.default is None else option.default)
+    default = default.lower() if isinstance(option.default, bool) else default
+    return title, (option.opts[0], variable, default)
--- a/features/steps/examples.py
+++ b/features/steps/examples.py
@@ -1,5 +1,6 @@
 """Steps about the examples and the library that they embed."""
 
+import json
 import re
 import subprocess
 import sys
@@ -38,6 +39,31 @@
     assert status == 0, output
 
 
+@when("{which} report of the cell is taken")
+def take_report(context, which):
+    """Take a report of the running cell."""
+    mesh = context.mesh
+    path = mesh.directory / f"report-{which}.json"
+    node = mesh.list_running()[0].operator
+    status, output = mesh.run_command("report", "take", "--node", node, str(path))
+    assert status == 0, output
+    assert output.endswith("cell cell-1, 2 of 2 nodes\n"), output
+
+
+@then("the reports differ by what it sent, at the same owners")
+def check_reports(context):
+    """Compare the reports by the command."""
+    files = [str(context.mesh.directory / f"report-{x}.json") for x in ("a", "another")]
+    status, output = context.mesh.run_command("report", "compare", *files, "--json")
+    assert status == 0, output
+    value = json.loads(output)
+    rises = value["counters"]
+    assert rises['delivered{code="DONE"}'] == 3, rises
+    assert value["owners"] == [], value["owners"]
+    assert value["nodes"]["restarted"] == [], value["nodes"]
+    assert all(min(held) >= 2 for held in value["configurations"].values()), value
+
+
 @when("the embedded client runs against its nodes")
 def run_example(context):
     """Run the example as a process."""
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -1,6 +1,7 @@
 """Steps about the load program."""
 
 import json
+import re
 import tempfile
 import time
 from collections import Counter
@@ -82,12 +83,14 @@
 
 
 @when("the load command offers {rate:d} a second for {duration_s:d} s")
+@when("the load command offers {rate:d} a second for {duration_s:d} s with")
 def run_load_command(context, rate, duration_s):
     """Run the command as a process."""
     directory = tempfile.TemporaryDirectory(prefix="knapweedrock-load-")
     context.add_cleanup(directory.cleanup)
     options = ["load", "--node", context.address, "--rate", str(rate)]
     options += ["--seconds", str(duration_s), "--json"]
+    options += [part for row in context.table or () for part in row]
     child = Child("load", options, Path(directory.name))
     child.start()
     context.add_cleanup(child.kill)
@@ -95,6 +98,16 @@
     context.output = child.log.read_text()
 
 
+@then('each request carries its key in header "{name}", path and query')
+def expect_key(context, name):
+    """Expect the same key in all three places."""
+    for request in context.read:
+        line, _, rest = request.decode().partition("\r\n")
+        key = re.search(rf"^{name}: (key-\d+)\r$", rest, re.M)[1]
+        assert line == f"GET /x/{key}?k={key} HTTP/1.1", request
+    assert context.read, context.output
+
+
 @then("it exits with status {status:d} and its report counts all requests as not run")
 def expect_command_report(context, status):
     """Expect the exit status and the counts of the report."""
--- a/knapweedrock/checker.py
+++ b/knapweedrock/checker.py
@@ -9,6 +9,18 @@
 from knapweedrock.errors import SettingError
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+HEADER_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{0,64}")
+# Headers that a request carries anyway, or that say how long it is.
+OWN_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "idempotency-key",
+        "request-deadline-ms",
+        "transfer-encoding",
+    }
+)
 SECRET_PATTERN = re.compile(r"[!-~]{0,256}")
 SECRET_MIN_CHARACTERS = 16
 MAX_PORT = 65535
@@ -128,6 +140,18 @@
         self.refuse(name, value, "true or false")
         return False
 
+    def read_header(self, name: str) -> str:
+        """Read the name of a request header; an empty one stands for none."""
+        value = self.given.get(name)
+        if (
+            isinstance(value, str)
+            and HEADER_PATTERN.fullmatch(value)
+            and value.lower() not in OWN_HEADERS
+        ):
+            return value
+        self.refuse(name, value, "a header's name that requests don't carry anyway")
+        return ""
+
     def read_secret(self, name: str) -> str:
         """Read a shared secret without ever repeating it in an error."""
         value = str(self.given.get(name) or "")
--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -10,8 +10,16 @@
 
 from knapweedrock import __version__
 from knapweedrock.logs import LEVELS, create_log_handler
+from knapweedrock.options import (
+    BOTH_WAYS,
+    FILE,
+    REPORT_FILE,
+    example,
+    flag,
+    operator_options,
+    setting,
+)
 from knapweedrock.settings import (
-    OPERATOR_VARIABLES,
     create_load_settings,
     create_node_settings,
     create_operator_settings,
@@ -23,40 +31,6 @@
 HELP_WIDTH = 88
 
 
-class UncheckedFlag(click.types.BoolParamType):
-    """Type of a flag that leaves a wrong environment variable to the checker."""
-
-    def convert(self, value: Any, param: Any, ctx: Any) -> Any:
-        """Convert what can be read as a flag and pass on the rest."""
-        try:
-            return super().convert(value, param, ctx)
-        except click.BadParameter:
-            return value
-
-
-def setting(name: str, text: str, default: str | None = None, **more: Any) -> Any:
-    """Declare an option whose value is checked with all the others."""
-    more = {"metavar": "TEXT", "show_envvar": True, "show_default": True, **more}
-    return click.option(name, help=text, default=default, **more)
-
-
-def flag(names: str, text: str, default: bool) -> Any:
-    """Declare a flag."""
-    return click.option(
-        names,
-        help=text,
-        default=default,
-        show_default=True,
-        show_envvar=True,
-        type=UncheckedFlag(),
-    )
-
-
-def example(*lines: str) -> str:
-    """Format the example that closes a command's help."""
-    return "\b\nExample:\n" + "\n".join(f"  {line}" for line in lines)
-
-
 @click.group(
     context_settings={
         "auto_envvar_prefix": ENVIRONMENT_PREFIX,
@@ -180,7 +154,8 @@
 @setting("--zipf", "Exponent of the Zipf distribution of keys.", "1.0", metavar="S")
 @setting("--seed", "Seed of arrivals and keys.", "1", metavar="COUNT")
 @setting("--orders-share", "Share of standing orders, 0 to 1.", "0", metavar="SHARE")
-@setting("--path", "Path of the requests.", "/")
+@setting("--path", "Path of the requests; {key} in it stands for the key.", "/")
+@setting("--key-header", "Header that carries the key; empty for none.", "Order-Key")
 @setting("--deadline-ms", "Deadline of each request in ms.", "1000", metavar="MS")
 @flag("--json/--no-json", "Print the report as JSON.", False)
 def load(**given: Any) -> Any:
@@ -224,56 +199,6 @@
     return run_demo(seconds, deployment=deployment, seed=seed)
 
 
-def operator_options(*names: str) -> Any:
-    """Declare the options that operators' commands share."""
-
-    def decorate(command: Any) -> Any:
-        for name in reversed(names):
-            command = OPERATOR_OPTIONS[name](command)
-        return command
-
-    return decorate
-
-
-def operator_setting(name: str, text: str, default: str | None = None, **more) -> Any:
-    """Declare an option under the same variable in every operators' command."""
-    variable = f"{OPERATOR_VARIABLES}_{name[2:].replace('-', '_').upper()}"
-    return setting(name, text, default, envvar=variable, **more)
-
-
-OPERATOR_OPTIONS = {
-    "node": operator_setting(
-        "--node", "Operator address of a node.", metavar="IP:PORT"
-    ),
-    "platform": operator_setting(
-        "--platform", "Platform's API, instead of a node.", metavar="IP:PORT"
-    ),
-    "platform-kind": operator_setting(
-        "--platform-kind", "Kind of the platform's API.", "http"
-    ),
-    "group": operator_setting("--group", "Group to change, with --platform."),
-    "secret": operator_setting(
-        "--secret",
-        "Shared secret; better set as a variable.",
-        "",
-        show_default=False,
-    ),
-    "wait": operator_setting(
-        "--wait", "Wait this long until it is in force.", "0", metavar="S"
-    ),
-    "json": click.option(
-        "--json",
-        is_flag=True,
-        help="Print JSON for programs.",
-        envvar=f"{OPERATOR_VARIABLES}_JSON",
-        show_envvar=True,
-        type=UncheckedFlag(),
-    ),
-}
-BOTH_WAYS = ("node", "platform", "platform-kind", "group", "secret")
-FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
-
-
 @cli.group(epilog=example("knapweedrock ticket list --node 127.0.0.1:7004"))
 def ticket() -> None:
     """Check, apply and list numbered change tickets."""
@@ -375,3 +300,48 @@
     from knapweedrock.operators.commands import show_owner
 
     return show_owner(settings, key, service)
+
+
+@cli.group(epilog=example("knapweedrock report take --node 127.0.0.1:7004 now.json"))
+def report() -> None:
+    """Take reports of a cell, compare them, and plot those of loads."""
+
+
+@report.command(
+    name="take",
+    epilog=example("knapweedrock report take --node 127.0.0.1:7004 before.json"),
+)
+@operator_options("node", "secret", "json")
+@click.argument("file", type=REPORT_FILE)
+def report_take(file: Path, **given: Any) -> Any:
+    """Write dumps and metrics of all nodes of a cell into a new file."""
+    settings = create_operator_settings(given, needed=("node",))
+    from knapweedrock.operators.report_commands import take_report
+
+    return take_report(settings, file)
+
+
+@report.command(
+    name="compare",
+    epilog=example("knapweedrock report compare before.json after.json"),
+)
+@operator_options("json")
+@click.argument("before", type=REPORT_FILE)
+@click.argument("after", type=REPORT_FILE)
+def report_compare(before: Path, after: Path, **given: Any) -> Any:
+    """Show what changed in a cell between two of its reports."""
+    settings = create_operator_settings(given, needed=())
+    from knapweedrock.operators.report_commands import compare_files
+
+    return compare_files(settings, before, after)
+
+
+@report.command(
+    name="plot", epilog=example("knapweedrock report plot calm.json slowed.json")
+)
+@click.argument("files", type=REPORT_FILE, nargs=-1, required=True)
+def report_plot(files: tuple[Path, ...]) -> Any:
+    """Plot latencies and service by second of reports of `load --json`."""
+    from knapweedrock.load.commands import plot_files
+
+    return plot_files(files)
--- /dev/null
+++ b/knapweedrock/documents.py
@@ -0,0 +1,49 @@
+"""Report files: JSON that names its format and the version of that."""
+
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError
+
+MAX_DOCUMENT_BYTES = 256 << 20
+
+T = TypeVar("T")
+
+
+def read_document(path: Path, name: str, version: int, kind: type[T]) -> T:
+    """Read a file of a format and version; raises `REPORT_MALFORMED`."""
+    try:
+        with path.open("rb") as file:
+            body = file.read(MAX_DOCUMENT_BYTES + 1)
+    except OSError as error:
+        raise create_error(path, error.strerror) from None
+    if len(body) > MAX_DOCUMENT_BYTES:
+        raise create_error(path, f"found more than {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        value = msgspec.json.decode(body, type=dict[str, Any])
+        for field, expected in (("format", name), ("version", version)):
+            if value.get(field) != expected:
+                found = value.get(field)
+                detail = f"{field}: found {found!r}, expected {expected!r}"
+                raise create_error(path, detail)
+        return msgspec.convert(value, kind)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        raise create_error(path, str(error)) from None
+
+
+def write_document(path: Path, value: Any) -> None:
+    """Write a new file; raises `REPORT_NOT_WRITTEN`, also where there is one."""
+    try:
+        with path.open("xb") as file:
+            file.write(msgspec.json.encode(value))
+    except OSError as error:
+        detail = f"{path}: {error.strerror}"
+        raise KnapweedrockError(Code.REPORT_NOT_WRITTEN, detail) from None
+
+
+def create_error(path: Path, detail: str) -> KnapweedrockError:
+    """Create the error of a file that can't be read."""
+    return KnapweedrockError(Code.REPORT_MALFORMED, f"{path.name}: {detail}")
--- a/knapweedrock/load/commands.py
+++ b/knapweedrock/load/commands.py
@@ -1,14 +1,15 @@
-"""The `load` command: run, print, exit by what came back."""
+"""The `load` command, and the plot of its reports."""
+
+from pathlib import Path
 
 import click
 
+from knapweedrock.load.plots import plot_reports, read_load_report
 from knapweedrock.load.program import LoadOptions, offer_load
 from knapweedrock.load.report import FORMATTERS
 from knapweedrock.settings import LoadSettings
 from knapweedrock.status import ExitStatus
 
-KEY_HEADER = "Order-Key"
-
 
 def run_load(settings: LoadSettings) -> ExitStatus:
     """Run the load that the settings ask for and print its report."""
@@ -19,15 +20,21 @@
     return ExitStatus.SUCCESS
 
 
+def plot_files(paths: tuple[Path, ...]) -> ExitStatus:
+    """Plot the reports of loads beside one another."""
+    click.echo(plot_reports([read_load_report(path) for path in paths]))
+    return ExitStatus.SUCCESS
+
+
 def create_options(settings: LoadSettings) -> LoadOptions:
-    """Create options from checked settings; the key goes in header and path."""
+    """Create options from checked settings."""
     return LoadOptions(
         addresses=tuple(str(address) for address in settings.nodes),
         rate=settings.rate,
         duration_s=settings.seconds,
         read_path=settings.path,
         order_path=settings.path,
-        key_header=KEY_HEADER,
+        key_header=settings.key_header,
         keys=settings.keys,
         zipf=settings.zipf,
         order_share=settings.orders_share,
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -82,6 +82,7 @@
         self.clock: Clock = create_clock()
         self.tally = Tally()
         self.offered = 0
+        self._probes = 0
         self._random = random.Random(f"load-{options.seed}")
         self.keys: KeySource = create_keys(options.keys, options.zipf, options.seed)
         self._tasks = Group()
@@ -106,7 +107,7 @@
 
     def _offer_all(self) -> None:
         options = self.options
-        start_ns = self.clock.now_ns()
+        self.tally.start_ns = start_ns = self.clock.now_ns()
         for offset_ns in create_arrivals(
             options.rate, options.duration_s, options.seed
         ):
@@ -118,6 +119,7 @@
 
     def _offer(self, due_ns: int) -> None:
         self.offered += 1
+        self.tally.offer(due_ns)
         is_order = self._random.random() < self.options.order_share
         order_id = create_order_id() if is_order else ""
         arrival = Arrival(
@@ -132,12 +134,29 @@
             return
         self._tasks.start(gevent.Greenlet(self._send, arrival))
 
+    def probe(self, key: str) -> Sample:
+        """Read a key once, now, at a random node; counted in no report."""
+        self._probes += 1
+        tag = f"{self._name}-p{self._probes}"
+        address = random.choice(self.addresses)
+        return self._exchange(Arrival(self.clock.now_ns(), address, key, tag, ""))
+
+    def spawn(self, function: Callable[..., None], *arguments: object) -> None:
+        """Run a task that ends with the run at the latest."""
+        self._tasks.start(gevent.Greenlet(function, *arguments))
+
     def _send(self, arrival: Arrival) -> None:
+        sample = self._exchange(arrival)
+        self.tally.add(sample)
+        if self.observe is not None:
+            self.observe(sample)
+
+    def _exchange(self, arrival: Arrival) -> Sample:
         method = "POST" if arrival.order_id else "GET"
         path = self._fill_path(arrival)
         status, headers, body = 0, {}, b""
         try:
-            response = self._exchange(arrival, method, path)
+            response = self._request(arrival, method, path)
             body = bytes(response.read())
             status = response.status_code
             headers = {str(name).lower(): str(text) for name, text in response.headers}
@@ -146,7 +165,7 @@
         except EXCHANGE_ERRORS:
             headers = {"knapweedrock-outcome": Outcome.MAY_HAVE_RUN.value}
         code = read_code(status, headers)
-        sample = Sample(
+        return Sample(
             ORDER if arrival.order_id else READ,
             arrival.key,
             arrival.address,
@@ -160,11 +179,8 @@
             arrival.order_id,
             code != Code.DONE or self._is_own(arrival, path, body),
         )
-        self.tally.add(sample)
-        if self.observe is not None:
-            self.observe(sample)
 
-    def _exchange(self, arrival: Arrival, method: str, path: str):
+    def _request(self, arrival: Arrival, method: str, path: str):
         options = self.options
         sent = {"Request-Deadline-Ms": str(options.deadline_ms)}
         if options.key_header:
--- a/knapweedrock/load/report.py
+++ b/knapweedrock/load/report.py
@@ -6,7 +6,10 @@
 import msgspec
 
 from knapweedrock.codes import Code, Outcome
-from knapweedrock.load.samples import Latency, Tally
+from knapweedrock.load.samples import Bucket, Latency, Second, Tally
+
+FORMAT = "knapweedrock load report"
+VERSION = 1
 
 Formatter = Callable[["LoadReport"], str]
 
@@ -31,6 +34,8 @@
     unanswered: int
     codes: dict[str, int]
     latency: dict[str, Latency]
+    seconds: list[Second]
+    histogram: list[Bucket]
 
 
 def formatter(name: str) -> Callable[[Formatter], Formatter]:
@@ -60,6 +65,8 @@
         offered - counted,
         {name_code(code): count for code, count in sorted(tally.codes.items())},
         tally.summarize(),
+        tally.list_seconds(),
+        tally.list_buckets(),
     )
 
 
@@ -74,9 +81,12 @@
 @formatter("json")
 def format_json(report: LoadReport) -> str:
     """Format the report as JSON."""
-    plain = report._asdict() | {
-        "latency": {kind: value._asdict() for kind, value in report.latency.items()}
-    }
+    head = {"format": FORMAT, "version": VERSION}
+    plain = (
+        head
+        | report._asdict()
+        | {"latency": {kind: value._asdict() for kind, value in report.latency.items()}}
+    )
     return msgspec.json.format(msgspec.json.encode(plain)).decode()
 
 
--- a/knapweedrock/load/samples.py
+++ b/knapweedrock/load/samples.py
@@ -1,16 +1,20 @@
 """Samples of finished requests and their tally."""
 
+from bisect import bisect_right
 from collections import Counter
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from hdrh.histogram import HdrHistogram
 
+from knapweedrock.clock import NS_PER_S
 from knapweedrock.codes import Outcome
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
 NS_PER_US = 1000
+US_PER_MS = 1000
+BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 NO_CODE = -1
 
@@ -47,16 +51,45 @@
     max_ms: float
 
 
+class Second(TypedDict):
+    """What was due in one second of a run, and how much of it was done."""
+
+    second: int
+    offered: int
+    done: int
+
+
+class Bucket(TypedDict):
+    """Requests done below a latency, and not below the bucket before it.
+
+    The last bucket has no bound.
+    """
+
+    below_ms: float | None
+    count: int
+
+
 class Tally:
-    """Counts by outcome and code, and latencies by kind."""
+    """Counts by outcome, code and second, and latencies by kind.
 
-    def __init__(self) -> None:
+    Seconds are counted from `start_ns`.
+    """
+
+    def __init__(self, start_ns: int = 0) -> None:
+        self.start_ns = start_ns
+        self._offered: Counter[int] = Counter()
+        self._done: Counter[int] = Counter()
+        self._buckets = [0] * (len(BUCKETS_MS) + 1)
         self.outcomes: Counter[str] = Counter()
         self.codes: Counter[int] = Counter()
         self.addresses: Counter[str] = Counter()
         self.unsent = 0
         self._histograms: dict[str, HdrHistogram] = {}
 
+    def offer(self, due_ns: int) -> None:
+        """Count a request that is due."""
+        self._offered[self._find_second(due_ns)] += 1
+
     def add(self, sample: Sample) -> None:
         """Count one sample; its latency only if it was done."""
         self.outcomes[sample.outcome] += 1
@@ -66,6 +99,25 @@
             return
         value_us = max(1, (sample.end_ns - sample.intended_ns) // NS_PER_US)
         self._find_histogram(sample.kind).record_value(min(value_us, HIGHEST_US))
+        self._buckets[bisect_right(BUCKETS_MS, value_us / US_PER_MS)] += 1
+        self._done[self._find_second(sample.intended_ns)] += 1
+
+    def list_seconds(self) -> list[Second]:
+        """List what was offered and done by the second in which it was due."""
+        return [
+            {"second": second, "offered": offered, "done": self._done[second]}
+            for second, offered in sorted(self._offered.items())
+        ]
+
+    def list_buckets(self) -> list[Bucket]:
+        """List the requests done by latency."""
+        return [
+            {"below_ms": bound, "count": count}
+            for bound, count in zip((*BUCKETS_MS, None), self._buckets, strict=True)
+        ]
+
+    def _find_second(self, at_ns: int) -> int:
+        return (at_ns - self.start_ns) // NS_PER_S
 
     def summarize(self) -> dict[str, Latency]:
         """Summarize latencies by kind, and over all of them as `all`."""
--- a/knapweedrock/operators/client.py
+++ b/knapweedrock/operators/client.py
@@ -29,23 +29,44 @@
     `PEER_LOST` when no whole answer came in time.
     """
     headers = {"Content-Type": content_type}
+    status, content = fetch(address, method, target, secret, headers, body, timeout_ms)
+    value = decode_answer(address, content)
+    if status >= 400:
+        raise_errors(value)
+    return value
+
+
+def fetch_text(
+    address: Address, target: str, *, secret: str = "", timeout_ms: int = 5000
+) -> str:
+    """Ask a node for a page of text; raises as `fetch_json`."""
+    status, content = fetch(address, "GET", target, secret, {}, b"", timeout_ms)
+    if status >= 400:
+        raise_errors(decode_answer(address, content))
+    return content.decode(errors="replace")
+
+
+def fetch(
+    address: Address,
+    method: str,
+    target: str,
+    secret: str,
+    headers: dict[str, str],
+    body: bytes,
+    timeout_ms: int,
+) -> tuple[int, bytes]:
+    """Send one request and read the whole answer in time, or raise by code."""
     if secret:
-        headers["Authorization"] = f"Bearer {secret}"
+        headers = headers | {"Authorization": f"Bearer {secret}"}
     try:
         with gevent.Timeout(timeout_ms / 1000):
-            status, content = exchange(
-                address, method, target, headers, body, timeout_ms / 1000
-            )
+            return exchange(address, method, target, headers, body, timeout_ms / 1000)
     except ConnectionRefusedError as error:
         detail = f"{address}: {error}"
         raise KnapweedrockError(Code.PEER_UNREACHABLE, detail) from None
     except (*EXCHANGE_ERRORS, gevent.Timeout) as error:
         detail = f"{address}: {error or 'no answer in time'}"
         raise KnapweedrockError(Code.PEER_LOST, detail) from None
-    value = decode_answer(address, content)
-    if status >= 400:
-        raise_errors(value)
-    return value
 
 
 def exchange(
--- /dev/null
+++ b/knapweedrock/operators/report_commands.py
@@ -0,0 +1,120 @@
+"""Operators' commands about reports of a cell, and how their results are shown."""
+
+from pathlib import Path
+from typing import Any
+
+from knapweedrock.codes import Code
+from knapweedrock.documents import write_document
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.operators.comparison import compare_reports
+from knapweedrock.operators.formatters import format_table, formatter
+from knapweedrock.operators.reports import gather_report, list_failed, read_report
+from knapweedrock.operators.writers import write_result
+from knapweedrock.settings import OperatorSettings
+from knapweedrock.status import ExitStatus
+
+MAX_COUNTERS_SHOWN = 20
+
+
+def take_report(settings: OperatorSettings, path: Path) -> ExitStatus:
+    """Write a report of a node's cell; nodes that don't answer are named in it."""
+    if settings.node is None:
+        raise KnapweedrockError(Code.SETTING_INVALID, "--node: found nothing")
+    report = gather_report(settings.node, settings.secret)
+    write_document(path, report)
+    value = {
+        "file": str(path),
+        "cell": report["cell"],
+        "nodes": len(report["nodes"]),
+        "not_read": list_failed(report),
+    }
+    write_result("report", value, settings.as_json)
+    return ExitStatus.SUCCESS
+
+
+def compare_files(settings: OperatorSettings, before: Path, after: Path) -> ExitStatus:
+    """Show what changed between two reports of a cell."""
+    value = compare_reports(read_report(before), read_report(after))
+    write_result("compared", value, settings.as_json)
+    return ExitStatus.SUCCESS
+
+
+@formatter("report")
+def format_report(value: dict[str, Any]) -> str:
+    """Format what a report holds."""
+    read = value["nodes"] - len(value["not_read"])
+    lines = [f"{value['file']}: cell {value['cell']}, {read} of {value['nodes']} nodes"]
+    lines += [f"not read: {name}: {why}" for name, why in value["not_read"].items()]
+    return "\n".join(lines)
+
+
+@formatter("compared")
+def format_compared(value: dict[str, Any]) -> str:
+    """Format what changed between two reports."""
+    blocks = [
+        format_cell(value["cell"]),
+        format_nodes(value),
+        format_owners(value["owners"]),
+        format_rises("CALLERS REFUSED", value["refusals"]),
+        format_rises("COUNTER", value["counters"]),
+    ]
+    return "\n\n".join(block for block in blocks if block)
+
+
+def format_cell(value: dict[str, Any]) -> str:
+    """Format the change of the cell as a whole."""
+    return f"cell {value['cell']}, {value['between_s']:.1f} s later: " + ", ".join(
+        f"{name} {show_change(*value[name])}"
+        for name in ("coordinators", "epochs", "troubles")
+    )
+
+
+def format_nodes(value: dict[str, Any]) -> str:
+    """Format what became of each node, its configuration and its lease."""
+    nodes = value["nodes"]
+    fates = ("gone", "joined", "restarted")
+    marks = {name: fate for fate in fates for name in nodes[fate]}
+    unread = nodes["not_read"][0] | nodes["not_read"][1]
+    names = sorted(marks.keys() | unread.keys() | value["leases"].keys())
+    rows = [
+        (
+            name,
+            marks.get(name) or ("not read" if name in unread else "runs on"),
+            show_change(*value["configurations"].get(name, ("?", "?"))),
+            show_change(*value["leases"].get(name, ("?", "?"))),
+        )
+        for name in names
+    ]
+    return format_table(("NODE", "PROCESS", "CONFIGURATION", "LEASE MS"), rows)
+
+
+def format_owners(moves: list[dict[str, Any]]) -> str:
+    """Format which share of the key space moved."""
+    rows = [
+        (
+            move["service"],
+            move["from"] or "nobody",
+            move["to"] or "nobody",
+            f"{move['share']:.2%}",
+        )
+        for move in moves
+    ]
+    titles = ("SERVICE", "FORMER OWNER", "OWNER", "SHARE OF KEYS")
+    return format_table(titles, rows) if rows else "no owner changed"
+
+
+def format_rises(title: str, rises: dict[str, int]) -> str:
+    """Format the counters that rose most."""
+    rows = [(name, f"+{rise:g}") for name, rise in rises.items()][:MAX_COUNTERS_SHOWN]
+    left = len(rises) - len(rows)
+    table = format_table((title, "ROSE"), rows)
+    return table + (f"\nand {left} more, see --json" if left else "") if rows else ""
+
+
+def show_change(before: Any, after: Any) -> str:
+    """Show two values, or one where nothing changed."""
+    texts = [
+        f"{value:g}" if isinstance(value, int | float) else str(value or "none")
+        for value in (before, after)
+    ]
+    return texts[0] if before == after else " -> ".join(texts)
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -88,7 +88,8 @@
     """Checked settings of one run of the load program.
 
     `rate` is arrivals a second over all nodes, `zipf` the exponent of the keys'
-    distribution, `orders_share` the share of non-idempotent requests.
+    distribution, `orders_share` the share of non-idempotent requests. `key_header`
+    is empty where the path alone carries the key.
     """
 
     nodes: tuple[Address, ...]
@@ -99,6 +100,7 @@
     seed: int
     orders_share: float
     path: str
+    key_header: str
     deadline_ms: int
     as_json: bool
 
@@ -233,6 +235,7 @@
         seed=checker.read_integer("seed", 0, MAX_SEED),
         orders_share=checker.read_number("orders_share", 0, 1),
         path=_read_path(checker),
+        key_header=checker.read_header("key_header"),
         deadline_ms=checker.read_integer("deadline_ms", 1, MAX_WORK_MS),
         as_json=checker.read_flag("json"),
     )
