--- a/knapweedrock/nodes/updates.py
+++ b/knapweedrock/nodes/updates.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 from knapweedrock.differences import Change, History
-from knapweedrock.nodes.links import Sender, handles
+from knapweedrock.nodes.handlers import Sender, handles
 from knapweedrock.nodes.messages import (
     Assign,
     ConfigAnswer,
