Walk a table only when it or its owners change

Change: the processes that own ranges are listed once for each state of the table; while all of them may keep what they have and nothing moves, takeover, resolution and evacuation are not tried. A plan of balance is kept until table or owners change.

--- a/knapweedrock/nodes/assignment.py
+++ b/knapweedrock/nodes/assignment.py
@@ -151,9 +151,11 @@
     loaded = find_loaded(owners, loads, shares)
     room = {n: limits[n] - counts.get(n, 0) for n in owners if n not in loaded}
     moves: list[Move] = []
+    if not room or max(surplus.values()) + max(room.values()) <= SLACK_RANGES:
+        return moves
     for entry in table["ranges"]:
         owner = entry["owner"]
-        if len(moves) >= limit or not room:
+        if len(moves) >= limit:
             break
         if is_fixed(entry) or surplus.get(owner, 0) <= 0:
             continue
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -56,6 +56,10 @@
         self.load_checked_ns = 0
         self.load_rounds = 0
         self.hot_keys = HotKeys(env.clock, service)
+        self.surveyed: Table | None = None
+        self.even: tuple[Table, dict[str, Member]] | None = None
+        self.announced = False
+        self.processes: set[Process] = set()
         self.failed_releases: dict[str, int] = defaultdict(int)
 
     def run(self) -> None:
@@ -78,15 +82,38 @@
             tables.create(self.service)
             self.term.publish()
         tables.flush(self.service)
-        if self._resolve_announced() or self._take_over():
+        settled = self._is_settled()
+        if not settled and (self._resolve_announced() or self._take_over()):
             return
-        if not self.env.coordinator.platform_ok or self._evacuate():
+        if not self.env.coordinator.platform_ok:
+            return
+        if not settled and self._evacuate():
             return
         if self._is_due("balanced_ns", BALANCE_INTERVAL_MS) and self._balance():
             return
         if self._is_due("load_checked_ns", LOAD_INTERVAL_MS):
             self._balance_load()
 
+    def _is_settled(self) -> bool:
+        """Tell whether all ranges have owners that may keep them, and none moves.
+
+        The table is walked once for each state of it, not at each round.
+        """
+        table = self._get_table()
+        if self.surveyed is not table:
+            self.surveyed = table
+            self.announced = any("next" in entry for entry in table["ranges"])
+            self.processes = {
+                Process(entry["owner"], entry["incarnation"])
+                for entry in table["ranges"]
+            }
+        owners = self._list_owners()
+        roster = self.term.roster
+        return not self.announced and all(
+            process.node_id in owners and roster.is_alive(process)
+            for process in self.processes
+        )
+
     def _take_over(self) -> bool:
         """Give away the ranges whose owner is gone for sure."""
         table = self._get_table()
@@ -157,9 +184,14 @@
         return self._move(plan_orphans(table, batch, owners), "evacuation")
 
     def _balance(self) -> bool:
-        owners = self._list_owners()
+        table, owners = self._get_table(), self._list_owners()
+        if (table, owners) == self.even:
+            return False
+        if not plan_balance(table, owners, {}, BALANCE_BATCH_RANGES):
+            self.even = (table, owners)
+            return False
         loads = self._list_loads(owners)
-        moves = plan_balance(self._get_table(), owners, loads, BALANCE_BATCH_RANGES)
+        moves = plan_balance(table, owners, loads, BALANCE_BATCH_RANGES)
         return self._move(moves, "balance")
 
     def _balance_load(self) -> None:
