--- a/features/answers.feature
+++ b/features/answers.feature
@@ -55,6 +55,13 @@
     Then its code is ANSWER_LOST
     And the history keeps every promise
 
+  Scenario: A request under an older token than granted does not run
+    Given a target
+    When another node's grant has a higher token
+    And an order is sent
+    Then its code is TARGET_FENCED
+    And the target ran 0 requests
+
   Scenario: Silent connections cost an idempotent request less than a second
     Given a target
     When 20 idempotent requests of 20 callers are sent at once
--- a/features/steps/delivery.py
+++ b/features/steps/delivery.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from features.support.history import check_all
+from features.support.http import call
 from features.support.target_bench import (
     SERVICE,
     create_bench,
@@ -117,6 +118,14 @@
     context.bench.change_target(**{fault: count})
 
 
+@when("another node's grant has a higher token")
+def grant_elsewhere(context):
+    """Grant the target's keys to another node, which this one has not heard of."""
+    bench = context.bench
+    value = {"ranges": [(0, HASH_SPACE, bench.env.lease.token + 1)]}
+    assert call(bench.address, "PUT", "/grants", value).status == 200
+
+
 @when("the target sheds its load")
 def shed(context):
     """Let the target refuse all work."""
