Measure unavailable keys of the demo by reading them, and let it end with 7 for more

Cause: a gap ended with the next request that happened to be for the key. Now a key whose request was not served is read every 50 ms until a read that began after its last failure is served.

The demo checked neither excess at cold targets, nor requests without any answer, nor whether the last configuration is in force; each of the three, and work in the zone that was out, ends it with status 7, by a scenario each.

Two demos at once took one another's ports ("Address already in use" in a run side by side): each process takes a loopback address of its own now.

--- a/features/steps/demo.py
+++ b/features/steps/demo.py
@@ -1,12 +1,20 @@
 """Steps about the demo."""
 
+import contextlib
+import io
 import re
 import tempfile
 from pathlib import Path
+from unittest import mock
 
+import gevent
 from behave import then, when
 
+from features.support.builders import create_call, create_execution, create_sample
 from features.support.processes import Child, wait_for
+from knapweedrock.clock import NS_PER_S
+from knapweedrock.demo import checks, program
+from knapweedrock.history import Excess, find_longest_gap
 
 ROWS = (
     "requests done",
@@ -18,6 +26,13 @@
     "p99",
 )
 END_TIMEOUT_S = 60
+LAST_FAILURE_NS = 55
+BREACHES = {
+    "a target got more than it bears": {"excess": [Excess("t1", 1, 5, 4)]},
+    "a node is behind": {"behind": ["n3"]},
+    "the zone that was out got work": {"executions": [create_execution(start_ms=4000)]},
+    "a request got no answer": {},
+}
 
 
 @when('the demo of "{deployment}" runs for {seconds:d} seconds')
@@ -58,3 +73,50 @@
 def expect_no_children(context):
     """Expect that the process had no children."""
     assert not context.children, context.children
+
+
+@when("a demo key is refused, is refused {count:d} times more, and fails once later")
+def probe_key(context, count):
+    """Give the demo two failures, the second while a read that is served runs."""
+    context.demo = program.Demo(1, "kowhai", 1)
+    ends = iter(["not-run"] * count + ["done"] * 9)
+    run = mock.Mock()
+    run.spawn = gevent.spawn
+    run.probe = lambda key: create_sample(next_ns(), next_ns(), next(ends), key)
+    next_ns = iter(range(10, 1000, 10)).__next__
+    context.demo.runs = [run]
+    context.demo.take_keyed(create_sample(0, 5, "not-run"))
+    context.demo.take_keyed(create_sample(LAST_FAILURE_NS, 58, "not-run"))
+    wait_for(lambda: not context.demo.unserved, END_TIMEOUT_S, "the key is served")
+
+
+@then("it was read {count:d} times and its longest gap ends with read {last:d}")
+def expect_gap(context, count, last):
+    """Expect the gap from the first refusal to the end of a read."""
+    demo = context.demo
+    assert len(demo.probes) == count, demo.probes
+    samples = demo.keyed + demo.probes
+    calls = [checks.create_call(found, "depot-orders", True) for found in samples]
+    assert find_longest_gap(calls).longest_ms == demo.probes[last - 1].end_ns / 1e6
+
+
+@when("a run of the demo ends in which {breach}")
+def end_run(context, breach):
+    """Let a run of the demo end with the evidence of a breach."""
+    zone_out = checks.ZoneOut("zone-a", 0, 9 * NS_PER_S)
+    given = {"executions": [], "excess": [], "behind": []} | BREACHES[breach]
+    evidence = checks.Evidence(zone_out=zone_out, zone_targets=["t1"], **given)
+    calls = [create_call(answered="no answer" not in breach)]
+    summary = checks.summarize([create_sample()], calls, [], evidence)
+    output = io.StringIO()
+    patch = mock.patch.object(program.Demo, "run", lambda demo: summary)
+    with patch, contextlib.redirect_stdout(output):
+        context.status = program.run_demo(1)
+    context.output = output.getvalue()
+
+
+@then('it ends with exit status {status:d} and names "{promise}"')
+def expect_breach(context, status, promise):
+    """Expect the status and the one promise that was broken."""
+    assert context.status == status, context.output
+    assert re.findall(r"^broken: ([^:]+):", context.output, re.M) == [promise]
--- a/knapweedrock/demo/checks.py
+++ b/knapweedrock/demo/checks.py
@@ -6,8 +6,11 @@
 from knapweedrock.codes import Outcome
 from knapweedrock.history import (
     Call,
+    Excess,
+    Execution,
     Violation,
     check_all,
+    check_bearable,
     check_silence,
     find_longest_gap,
     measure_churn,
@@ -25,6 +28,20 @@
     to_ns: int
 
 
+class Evidence(NamedTuple):
+    """What targets and nodes say after a run.
+
+    `zone_targets` lie in the availability zone that was out; `behind` lists nodes
+    that don't hold the newest configuration.
+    """
+
+    executions: list[Execution]
+    excess: list[Excess]
+    zone_out: ZoneOut
+    zone_targets: list[str]
+    behind: list[str]
+
+
 class Summary(NamedTuple):
     """Result of a demo run."""
 
@@ -60,10 +77,8 @@
 def summarize(
     samples: list[Sample],
     calls: list[Call],
-    executions,
     owners: list[list[dict]],
-    zone_out: ZoneOut,
-    zone_targets: list[str],
+    evidence: Evidence,
 ) -> Summary:
     """Summarize a run; `owners` holds the tables read one after the other."""
     tally = Tally()
@@ -73,10 +88,6 @@
         measure_churn(before, after)
         for before, after in zip(owners, owners[1:], strict=False)
     )
-    silent_from_ns = zone_out.from_ns + ZONE_OUT_LIMIT_S * NS_PER_S
-    violations = check_all(calls, executions) + check_silence(
-        executions, zone_targets, silent_from_ns, zone_out.to_ns
-    )
     keyed = [call for call in calls if call.key]
     return Summary(
         tally.outcomes[Outcome.DONE.value],
@@ -85,10 +96,25 @@
         moved,
         find_longest_gap(keyed).longest_ms,
         tally.summarize()["all"],
-        violations,
+        list_violations(calls, evidence),
     )
 
 
+def list_violations(calls: list[Call], evidence: Evidence) -> list[Violation]:
+    """List every promise that the run broke."""
+    executions, zone_out = evidence.executions, evidence.zone_out
+    silent_from_ns = zone_out.from_ns + ZONE_OUT_LIMIT_S * NS_PER_S
+    return [
+        *check_all(calls, executions),
+        *check_silence(
+            executions, evidence.zone_targets, silent_from_ns, zone_out.to_ns
+        ),
+        *check_bearable(evidence.excess),
+        *(Violation("an answer", f"none: {c}") for c in calls if not c.answered),
+        *(Violation("in force everywhere", f"not at {n}") for n in evidence.behind),
+    ]
+
+
 def format_summary(summary: Summary) -> str:
     """Format the closing table."""
     rows = [
--- a/knapweedrock/demo/mesh.py
+++ b/knapweedrock/demo/mesh.py
@@ -1,5 +1,6 @@
 """Nodes, targets and platform of a deployment as tasks of one process."""
 
+import os
 import socket
 import time
 from typing import NamedTuple
@@ -21,7 +22,6 @@
 from knapweedrock.platform.writes import open_envelope
 from knapweedrock.settings import Address, NodeSettings, TargetSettings
 
-HOST = "127.0.0.1"
 CELL = "demo"
 ADDRESSES_PER_VM = 5
 START_TIMEOUT_S = 20.0
@@ -86,6 +86,14 @@
         self.lost.add(node_id)
         self.find(node_id).node.env.faults.cuts = CUT_ALL
 
+    def list_behind(self) -> list[str]:
+        """List the living nodes that don't hold the newest configuration."""
+        return [
+            vm.settings.node_id
+            for vm in self.list_living()
+            if vm.node.env.configuration.version < self._version
+        ]
+
     def find(self, node_id: str) -> Vm:
         """Find a VM by the id of its node."""
         return next(vm for vm in self.vms if vm.settings.node_id == node_id)
@@ -198,10 +206,17 @@
         return owned and len(found) == len(self.vms)
 
 
+def create_loopback_host() -> str:
+    """Create a loopback address of this process alone, so that no port is taken."""
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 63}.{(pid >> 8) % 256}.{pid % 254 + 1}"
+
+
 def take_addresses(count: int) -> list[Address]:
     """Take free loopback addresses; all are held until the last one is found."""
-    probes = [socket.create_server((HOST, 0)) for _ in range(count)]
-    found = [Address(HOST, probe.getsockname()[1]) for probe in probes]
+    host = create_loopback_host()
+    probes = [socket.create_server((host, 0)) for _ in range(count)]
+    found = [Address(host, probe.getsockname()[1]) for probe in probes]
     for probe in probes:
         probe.close()
     return found
--- a/knapweedrock/demo/program.py
+++ b/knapweedrock/demo/program.py
@@ -1,10 +1,14 @@
 """The `demo` command: start a mesh, load it, break it, and tell how it went."""
 
+import time
+
 import click
 import gevent
 
 from knapweedrock.clock import create_clock
+from knapweedrock.codes import Outcome
 from knapweedrock.demo.checks import (
+    Evidence,
     Summary,
     ZoneOut,
     create_call,
@@ -25,6 +29,8 @@
 ZONE_OUT_AT = 0.45
 ZONE_BACK_AT = 0.75
 PROGRESS_PERIOD_S = 2.0
+PROBE_PERIOD_S = 0.05
+IN_FORCE_LIMIT_S = 6.0
 
 
 class Demo:
@@ -40,6 +46,8 @@
         self.unkeyed: list[Sample] = []
         self.owners: list[list[dict]] = []
         self.runs: list[LoadRun] = []
+        self.probes: list[Sample] = []
+        self.unserved: dict[str, int] = {}
 
     def run(self) -> Summary:
         """Run the whole schedule and return its summary."""
@@ -49,7 +57,8 @@
             click.echo(f"{len(self.mesh.vms)} nodes serve; load starts")
             self.owners.append(self.mesh.read_owners())
             zone_out = self._run_under_load()
-            return self._summarize(zone_out)
+            behind = self._wait_in_force()
+            return self._summarize(zone_out, behind)
         finally:
             self.mesh.stop()
 
@@ -102,8 +111,28 @@
             seed=self.seed,
             check_echo=True,
         )
-        samples = self.keyed if keyed else self.unkeyed
-        return LoadRun(options, samples.append)
+        return LoadRun(options, self.take_keyed if keyed else self.unkeyed.append)
+
+    def take_keyed(self, sample: Sample) -> None:
+        """Take a sample; a key that was not served is probed until it is."""
+        self.keyed.append(sample)
+        if sample.outcome == Outcome.DONE.value:
+            return
+        is_probed = sample.key in self.unserved
+        self.unserved[sample.key] = sample.intended_ns
+        if not is_probed:
+            run = self.runs[0]
+            run.spawn(self._probe, run, sample.key)
+
+    def _probe(self, run: LoadRun, key: str) -> None:
+        """Read a key at a steady rate until a read after its last failure is done."""
+        while key in self.unserved:
+            gevent.sleep(PROBE_PERIOD_S)
+            sample = run.probe(key)
+            self.probes.append(sample)
+            is_done = sample.outcome == Outcome.DONE.value
+            if is_done and sample.intended_ns > self.unserved[key]:
+                del self.unserved[key]
 
     def _show_progress(self) -> None:
         while True:
@@ -115,12 +144,20 @@
             )
             self._say(f"done {done}, not run {refused}, may have run {maybe}")
 
+    def _wait_in_force(self) -> list[str]:
+        """Wait until the last configuration is in force; return where it is not."""
+        end_s = time.monotonic() + IN_FORCE_LIMIT_S
+        while (behind := self.mesh.list_behind()) and time.monotonic() < end_s:
+            gevent.sleep(PROBE_PERIOD_S)
+        return behind
+
     def _say(self, text: str) -> None:
         click.echo(f"  {text}")
 
-    def _summarize(self, zone_out: ZoneOut) -> Summary:
+    def _summarize(self, zone_out: ZoneOut, behind: list[str]) -> Summary:
         calls = [
-            create_call(found, self.deployment.keyed, True) for found in self.keyed
+            create_call(found, self.deployment.keyed, True)
+            for found in self.keyed + self.probes
         ]
         calls += [
             create_call(found, self.deployment.unkeyed, False) for found in self.unkeyed
@@ -133,10 +170,14 @@
         return summarize(
             self.keyed + self.unkeyed,
             calls,
-            self.mesh.read_executions(),
             self.owners,
-            zone_out,
-            targets,
+            Evidence(
+                self.mesh.read_executions(),
+                self.mesh.read_excess(),
+                zone_out,
+                targets,
+                behind,
+            ),
         )
 
 
