--- a/knapweedrock/operators/comparison.py
+++ b/knapweedrock/operators/comparison.py
@@ -69,13 +69,13 @@
 @comparer("configurations")
 def compare_configurations(
     before: CellReport, after: CellReport
-) -> dict[str, list[float]]:
+) -> dict[str, list[int]]:
     """Tell the configuration version in force at each node, before and after."""
     return compare_metric(before, after, VERSION_METRIC)
 
 
 @comparer("leases")
-def compare_leases(before: CellReport, after: CellReport) -> dict[str, list[float]]:
+def compare_leases(before: CellReport, after: CellReport) -> dict[str, list[int]]:
     """Tell the milliseconds left of each node's lease, before and after."""
     return compare_metric(before, after, LEASE_METRIC)
 
@@ -131,10 +131,10 @@
 
 def compare_metric(
     before: CellReport, after: CellReport, metric: str
-) -> dict[str, list[float]]:
-    """Tell a metric of each node that both reports could read."""
+) -> dict[str, list[int]]:
+    """Tell a metric, rounded, of each node that both reports could read."""
     return {
-        name: [was["metrics"].get(metric, 0), now["metrics"].get(metric, 0)]
+        name: [round(node["metrics"].get(metric, 0)) for node in (was, now)]
         for name, was, now in list_pairs(before, after)
     }
 
--- a/knapweedrock/operators/reports.py
+++ b/knapweedrock/operators/reports.py
@@ -1,5 +1,6 @@
 """Report of a cell: dumps and metrics of all its nodes, gathered by reading only."""
 
+import math
 import re
 import time
 from pathlib import Path
@@ -116,8 +117,8 @@
     found = {}
     for line in text.splitlines():
         match = METRIC_PATTERN.fullmatch(line)
-        if match:
-            found[match[1]] = float(match[2])
+        if match and math.isfinite(value := float(match[2])):
+            found[match[1]] = value
     return found
 
 
