Let one cell alone keep the keys of a service

Cause: tables are named by service and cell, so a second cell with targets of the same service made a table of its own, and each key had an owner in both. Found by reading; shown by the new scenario without its guard (two tables, and the status names no keeper). Ruled out: that a check for other tables suffices, since two cells could look at the same time. Change: the first coordinator with a target of the service writes keepers/<service> with expected version 0; others hand out nothing, say so in status (kept_elsewhere, with what mends it) and ask again every 5 s. A table is created only once a target of its service serves.

Before: two owners for each key, one in each cell. After: one table; the second cell's nodes refuse.

--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -1,5 +1,7 @@
 """Steps about tables whose writes get no clear answer, and ranges not yet free."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
 from features.steps.succession import (
@@ -11,7 +13,11 @@
     create_heartbeat,
     read_process,
 )
+from features.support.builders import create_layout
 from features.support.fakes import FakePlatform
+from features.support.http import call
+from features.support.mesh import Mesh, remove_directory
+from features.support.processes import wait_for
 from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.codes import Code
 from knapweedrock.configuration import create_configuration
@@ -124,3 +130,74 @@
     """Check from when the ranges may be given away."""
     free_ns = context.roster.free_at_ns(context.process, SERVICE)
     assert free_ns == context.lapsed_ns + longest_ms * NS_PER_MS, free_ns
+
+
+@when("its claim of a service has effect and the answer is lost")
+def claim_unclear(context):
+    """Claim the keys once without an answer."""
+    context.platform.effect = "at once"
+    try:
+        context.tables.claim(SERVICE)
+    except PlatformError as error:
+        assert error.code == Code.PLATFORM_UNAVAILABLE, error
+        return
+    raise AssertionError("an answer came")
+
+
+@then("the next claim finds that its own cell keeps the keys")
+def claim_again(context):
+    """Claim the keys once more."""
+    assert context.tables.claim(SERVICE) == CELL
+
+
+@then("the claim of another cell finds the same")
+def claim_elsewhere(context):
+    """Claim the keys for another cell."""
+    other = SimpleNamespace(
+        platform=context.platform, settings=SimpleNamespace(cell="cell-2")
+    )
+    assert Tables(other, FakeOffice(1)).claim(SERVICE) == CELL
+
+
+@when("nodes and targets of the same service start in another cell")
+def start_other_cell(context):
+    """Start a second cell at the platform of the first."""
+    first = context.mesh
+    layout = create_layout({SERVICE: 2}, fenced=True)
+    other = Mesh(layout, cell="cell-2", ports=first.ports)
+    context.add_cleanup(remove_directory, other.directory)
+    context.add_cleanup(other.stop)
+    other.platform_address = first.platform_address
+    for name in other.vms:
+        other.start_node(name)
+        other.start_target(name)
+    context.other = other
+
+
+@then("the status of that cell names the cell that keeps the keys")
+def check_kept_elsewhere(context):
+    """Wait until the second cell knows."""
+
+    def is_named() -> bool:
+        status = context.other.read_status("n1")
+        return status.get("kept_elsewhere") == {SERVICE: "cell-1"}
+
+    wait_for(is_named, 15, "the second cell knows who keeps the keys")
+    troubles = context.other.read_status("n1")["troubles"]
+    assert any("kept by cell cell-1" in t["trouble"] for t in troubles), troubles
+
+
+@then("the platform holds one table of the service")
+def check_one_table(context):
+    """Look for both tables."""
+    assert context.mesh.fetch_object(f"tables/{SERVICE}/cell-1")
+    assert context.mesh.fetch_object(f"tables/{SERVICE}/cell-2") is None
+
+
+@then("the keys are still served by their owners")
+def check_served(context):
+    """Send a read to each node of the first cell."""
+    for vm in context.mesh.list_running():
+        headers = {"Order-Key": "key-1"}
+        reply = call(vm.caller, "GET", f"/{SERVICE}/x", headers=headers)
+        assert reply.status == 200, reply
--- a/knapweedrock/nodes/cell.py
+++ b/knapweedrock/nodes/cell.py
@@ -40,6 +40,11 @@
     return f"tables/{service}/{cell}"
 
 
+def name_keeper(service: str) -> str:
+    """Return the platform's name of the record of the cell that keeps a service."""
+    return f"keepers/{service}"
+
+
 def name_status(cell: str) -> str:
     """Return the platform's name of a cell's status."""
     return f"status/{cell}"
@@ -50,6 +55,13 @@
     return f"config/{group}"
 
 
+class KeeperRecord(TypedDict):
+    """Value of `keepers/<service>`: the cell whose table holds the service's keys."""
+
+    service: str
+    cell: str
+
+
 def read_cell(platform: Platform, cell: str) -> Stored | None:
     """Read the record of a cell; None where the cell was never founded."""
     return platform.get(name_cell(cell))
--- a/knapweedrock/nodes/coordinator.py
+++ b/knapweedrock/nodes/coordinator.py
@@ -57,6 +57,7 @@
         self.roster = Roster(env, {})
         self.moving: set[tuple[str, int]] = set()
         self.keepers: dict[str, gevent.Greenlet] = {}
+        self.foreign: dict[str, str] = {}
         self.count = 0
         self.voters_checked_ns = 0
         self.platform_lost_ns = 0
@@ -292,6 +293,7 @@
             "epoch": 0 if term is None else term.office.epoch,
             "voters": {} if term is None else term.office.record["voters"],
             "waiting_for": self.waiting_for if self._is_needed() else "",
+            "kept_elsewhere": {} if term is None else dict(term.foreign),
             "members": {
                 name: {
                     "config_version": entry.config_version,
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -39,6 +39,7 @@
 BALANCE_BATCH_RANGES = 16
 BALANCE_INTERVAL_MS = 200
 LOAD_INTERVAL_MS = 1000
+CLAIM_INTERVAL_MS = 5000
 LOAD_ROUNDS = 3
 FAILED_RELEASES_LIMIT = 2
 
@@ -54,6 +55,7 @@
         self.service = service
         self.balanced_ns = 0
         self.load_checked_ns = 0
+        self.claimed_ns = 0
         self.load_rounds = 0
         self.hot_keys = HotKeys(env.clock, service)
         self.surveyed: Table | None = None
@@ -78,9 +80,8 @@
 
     def _tend(self) -> None:
         tables = self.term.tables
-        if tables.get(self.service) is None:
-            tables.create(self.service)
-            self.term.publish()
+        if tables.get(self.service) is None and not self._create_table():
+            return
         tables.flush(self.service)
         settled = self._is_settled()
         if not settled and (self._resolve_announced() or self._take_over()):
@@ -94,6 +95,26 @@
         if self._is_due("load_checked_ns", LOAD_INTERVAL_MS):
             self._balance_load()
 
+    def _create_table(self) -> bool:
+        """Create the table where targets want one and no other cell keeps the keys."""
+        foreign = self.term.foreign
+        if not self._list_owners():
+            return False
+        if self.service in foreign and not self._is_due(
+            "claimed_ns", CLAIM_INTERVAL_MS
+        ):
+            return False
+        keeper = self.term.tables.claim(self.service)
+        if keeper != self.env.settings.cell:
+            if foreign.get(self.service) != keeper:
+                log.warning("keys kept by cell={} service={}", keeper, self.service)
+            foreign[self.service] = keeper
+            return False
+        foreign.pop(self.service, None)
+        self.term.tables.create(self.service)
+        self.term.publish()
+        return True
+
     def _is_settled(self) -> bool:
         """Tell whether all ranges have owners that may keep them, and none moves.
 
--- a/knapweedrock/nodes/tables.py
+++ b/knapweedrock/nodes/tables.py
@@ -7,7 +7,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError
 from knapweedrock.nodes.assignment import create_table
-from knapweedrock.nodes.cell import name_table
+from knapweedrock.nodes.cell import KeeperRecord, name_keeper, name_table
 from knapweedrock.nodes.office import Office
 from knapweedrock.nodes.view import Table
 from knapweedrock.platform.interface import Stored
@@ -61,6 +61,23 @@
             if "next" in entry
         }
 
+    def claim(self, service: str) -> str:
+        """Claim the keys of a service for this cell; return the cell that keeps them.
+
+        One write decides, so that no key has owners in two cells. Without a clear
+        answer to it the next try reads who keeps them. Raises `PlatformError`.
+        """
+        name, cell = name_keeper(service), self.env.settings.cell
+        record: KeeperRecord = {"service": service, "cell": cell}
+        try:
+            self.env.platform.put(name, record, 0, WRITE_TIMEOUT_MS)
+        except PlatformError as error:
+            if error.code != Code.PLATFORM_CONFLICT:
+                raise
+            stored = self.env.platform.get(name, WRITE_TIMEOUT_MS)
+            return stored.value["cell"] if stored else ""
+        return cell
+
     def create(self, service: str) -> None:
         """Create the table of a service, owned by nobody."""
         table = create_table(service, self.env.settings.cell, self.office.epoch)
--- a/knapweedrock/operators/overview.py
+++ b/knapweedrock/operators/overview.py
@@ -44,6 +44,7 @@
         "configuration_version": env.configuration.version,
         "lease_remaining_ms": find_lease_ms(env),
         "coordinator_heard": bool(coordinator.get("in_office")),
+        "kept_elsewhere": coordinator.get("kept_elsewhere") or {},
         "waiting_for": coordinator.get("waiting_for") or "",
         "zones": {name: zone["state"] for name, zone in configuration["zones"].items()},
         "services": sorted(configuration["services"]),
@@ -181,6 +182,18 @@
             )
 
 
+@trouble_finder
+def find_kept_elsewhere(overview: Overview) -> Iterator[Trouble]:
+    """Tell which services have targets here though another cell keeps their keys."""
+    for service, cell in sorted(overview["kept_elsewhere"].items()):
+        yield Trouble(
+            f"the keys of {service} are kept by cell {cell or 'unknown'}, so its "
+            f"targets in cell {overview['cell']} get none",
+            f"start these nodes with cell {cell or 'of the others'}, or let "
+            "the targets announce another service",
+        )
+
+
 @trouble_finder
 def find_unserved(overview: Overview) -> Iterator[Trouble]:
     """Tell which services have no living target, or keys without an owner."""
