--- a/features/commands.feature
+++ b/features/commands.feature
@@ -164,7 +164,7 @@
     And it says "depot-orders  n1            n2     100.00%"
     And it says "n2    not read"
     And it says "NOT_OWNER        +3"
-    And arbitrary changes of a report raise nothing but REPORT_MALFORMED
+    And arbitrary changes of b.json raise nothing but REPORT_MALFORMED
 
   Scenario Outline: "<command>" ends with code <code>
     Given reports of a cell and of loads
@@ -186,6 +186,7 @@
     When "report plot DIR/l.json" runs
     Then it says "       2  ############              50.0%"
     And it says "       1  ######                    25.0%"
+    And arbitrary changes of l.json raise nothing but REPORT_MALFORMED
 
   Scenario: The page of settings lists each flag, variable and default
     Then docs/operators/settings.md lists exactly the options of each command
--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -37,12 +37,14 @@
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
 from knapweedrock.errors import KnapweedrockError, SettingError
+from knapweedrock.load.plots import plot_reports, read_load_report
 from knapweedrock.load.report import FORMATTERS as LOAD_FORMATTERS
 from knapweedrock.load.report import create_report
 from knapweedrock.load.samples import Tally
 from knapweedrock.nodes.view import ViewHolder
 from knapweedrock.operators.client import decode_answer, exchange, raise_errors
 from knapweedrock.operators.comparison import compare_reports
+from knapweedrock.operators.report_commands import format_compared
 from knapweedrock.operators.reports import read_report
 from knapweedrock.platform.http import create_client
 from knapweedrock.settings import (
@@ -60,7 +62,7 @@
 # Second in which a request was due, its latency in ms, and its outcome.
 LOAD = [(0, 1, "done"), *[(1, 3, "not-run")] * 3, (1, 0, "done")]
 JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=3),
+    st.none() | st.integers() | st.just(10**400) | st.floats() | st.text(max_size=3),
     lambda values: (
         st.lists(values, max_size=3)
         | st.dictionaries(st.text(max_size=3), values, max_size=3)
@@ -501,27 +503,38 @@
     (directory / "l.json").write_text(LOAD_FORMATTERS["json"](report))
 
 
-@then("arbitrary changes of a report raise nothing but REPORT_MALFORMED")
-def feed_reports(context):
-    """Replace parts of a report at random and compare it."""
-    path = Path(context.directory) / "b.json"
+def show_cell(path):
+    """Compare a report of a cell with itself."""
+    return format_compared(compare_reports(read_report(path), read_report(path)))
+
+
+def show_load(path):
+    """Plot a report of a load."""
+    return plot_reports([read_load_report(path)])
+
+
+@then("arbitrary changes of {name} raise nothing but REPORT_MALFORMED")
+def feed_reports(context, name):
+    """Replace parts of a report at random and show it."""
+    show = show_load if name == "l.json" else show_cell
+    path = Path(context.directory) / name
     sound = json.loads(path.read_text())
 
     @settings(derandomize=True, database=None, deadline=None, max_examples=150)
     @arbitrary(st.lists(st.integers(0, 9), max_size=6), JSON_VALUES)
     def feed(way, value):
         changed = [copy.deepcopy(sound)]
-        holder, name = changed, 0
+        holder, field = changed, 0
         for step in way:
-            inner = holder[name]
+            inner = holder[field]
             if not isinstance(inner, dict | list) or not inner:
                 break
             names = sorted(inner) if isinstance(inner, dict) else range(len(inner))
-            holder, name = inner, names[step % len(names)]
-        holder[name] = value
+            holder, field = inner, names[step % len(names)]
+        holder[field] = value
         path.write_text(json.dumps(changed[0]))
         try:
-            compare_reports(read_report(path), read_report(path))
+            show(path)
         except KnapweedrockError as error:
             assert error.code == Code.REPORT_MALFORMED, error
 
--- a/knapweedrock/documents.py
+++ b/knapweedrock/documents.py
@@ -1,7 +1,7 @@
 """Report files: JSON that names its format and the version of that."""
 
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -10,6 +10,13 @@
 
 MAX_DOCUMENT_BYTES = 256 << 20
 
+# Bounds within which a number of a file can be worked with, whoever wrote it.
+MAX_COUNT = 1 << 53
+MAX_NUMBER = float(MAX_COUNT)
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 T = TypeVar("T")
 
 
--- a/knapweedrock/load/samples.py
+++ b/knapweedrock/load/samples.py
@@ -8,6 +8,7 @@
 
 from knapweedrock.clock import NS_PER_S
 from knapweedrock.codes import Outcome
+from knapweedrock.documents import Count
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
@@ -54,9 +55,9 @@
 class Second(TypedDict):
     """What was due in one second of a run, and how much of it was done."""
 
-    second: int
-    offered: int
-    done: int
+    second: Count
+    offered: Count
+    done: Count
 
 
 class Bucket(TypedDict):
@@ -66,7 +67,7 @@
     """
 
     below_ms: float | None
-    count: int
+    count: Count
 
 
 class Tally:
--- a/knapweedrock/operators/report_commands.py
+++ b/knapweedrock/operators/report_commands.py
@@ -105,7 +105,7 @@
 
 def format_rises(title: str, rises: dict[str, int]) -> str:
     """Format the counters that rose most."""
-    rows = [(name, f"+{rise:g}") for name, rise in rises.items()][:MAX_COUNTERS_SHOWN]
+    rows = [(name, f"+{rise}") for name, rise in rises.items()][:MAX_COUNTERS_SHOWN]
     left = len(rises) - len(rows)
     table = format_table((title, "ROSE"), rows)
     return table + (f"\nand {left} more, see --json" if left else "") if rows else ""
@@ -113,8 +113,5 @@
 
 def show_change(before: Any, after: Any) -> str:
     """Show two values, or one where nothing changed."""
-    texts = [
-        f"{value:g}" if isinstance(value, int | float) else str(value or "none")
-        for value in (before, after)
-    ]
+    texts = ["none" if value == "" else str(value) for value in (before, after)]
     return texts[0] if before == after else " -> ".join(texts)
--- a/knapweedrock/operators/reports.py
+++ b/knapweedrock/operators/reports.py
@@ -9,7 +9,7 @@
 from gevent.pool import Pool
 
 from knapweedrock.checker import Address, parse_address
-from knapweedrock.documents import read_document
+from knapweedrock.documents import Count, Number, read_document
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.operators.client import fetch_json, fetch_text
 
@@ -45,7 +45,7 @@
     """What a reader needs of a node's dump; the file holds all of it."""
 
     incarnation: str
-    counters: dict[str, int | float]
+    counters: dict[str, Count]
     view: ViewDump
 
 
@@ -55,14 +55,14 @@
     operator: str
     error: str
     dump: NodeDump | None
-    metrics: dict[str, float]
+    metrics: dict[str, Number]
 
 
 class Overview(TypedDict):
     """What a reader needs of the status; the file holds all of it."""
 
     coordinator: str
-    epoch: int
+    epoch: Count
     troubles: list[Any]
 
 
@@ -71,7 +71,7 @@
 
     format: str
     version: int
-    taken_ms: int
+    taken_ms: Count
     cell: str
     asked: str
     overview: Overview
