--- a/features/steps/commands.py
+++ b/features/steps/commands.py
@@ -503,6 +503,15 @@
     (directory / "l.json").write_text(LOAD_FORMATTERS["json"](report))
 
 
+def list_spots(value):
+    """List the way to each part of a document."""
+    names = value if isinstance(value, dict) else range(len(value))
+    for name in names:
+        yield (name,)
+        if isinstance(value[name], dict | list):
+            yield from ((name, *spot) for spot in list_spots(value[name]))
+
+
 def show_cell(path):
     """Compare a report of a cell with itself."""
     return format_compared(compare_reports(read_report(path), read_report(path)))
@@ -520,18 +529,13 @@
     path = Path(context.directory) / name
     sound = json.loads(path.read_text())
 
-    @settings(derandomize=True, database=None, deadline=None, max_examples=150)
-    @arbitrary(st.lists(st.integers(0, 9), max_size=6), JSON_VALUES)
-    def feed(way, value):
-        changed = [copy.deepcopy(sound)]
-        holder, field = changed, 0
-        for step in way:
-            inner = holder[field]
-            if not isinstance(inner, dict | list) or not inner:
-                break
-            names = sorted(inner) if isinstance(inner, dict) else range(len(inner))
-            holder, field = inner, names[step % len(names)]
-        holder[field] = value
+    @settings(derandomize=True, database=None, deadline=None, max_examples=400)
+    @arbitrary(st.sampled_from(list(list_spots([sound]))), JSON_VALUES)
+    def feed(spot, value):
+        holder = changed = [copy.deepcopy(sound)]
+        for name in spot[:-1]:
+            holder = holder[name]
+        holder[spot[-1]] = value
         path.write_text(json.dumps(changed[0]))
         try:
             show(path)
