Send second copies from 1.25 medians on

Cause: a read at a slowed target waited for two medians (230 ms of work of 100 ms) before its second copy, though 97 of 100 reads take 155 ms: p99 of the slowed run is that wait and the copy's own time. The quantile alone now decides for all but narrow latencies.

--- a/knapweedrock/callers/spreading.py
+++ b/knapweedrock/callers/spreading.py
@@ -20,7 +20,7 @@
 from knapweedrock.nodes.view import Member
 
 COPY_QUANTILE = 0.97
-COPY_MEDIANS = 2.0
+COPY_MEDIANS = 1.25
 COPY_UNKNOWN_MS = 250.0
 TRIAL_MEDIANS = 0.5
 LEAST_COPY_MS = 2.0
