Close a link's socket only after its reader has ended

Links were ended by shutdown before; the library itself still closed. Ruled out: callers' and targets' sockets, whose closes gevent tells their waiters of; closing with a reader only, and with a blocked sender on a quiet loop (trials, alive). Change: close_socket shuts down and wakes; the reader closes when it has ended.

--- a/features/frames.feature
+++ b/features/frames.feature
@@ -18,3 +18,8 @@
     Given two nodes that share a secret, and their links
     When all frames from the second node are dropped
     Then a request to it fails as possibly handled within 1 s
+
+  Scenario: A connection that is dropped stays open until its reader has ended
+    Given two nodes that share a secret, and their links
+    When the first node's connection to the second is closed
+    Then its descriptor is open until its reader has ended
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -197,3 +197,20 @@
             assert error.code == Code.PEER_LOST, error
     elapsed_ms = (context.first.clock.now_ns() - before) / 1e6
     assert elapsed_ms < 1000, elapsed_ms
+
+
+@when("the first node's connection to the second is closed")
+def close_connection(context):
+    """Close it while its reader waits, and note its descriptor right after."""
+    (link,) = context.first.links.links.values()
+    context.connection = link.connection
+    context.connection.close_socket()
+    context.descriptor = context.connection.socket.fileno()
+
+
+@then("its descriptor is open until its reader has ended")
+def check_descriptor(context):
+    """Check that the reader closes what it watches."""
+    assert context.descriptor >= 0
+    context.connection.recv_events_thread.join(2)
+    assert context.connection.socket.fileno() < 0
--- a/knapweedrock/nodes/links.py
+++ b/knapweedrock/nodes/links.py
@@ -18,12 +18,11 @@
 from gevent.event import AsyncResult
 from gevent.lock import RLock
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
-from websockets.sync.client import connect
-from websockets.sync.server import serve
 
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, LinkError
+from knapweedrock.nodes.connections import connect, serve
 from knapweedrock.nodes.messages import (
     Cancel,
     Deliver,
