Do less for each request at the ingress

Cause: after gevent's sends and timers, what is left at the ingress is many small steps: the watch for a caller that goes away was a generator, counters without labels sorted nothing, a status line and the headers of a result were written anew for each answer, and a done request went through the checks for repeats.

Tried with it and taken back: setting the time limit of the head only where the head is not yet read whole. The look at the buffer reads when it is empty, and a silent caller would not have been told.

--- a/knapweedrock/callers/answers.py
+++ b/knapweedrock/callers/answers.py
@@ -3,17 +3,24 @@
 import json
 import time
 from email.utils import formatdate
+from functools import lru_cache
 from http.client import responses
 from typing import NamedTuple
 
 from knapweedrock.codes import INFO, Code, Outcome
-from knapweedrock.headers import DROPPED_HEADERS
+from knapweedrock.headers import is_dropped
 from knapweedrock.nodes.messages import Delivered
 
 DEFAULT_RETRY_AFTER_MS = 250
 MS_PER_S = 1000
 BODILESS = frozenset({204, 304})
 OWN_PREFIX = "knapweedrock-"
+CACHED_NAMES = 4096
+CACHED_STATUSES = 1024
+DONE_HEADERS = (
+    ("Knapweedrock-Code", str(int(Code.DONE))),
+    ("Knapweedrock-Outcome", str(Outcome.DONE)),
+)
 
 
 class Answer(NamedTuple):
@@ -56,6 +63,19 @@
 NOWHERE = Origin()
 
 
+@lru_cache(CACHED_NAMES)
+def is_own(name: str) -> bool:
+    """Tell whether only a node says this in an answer."""
+    return name.lower().startswith(OWN_PREFIX)
+
+
+@lru_cache(CACHED_NAMES)
+def is_date(name: str) -> bool:
+    """Tell whether this is the header of the time."""
+    return name.lower() == "date"
+
+
+@lru_cache(CACHED_STATUSES)
 def format_status(status: int) -> str:
     """Write a status with its usual reason."""
     return f"{status} {responses.get(status, 'Unknown')}"
@@ -63,10 +83,12 @@
 
 def name_result(code: Code, outcome: Outcome, origin: Origin) -> list[tuple[str, str]]:
     """List the headers that every answer carries."""
-    headers = [
-        ("Knapweedrock-Code", str(int(code))),
-        ("Knapweedrock-Outcome", str(outcome)),
-    ]
+    headers = [*DONE_HEADERS]
+    if code is not Code.DONE:
+        headers = [
+            ("Knapweedrock-Code", str(int(code))),
+            ("Knapweedrock-Outcome", str(outcome)),
+        ]
     if origin.owner:
         headers.append(("Knapweedrock-Owner", origin.owner))
     if origin.view:
@@ -101,8 +123,7 @@
     headers = [
         (name, value)
         for name, value in delivered.headers
-        if name.lower() not in DROPPED_HEADERS
-        and not name.lower().startswith(OWN_PREFIX)
+        if not is_dropped(name) and not is_own(name)
     ]
     headers += name_result(Code.DONE, Outcome.DONE, origin)
     if method == "HEAD":
@@ -135,7 +156,7 @@
     """Encode an answer; raises `ValueError` for a header with a line break."""
     lines = [f"HTTP/1.1 {answer.status}"]
     lines += [f"{name}: {value}" for name, value in answer.headers]
-    if not any(name.lower() == "date" for name, _ in answer.headers):
+    if not any(is_date(name) for name, _ in answer.headers):
         lines.append(DATES.find())
     if closes:
         lines.append("Connection: close")
--- a/knapweedrock/callers/departures.py
+++ b/knapweedrock/callers/departures.py
@@ -1,8 +1,6 @@
 """Departures of callers: a request whose caller has gone is cancelled."""
 
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 from gevent import GreenletExit, get_hub, getcurrent
 
@@ -25,16 +23,15 @@
         self._watcher = get_hub().loop.io(sock.fileno(), READ_EVENT)
         self._runner = None
 
-    @contextmanager
-    def watch(self) -> Iterator[None]:
+    def __enter__(self) -> None:
         """Raise `CallerGoneError` in the calling greenlet when the caller goes."""
         self._runner = getcurrent()
         self._watcher.start(self._look)
-        try:
-            yield
-        finally:
-            self._runner = None
-            self._watcher.stop()
+
+    def __exit__(self, *_: object) -> None:
+        """Watch no longer."""
+        self._runner = None
+        self._watcher.stop()
 
     def close(self) -> None:
         """Release the watcher before the socket is closed."""
--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -62,6 +62,8 @@
             lost_before = uncertain is not None
             version = self._env.views.version
             routed = self._send(request)
+            if routed.delivered.code == Code.DONE:
+                return routed
             uncertain = find_uncertain(routed) or uncertain
             code = Code(routed.delivered.code)
             if not self._may_repeat(request, code, lost_before):
--- a/knapweedrock/callers/requests.py
+++ b/knapweedrock/callers/requests.py
@@ -11,7 +11,7 @@
 from knapweedrock.clock import Clock
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
-from knapweedrock.headers import DROPPED_HEADERS
+from knapweedrock.headers import is_dropped
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
@@ -50,7 +50,7 @@
 
 def strip_headers(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Remove the headers that are not for the next hop."""
-    return [pair for pair in headers if pair[0].lower() not in DROPPED_HEADERS]
+    return [pair for pair in headers if not is_dropped(pair[0])]
 
 
 def strip_named(headers: list[tuple[str, str]], named: str) -> list[tuple[str, str]]:
--- a/knapweedrock/callers/server.py
+++ b/knapweedrock/callers/server.py
@@ -68,7 +68,7 @@
         # An order runs to its end, so that a repeated one finds its answer.
         if not request.idempotent:
             return self._router.route(request)
-        with handler.departure.watch():
+        with handler.departure:
             return self._router.route(request)
 
     def _read(self, handler: CallerHandler, environ: dict) -> CallerRequest:
--- a/knapweedrock/counters.py
+++ b/knapweedrock/counters.py
@@ -17,7 +17,8 @@
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
-        self.counts[(name, tuple(sorted(labels.items())))] += amount
+        key = (name, tuple(sorted(labels.items())) if labels else ())
+        self.counts[key] += amount
 
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
--- a/knapweedrock/headers.py
+++ b/knapweedrock/headers.py
@@ -1,5 +1,9 @@
 """Headers that no caller passes through a node."""
 
+from functools import lru_cache
+
+CACHED_NAMES = 4096
+
 # Headers that end at one connection, and those that only a node may set.
 DROPPED_HEADERS = frozenset(
     {
@@ -22,3 +26,9 @@
         "upgrade",
     }
 )
+
+
+@lru_cache(CACHED_NAMES)
+def is_dropped(name: str) -> bool:
+    """Tell whether no caller passes this header through a node."""
+    return name.lower() in DROPPED_HEADERS
