Serve a peer's request in a bare greenlet

Cause: each request of a peer ran in a gevent.Greenlet whose end was reported by a callback of its own, only to forget it. It forgets itself now, and the bare greenlet has no results or links to keep; gevent.kill ends both kinds.

Features frames, following, delivery_mesh, orders, crashes and intake pass (51 scenarios).

--- a/knapweedrock/nodes/links.py
+++ b/knapweedrock/nodes/links.py
@@ -14,6 +14,7 @@
 import gevent
 from gevent.event import AsyncResult
 from gevent.lock import RLock
+from greenlet import greenlet
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.sync.client import connect
 from websockets.sync.server import serve
@@ -290,7 +291,7 @@
         headers = connection.request.headers
         sender = Sender(headers[NODE_HEADER], headers.get(INCARNATION_HEADER, ""))
         self.accepted.add(connection)
-        running: dict[int, tuple[gevent.Greenlet, Any]] = {}
+        running: dict[int, tuple[greenlet, Any]] = {}
         try:
             for data in connection:
                 if self.env.faults.drops_receive(sender.node_id):
@@ -305,26 +306,29 @@
             self.accepted.discard(connection)
             for task, message in running.values():
                 if isinstance(message, Deliver) and message.idempotent:
-                    task.kill(block=False)
+                    gevent.kill(task)
             close_quickly(connection)
 
     def _accept_frame(
         self, connection, sender: Sender, frame: Frame, running: dict
     ) -> None:
         if isinstance(frame.message, Cancel):
-            task, _ = running.get(frame.message.request, (None, None))
+            task, _ = running.pop(frame.message.request, (None, None))
             if task is not None:
-                task.kill(block=False)
+                gevent.kill(task)
             return
-        task = gevent.spawn(self._serve_request, connection, sender, frame)
+        task = gevent.spawn_raw(self._serve_request, connection, sender, frame, running)
         running[frame.number] = (task, frame.message)
-        task.link(lambda _: running.pop(frame.number, None))
 
-    def _serve_request(self, connection, sender: Sender, frame: Frame) -> None:
+    def _serve_request(
+        self, connection, sender: Sender, frame: Frame, running: dict
+    ) -> None:
         try:
             answer = dispatch(self.env, sender, frame.message)
         except KnapweedrockError as error:
             answer = create_failed(error)
+        finally:
+            running.pop(frame.number, None)
         self._answer(connection, sender, Frame(frame.number, True, answer))
 
     def _answer(self, connection, sender: Sender, frame: Frame) -> None:
