--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -67,6 +67,8 @@
             lost_before = uncertain is not None
             version = self._env.views.version
             routed = self._send(request)
+            if routed.delivered.code == Code.DONE:
+                return routed
             uncertain = find_uncertain(routed) or uncertain
             delivered = routed.delivered
             wait_ms = find_wait_ms(delivered, pause_ms)
