Read links straight from their sockets, by the Sans-I/O layer of websockets

Cause: two of nine nodes were aborted by the event loop in a trial of the rush (libev: I/O watcher with invalid fd). The layer without input and output, on gevent's own socket, has no selector: gevent tells all waiters of a close. Ruled out: keeping the sync API with late closing.

A link's socket is closed by its reader only; the scenario that wants the descriptor open until then stays, on the new connection. The abort itself was never provoked on purpose.

--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -195,15 +195,14 @@
 @when("the first node's connection to the second is closed")
 def close_connection(context):
     """Close it while its reader waits, and note its descriptor right after."""
-    (link,) = context.first.links.links.values()
-    context.connection = link.connection
-    context.connection.close_socket()
-    context.descriptor = context.connection.socket.fileno()
+    (context.link,) = context.first.links.links.values()
+    context.link.close("the scenario closes it")
+    context.descriptor = context.link.connection.fileno()
 
 
 @then("its descriptor is open until its reader has ended")
 def check_descriptor(context):
     """Check that the reader closes what it watches."""
     assert context.descriptor >= 0
-    context.connection.recv_events_thread.join(2)
-    assert context.connection.socket.fileno() < 0
+    context.link.reader.join(2)
+    assert context.link.connection.fileno() < 0
--- a/knapweedrock/nodes/connections.py
+++ b/knapweedrock/nodes/connections.py
@@ -1,46 +1,169 @@
-"""WebSocket connections that keep their socket open while it is watched.
+"""Connections of links: the websockets protocol on a gevent socket.
 
-The event loop ends the process when it meets a watched descriptor that was closed.
-The library closes the socket first and ends its reader's watch later.
+One task reads a connection, straight from its socket; any task may send on it.
 """
 
-import contextlib
-import functools
-import socket
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from socket import SHUT_RDWR
 
-from websockets.sync import client, server
-from websockets.sync.connection import Connection
+import gevent
+from gevent import socket
+from websockets.client import ClientProtocol
+from websockets.exceptions import InvalidState, WebSocketException
+from websockets.frames import Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import OPEN, Event, Protocol
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
 
+from knapweedrock.codes import Code
+from knapweedrock.errors import LinkError
+from knapweedrock.sockets import disable_delay, send_whole
 
-class LateClosing(Connection):
-    """Connection that is shut down at once and closed by its reader at its end."""
+MAX_FRAME_BYTES = 16 << 20
+RECEIVE_BYTES = 64 << 10
+HANDSHAKE_TIMEOUT_MS = 1000
+CONTROL_FRAMES = frozenset({Opcode.CLOSE, Opcode.PING, Opcode.PONG})
 
-    def recv_events(self) -> None:
-        """Read until the end, then close what nobody watches any more."""
+Check = Callable[[ServerProtocol, Request], Response | None]
+
+
+class Connection:
+    """One connection to a peer."""
+
+    def __init__(self, sock: socket.socket, protocol: Protocol) -> None:
+        self._sock = sock
+        self._protocol = protocol
+        self._sending = False
+        self._events: list[Event] = []
+
+    def send(self, data: bytes) -> None:
+        """Send a frame whole; raises `OSError`."""
         try:
-            super().recv_events()
-        finally:
-            super().close_socket()
+            self._protocol.send_binary(data)
+        except InvalidState as error:
+            raise ConnectionError(str(error)) from error
+        self._flush()
+
+    def receive(self) -> Iterator[bytes]:
+        """Yield the data of each frame until the connection ends.
+
+        Raises `OSError`, and `LinkError` with `BAD_FRAME` for a frame that no node
+        sends.
+        """
+        is_open = True
+        while is_open:
+            events, self._events = self._events, []
+            for event in events:
+                if event.opcode is Opcode.BINARY and event.fin:
+                    yield event.data
+                elif event.opcode not in CONTROL_FRAMES:
+                    raise LinkError(Code.BAD_FRAME, "expected a whole binary frame")
+            is_open = self._receive_events()
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor, -1 once it is closed."""
+        return self._sock.fileno()
+
+    def shut_down(self) -> None:
+        """End the connection without waiting for the other end.
 
-    def close_socket(self) -> None:
-        """Wake the reader and all who wait for the socket."""
-        with contextlib.suppress(OSError):
-            self.shutdown_notifier.send(b"x")
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-        with self.protocol_mutex:
-            self.protocol.receive_eof()
-            self.recv_messages.close()
-            self.terminate_pending_pings()
+        Its reader wakes up and closes the socket: closed here, the event loop would
+        still watch its descriptor and abort the process.
+        """
+        with suppress(OSError):
+            self._sock.shutdown(SHUT_RDWR)
 
+    def close(self) -> None:
+        """Close the socket; only the task that reads may do so."""
+        self.shut_down()
+        self._sock.close()
 
-class DialledConnection(LateClosing, client.ClientConnection):
-    """Connection that this node dialled."""
+    def open(self, request: Request) -> None:
+        """Send the dialler's request and check the answer."""
+        self._protocol.send_request(request)
+        self._flush()
+        self._receive_first()
 
+    def accept(self, check: Check) -> Request:
+        """Answer a dialler's request, which the check may refuse, and return it."""
+        request = self._receive_first()
+        response = check(self._protocol, request) or self._protocol.accept(request)
+        self._protocol.send_response(response)
+        self._flush()
+        if self._protocol.state is not OPEN:
+            raise ConnectionError(f"refused with status {response.status_code}")
+        return request
 
-class AcceptedConnection(LateClosing, server.ServerConnection):
-    """Connection that a peer dialled."""
+    def _receive_first(self) -> Event:
+        """Receive the first event, which is the other end's handshake."""
+        while not self._events:
+            is_open = self._receive_events()
+            if self._protocol.handshake_exc is not None:
+                raise self._protocol.handshake_exc
+            if not is_open:
+                raise ConnectionError("closed in the handshake")
+        return self._events.pop(0)
+
+    def _receive_events(self) -> bool:
+        """Receive some bytes; tell whether more may follow."""
+        data = self._sock.recv(RECEIVE_BYTES)
+        if not data:
+            return False
+        protocol = self._protocol
+        protocol.receive_data(data)
+        self._events += protocol.events_received()
+        if protocol.writes:
+            self._flush()
+        return not protocol.close_expected()
+
+    def _flush(self) -> None:
+        """Send what the protocol has to send, unless another task is about it.
+
+        A frame that was cut short ends the connection.
+        """
+        if self._sending:
+            return
+        self._sending = True
+        try:
+            while pieces := self._protocol.data_to_send():
+                send_whole(self._sock, b"".join(pieces))
+        except BaseException:
+            self.shut_down()
+            raise
+        finally:
+            self._sending = False
+
+
+def dial(address: str, headers: dict[str, str], timeout_ms: float) -> Connection:
+    """Open a connection; raises `OSError`."""
+    uri = parse_uri(f"ws://{address}/")
+    protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
+    request = protocol.connect()
+    request.headers.update(headers)
+    with gevent.Timeout(timeout_ms / 1000, TimeoutError("no answer in time")):
+        sock = socket.create_connection((uri.host, uri.port))
+        try:
+            disable_delay(sock)
+            connection = Connection(sock, protocol)
+            connection.open(request)
+        except WebSocketException as error:
+            sock.close()
+            raise ConnectionError(str(error)) from error
+        except BaseException:
+            sock.close()
+            raise
+    return connection
 
 
-connect = functools.partial(client.connect, create_connection=DialledConnection)
-serve = functools.partial(server.serve, create_connection=AcceptedConnection)
+def accept(sock: socket.socket, check: Check) -> tuple[Connection, Request]:
+    """Accept a connection; raises `OSError` where it came to nothing."""
+    disable_delay(sock)
+    connection = Connection(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
+    timeout = TimeoutError("no request in time")
+    try:
+        with gevent.Timeout(HANDSHAKE_TIMEOUT_MS / 1000, timeout):
+            return connection, connection.accept(check)
+    except WebSocketException as error:
+        raise ConnectionError(str(error)) from error
--- a/knapweedrock/nodes/frames.py
+++ b/knapweedrock/nodes/frames.py
@@ -24,10 +24,8 @@
     return cbor2.dumps([frame.number, frame.is_answer, kind, list(frame.message)])
 
 
-def decode_frame(data: bytes | str) -> Frame:
+def decode_frame(data: bytes) -> Frame:
     """Decode and check a frame; raises `LinkError` with `BAD_FRAME`."""
-    if isinstance(data, str):
-        raise LinkError(Code.BAD_FRAME, "found text, expected a binary frame")
     try:
         number, is_answer, kind, fields = cbor2.loads(data)
         if type(number) is not int or type(is_answer) is not bool:
--- a/knapweedrock/nodes/links.py
+++ b/knapweedrock/nodes/links.py
@@ -4,23 +4,24 @@
 on the same link.
 """
 
-import contextlib
 import hmac
 import itertools
 import random
-import socket
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import gevent
 from gevent.event import AsyncResult
 from gevent.lock import RLock
+from gevent.server import StreamServer
+from gevent.socket import socket
 from greenlet import greenlet
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.http11 import Request, Response
+from websockets.server import ServerProtocol
 
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.nodes.connections import connect, serve
+from knapweedrock.nodes.connections import Connection, accept, dial
 from knapweedrock.nodes.frames import (
     Frame,
     create_failed,
@@ -34,7 +35,6 @@
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
 
-MAX_FRAME_BYTES = 16 << 20
 DIAL_TIMEOUT_MS = 400
 DIAL_BACKOFF_MIN_MS = 50
 DIAL_BACKOFF_MAX_MS = 500
@@ -48,7 +48,9 @@
 class Link:
     """One dialled connection to a peer, shared by all requests to it."""
 
-    def __init__(self, env: "Environment", node_id: str, connection) -> None:
+    def __init__(
+        self, env: "Environment", node_id: str, connection: Connection
+    ) -> None:
         self.env = env
         self.node_id = node_id
         self.connection = connection
@@ -88,7 +90,7 @@
         self.env.counters.count("links_dropped")
         for result in list(self.pending.values()):
             result.set_exception(LinkError(Code.PEER_LOST, reason))
-        close_quickly(self.connection)
+        self.connection.shut_down()
         self.watcher.kill(block=False)
 
     def _cancel(self, number: int) -> None:
@@ -104,14 +106,14 @@
         self.env.counters.count("link_bytes_sent", len(data))
         try:
             self.connection.send(data)
-        except (ConnectionClosed, OSError) as error:
+        except OSError as error:
             self.close(str(error))
             raise LinkError(Code.PEER_LOST, str(error)) from error
 
     def _read_answers(self) -> None:
         reason = "the peer closed the link"
         try:
-            for data in self.connection:
+            for data in self.connection.receive():
                 if self.env.faults.drops_receive(self.node_id):
                     continue
                 self.last_received_ns = self.env.clock.now_ns()
@@ -122,9 +124,11 @@
         except LinkError as error:
             self.env.counters.count("bad_frames")
             reason = str(error)
-        except (ConnectionClosed, OSError) as error:
+        except OSError as error:
             reason = str(error)
-        self.close(reason)
+        finally:
+            self.close(reason)
+            self.connection.close()
 
     def _watch_silence(self) -> None:
         while not self.closed:
@@ -150,16 +154,6 @@
             return
 
 
-def close_quickly(connection) -> None:
-    """End a connection without waiting for the other end.
-
-    Its reader wakes up and closes the socket: closed here, the event loop would still
-    watch its descriptor and abort the process.
-    """
-    with contextlib.suppress(OSError):
-        connection.socket.shutdown(socket.SHUT_RDWR)
-
-
 class Dial(NamedTuple):
     """When a peer may be dialled again, and the last pause."""
 
@@ -175,33 +169,21 @@
         self.links: dict[tuple[str, str], Link] = {}
         self.dials: dict[tuple[str, str], Dial] = {}
         self.locks: dict[tuple[str, str], RLock] = {}
-        self.accepted: set[Any] = set()
-        self.server = None
-        self.accepting: gevent.Greenlet | None = None
+        self.accepted: set[Connection] = set()
+        self.server: StreamServer | None = None
         env.dumps["links"] = self
 
     def start(self) -> None:
         """Open the listener."""
-        address = self.env.settings.peer
-        self.server = serve(
-            self._serve_connection,
-            address.host,
-            address.port,
-            process_request=self._check_secret,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            ping_interval=None,
-            close_timeout=1,
-        )
-        self.accepting = gevent.spawn(self.server.serve_forever)
+        self.server = StreamServer(tuple(self.env.settings.peer), self._serve_socket)
+        self.server.start()
 
     def stop(self) -> None:
         """Close the listener and all links."""
         if self.server is not None:
-            self.accepting.kill()
-            self.server.socket.close()
+            self.server.close()
         for connection in list(self.accepted):
-            close_quickly(connection)
+            connection.shut_down()
         for link in list(self.links.values()):
             link.close("the node stops")
 
@@ -242,24 +224,17 @@
     def _dial(self, address: str, node_id: str, timeout_ms: float) -> Link:
         peer = (address, node_id)
         now = self.env.clock.now_ns()
-        dial = self.dials.get(peer, Dial(0, DIAL_BACKOFF_MIN_MS))
-        if now < dial.not_before_ns:
+        last = self.dials.get(peer, Dial(0, DIAL_BACKOFF_MIN_MS))
+        if now < last.not_before_ns:
             raise LinkError(Code.PEER_UNREACHABLE, f"{node_id} was just unreachable")
         try:
             if self.env.faults.drops_send(node_id):
                 raise TimeoutError("cut")
-            connection = connect(
-                f"ws://{address}/",
-                open_timeout=min(timeout_ms, DIAL_TIMEOUT_MS) / 1000,
-                close_timeout=1,
-                compression=None,
-                max_size=MAX_FRAME_BYTES,
-                ping_interval=None,
-                proxy=None,
-                additional_headers=self._create_headers(),
+            connection = dial(
+                address, self._create_headers(), min(timeout_ms, DIAL_TIMEOUT_MS)
             )
-        except (OSError, InvalidHandshake, ConnectionClosed, EOFError) as error:
-            pause_ms = min(dial.pause_ms * 2, DIAL_BACKOFF_MAX_MS)
+        except OSError as error:
+            pause_ms = min(last.pause_ms * 2, DIAL_BACKOFF_MAX_MS)
             jittered_ns = int(pause_ms * random.uniform(0.5, 1) * NS_PER_MS)
             self.dials[peer] = Dial(now + jittered_ns, pause_ms)
             self.env.counters.count("dials_failed")
@@ -276,40 +251,46 @@
             headers["Authorization"] = f"Bearer {self.env.settings.secret}"
         return headers
 
-    def _check_secret(self, connection, request):
+    def _check_secret(
+        self, protocol: ServerProtocol, request: Request
+    ) -> Response | None:
         expected = f"Bearer {self.env.settings.secret}".encode()
         found = request.headers.get("Authorization", "").encode()
         if self.env.settings.secret and not hmac.compare_digest(expected, found):
             self.env.counters.count("peers_refused")
-            return connection.respond(401, f"{int(Code.PEER_UNAUTHENTICATED)}\n")
+            return protocol.reject(401, f"{int(Code.PEER_UNAUTHENTICATED)}\n")
         if not request.headers.get(NODE_HEADER):
-            return connection.respond(400, f"{int(Code.BAD_FRAME)}\n")
+            return protocol.reject(400, f"{int(Code.BAD_FRAME)}\n")
         return None
 
-    def _serve_connection(self, connection) -> None:
-        headers = connection.request.headers
+    def _serve_socket(self, sock: socket, _address: tuple) -> None:
+        try:
+            connection, request = accept(sock, self._check_secret)
+        except OSError:
+            return
+        headers = request.headers
         sender = Sender(headers[NODE_HEADER], headers.get(INCARNATION_HEADER, ""))
         self.accepted.add(connection)
         running: dict[int, tuple[greenlet, Any]] = {}
         try:
-            for data in connection:
+            for data in connection.receive():
                 if self.env.faults.drops_receive(sender.node_id):
                     continue
                 self._accept_frame(connection, sender, decode_frame(data), running)
         except LinkError as error:
             self.env.counters.count("bad_frames")
             self._answer(connection, sender, Frame(0, True, create_failed(error)))
-        except (ConnectionClosed, OSError):
+        except OSError:
             pass
         finally:
             self.accepted.discard(connection)
             for task, message in running.values():
                 if isinstance(message, Deliver) and message.idempotent:
                     gevent.kill(task)
-            close_quickly(connection)
+            connection.close()
 
     def _accept_frame(
-        self, connection, sender: Sender, frame: Frame, running: dict
+        self, connection: Connection, sender: Sender, frame: Frame, running: dict
     ) -> None:
         if isinstance(frame.message, Cancel):
             task, _ = running.pop(frame.message.request, (None, None))
@@ -320,7 +301,7 @@
         running[frame.number] = (task, frame.message)
 
     def _serve_request(
-        self, connection, sender: Sender, frame: Frame, running: dict
+        self, connection: Connection, sender: Sender, frame: Frame, running: dict
     ) -> None:
         try:
             answer = dispatch(self.env, sender, frame.message)
@@ -330,14 +311,14 @@
             running.pop(frame.number, None)
         self._answer(connection, sender, Frame(frame.number, True, answer))
 
-    def _answer(self, connection, sender: Sender, frame: Frame) -> None:
+    def _answer(self, connection: Connection, sender: Sender, frame: Frame) -> None:
         if self.env.faults.drops_send(sender.node_id):
             return
         data = encode_frame(frame)
         self.env.counters.count("link_bytes_sent", len(data))
         try:
             connection.send(data)
-        except (ConnectionClosed, OSError):
+        except OSError:
             self.env.counters.count("answers_unsent")
 
 
