--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from features.support.builders import create_service, create_zone
+from features.support.choices import register_choices
 from features.support.examples import feed_examples
 from features.support.http import call
 from features.support.operators import (
@@ -24,17 +25,15 @@
 from knapweedrock.platform.http import create_client
 from knapweedrock.settings import parse_address
 
+SECRETS = {"with a secret": SECRET.replace(" ", "-"), "without a secret": ""}
 
-@given("an operator server with a secret")
-def start_secret_server(context):
-    """Start an operator server that wants a secret."""
-    start_operator_server(context, SECRET.replace(" ", "-"))
+register_choices("Secret", SECRETS)
 
 
-@given("an operator server without a secret")
-def start_open_server(context):
-    """Start an operator server on loopback without a secret."""
-    start_operator_server(context)
+@given("an operator server {secret:Secret}")
+def start_server(context, secret):
+    """Start an operator server on loopback, which may want a secret."""
+    start_operator_server(context, secret)
 
 
 @given("every member holds the configuration")
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -34,9 +34,11 @@
 
 
 @when("an order is sent")
-def send_order(context):
-    """Send a new order."""
-    context.order = create_order(deadline_ms=800)
+@when("an order whose id is {age_ms:d} ms old is sent")
+def send_order(context, age_ms=0):
+    """Send a new order; its id may carry another time."""
+    order_id = create_order_id(context.bench.env.clock.wall_ms() - age_ms)
+    context.order = create_request("order", order_id=order_id, deadline_ms=800)
     context.delivered = [context.bench.send(context.order)]
 
 
@@ -69,14 +71,6 @@
     context.delivered = [context.bench.delivery.deliver(other)]
 
 
-@when("an order whose id is {age_ms:d} ms old is sent")
-def send_aged(context, age_ms):
-    """Send an order whose id carries another time."""
-    wall_ms = context.bench.env.clock.wall_ms() - age_ms
-    order = create_request("aged", order_id=create_order_id(wall_ms))
-    context.delivered = [context.bench.send(order)]
-
-
 @when("an order without a key is sent")
 def send_without_key(context):
     """Send an order without a key."""
