--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -1,19 +1,18 @@
 """Steps about the operator server, and operators that race on the stand-in."""
 
 import socket
-import tempfile
 
 import gevent
 from behave import given, then, when
 from hypothesis import strategies as st
 
 from features.support.builders import create_service, create_zone
+from features.support.choices import register_choices
 from features.support.examples import feed_examples
 from features.support.http import call
 from features.support.operators import (
     SECRET,
     FakeCoordinator,
-    create_operator_environment,
     start_operator_server,
 )
 from features.support.servers import set_platform_faults, start_platform
@@ -26,28 +25,15 @@
 from knapweedrock.platform.http import create_client
 from knapweedrock.settings import parse_address
 
+SECRETS = {"with a secret": SECRET.replace(" ", "-"), "without a secret": ""}
 
-@given("an operator server with a secret")
-def start_secret_server(context):
-    """Start an operator server that wants a secret."""
-    start_server(context, SECRET.replace(" ", "-"))
-
-
-@given("an operator server without a secret")
-def start_open_server(context):
-    """Start an operator server on loopback without a secret."""
-    start_server(context, "")
+register_choices("Secret", SECRETS)
 
 
+@given("an operator server {secret:Secret}")
 def start_server(context, secret):
-    """Start a server and stop it after the scenario."""
-    context.env = create_operator_environment(secret)
-    context.env.configuration.replace(1, context.env.configuration.value)
-    context.server = start_operator_server(context.env)
-    context.add_cleanup(context.server.stop, timeout=0)
-    directory = tempfile.TemporaryDirectory(prefix="knapweedrock-")
-    context.add_cleanup(directory.cleanup)
-    context.directory = directory.name
+    """Start an operator server on loopback, which may want a secret."""
+    start_operator_server(context, secret)
 
 
 @given("every member holds the configuration")
