Wait again where a socket was said to be readable and was not

Found in review of the straight reads: gevent's own recv goes on waiting after a wake without data, and the new one would have called the connection broken. No test: a wake without data can't be provoked from outside. Features frames, answers, following and delivery_mesh pass (44 scenarios).

--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that every connection gets."""
 
 import socket
+from contextlib import suppress
 
 from gevent import get_hub
 from gevent import socket as gevent_socket
@@ -33,13 +34,13 @@
 
 def receive_within(sock: gevent_socket.socket, size: int, timeout_s: float) -> bytes:
     """Receive some data, empty at its end; raises `OSError`."""
-    try:
+    with suppress(BlockingIOError):
         return sock._sock.recv(size)
-    except BlockingIOError:
-        pass
     with Alarm(timeout_s):
-        get_hub().wait(sock._read_event)
-    return sock._sock.recv(size)
+        while True:
+            get_hub().wait(sock._read_event)
+            with suppress(BlockingIOError):
+                return sock._sock.recv(size)
 
 
 class NoDelayHandler(WSGIHandler):
