Repeat refusals for want of room only while they are few

Change: each refusal takes a token of a bucket of its own, also into debt. Below a tenth of the requests nearly all are repeated, in lasting overload none.

--- a/features/following.feature
+++ b/features/following.feature
@@ -32,6 +32,11 @@
     Then the answer is 503 with code OVERLOADED and outcome not-run
     And it came after 0 to 220 ms and says when to come back
 
+  Scenario: Lasting refusals for want of room are not repeated
+    Given every node refuses with OVERLOADED
+    When 100 callers send reads one after another
+    Then the nodes were asked at most 122 times
+
   Scenario: A lost link repeats reads and never orders
     Given node-1 runs each request once and loses its first answer
     When 20 callers send orders and 20 callers send reads
--- a/features/steps/following.py
+++ b/features/steps/following.py
@@ -390,6 +390,13 @@
         context.calls.remove(call)
 
 
+@then("the nodes were asked at most {count:d} times")
+def check_asked_nodes(context, count):
+    """Count the attempts at all nodes."""
+    asked = sum(len(found) for found in context.nodes.received.values())
+    assert asked <= count, asked
+
+
 @then("the nodes ran at most {count:d} requests")
 def check_attempts(context, count):
     """Check the number of attempts."""
--- a/knapweedrock/callers/budgets.py
+++ b/knapweedrock/callers/budgets.py
@@ -30,6 +30,15 @@
         self.tokens -= 1
         return True
 
+    def charge(self) -> bool:
+        """Count a refusal; tell whether the request may be sent again.
+
+        What is not allowed is owed, so that lasting overload ends all repeats.
+        """
+        is_allowed = self.tokens >= 1
+        self.tokens = max(self.tokens - 1, -self._burst)
+        return is_allowed
+
 
 def create_retry_budgets() -> defaultdict[str, Budget]:
     """Create budgets of retries by service; a quiet service may retry at once."""
--- a/knapweedrock/callers/following.py
+++ b/knapweedrock/callers/following.py
@@ -1,7 +1,7 @@
 """Following of a key to its owner while the owner changes.
 
 Only refusals that surely did not run are followed, so any request may be. One for
-want of room is sent again after its `Retry-After`, under the budget of retries.
+want of room is sent again after its `Retry-After` as long as such refusals are few.
 """
 
 import random
@@ -45,7 +45,7 @@
 )
 # Losses after which only an idempotent request may be sent again.
 LOST = frozenset({Code.PEER_LOST, Code.ANSWER_LOST, Code.ANSWER_TRUNCATED})
-# Refusals by a target or for want of its slots: sent again only under a budget.
+# Refusals by a target or for want of its slots: sent again only while they are few.
 LOADED = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT, Code.TARGET_SHED})
 
 
@@ -55,11 +55,13 @@
     def __init__(self, env: Environment) -> None:
         self._env = env
         self._budgets = create_retry_budgets()
+        self._rooms = create_retry_budgets()
         self._following = 0
 
     def follow(self, request: CallerRequest) -> Routed:
         """Send the request to the owner until it is settled or must be given up."""
         self._budgets[request.route.service].earn()
+        self._rooms[request.route.service].earn()
         pause_ms = FIRST_PAUSE_MS
         uncertain: Routed | None = None
         while True:
@@ -78,7 +80,12 @@
     def dump(self) -> dict[str, object]:
         """Return requests that wait for an owner, and the budgets."""
         tokens = {name: budget.tokens for name, budget in self._budgets.items()}
-        return {"following": self._following, "retry_tokens": tokens}
+        rooms = {name: budget.tokens for name, budget in self._rooms.items()}
+        return {
+            "following": self._following,
+            "retry_tokens": tokens,
+            "room_tokens": rooms,
+        }
 
     def _send(self, request: CallerRequest) -> Routed:
         views = self._env.views
@@ -94,8 +101,8 @@
     ) -> bool:
         code, service = Code(delivered.code), request.route.service
         if code in LOADED:
-            is_early = has_time_for_room(request, delivered.retry_after_ms)
-            return is_early and self._budgets[service].spend()
+            is_rare = self._rooms[service].charge()
+            return is_rare and has_time_for_room(request, delivered.retry_after_ms)
         if code in FOLLOWED:
             return bool(self._env.views.find_members(service))
         if code in LOST and request.idempotent:
