Take no announcement from before a break as a sign of life after it; split the handovers

Cause: an announcement that the target sent before it crashed and that the node reads after the broken exchange shows the incarnation that is known, so the break was settled as no crash, nobody was a suspect, and the new incarnation then counted as a restart. Ruled out: expired or evicted suspects (60 s, 4096), and a crash noted without the request that caused it. Change: until 500 ms after a break the incarnation that broke settles nothing; the probe decides.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -33,3 +33,8 @@
     When the target is silent about itself
     And a crashing order is sent 4 times under new ids
     Then the target crashed 2 times
+
+  Scenario: An announcement from before a crash does not hide it
+    When a late announcement of the target arrives right after each broken exchange
+    And a crashing order is sent 4 times under new ids
+    Then the target crashed 2 times
--- a/features/steps/crashes.py
+++ b/features/steps/crashes.py
@@ -44,6 +44,19 @@
     context.resend_s = 0.2
 
 
+@when("a late announcement of the target arrives right after each broken exchange")
+def announce_late(context):
+    """Let the node take what the target said of itself before the break."""
+    crashes = context.bench.env.delivery.crashes
+    note_break = crashes.note_break
+
+    def note_both(*arguments) -> None:
+        note_break(*arguments)
+        crashes.note_incarnation(crashes.incarnation)
+
+    crashes.note_break = note_both
+
+
 @when("a crashing order is sent {count:d} times under new ids")
 def send_crashing_orders(context, count):
     """Send a crashing order whose caller makes a new id each time."""
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -5,7 +5,6 @@
 far it came: nobody serves the range until both nodes have released it.
 """
 
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import gevent
@@ -22,26 +21,23 @@
     plan_orphans,
     settle_moves,
 )
-from knapweedrock.nodes.messages import Adopt, Release, Released
+from knapweedrock.nodes.handovers import RELEASE_TIMEOUT_MS, Handovers
 from knapweedrock.nodes.roster import Process
 from knapweedrock.nodes.splits import HotKeys, plan_reunions
 from knapweedrock.nodes.tables import UnwrittenError
-from knapweedrock.nodes.view import HASH_SPACE, Member, Range, Table
+from knapweedrock.nodes.view import Member, Range, Table
 
 if TYPE_CHECKING:
     from knapweedrock.environment import Environment
     from knapweedrock.nodes.coordinator import Term
 
 TEND_INTERVAL_MS = 40
-RELEASE_TIMEOUT_MS = 1500
-ADOPT_TIMEOUT_MS = 500
 EVACUATION_BATCH_RANGES = 64
 BALANCE_BATCH_RANGES = 16
 BALANCE_INTERVAL_MS = 200
 LOAD_INTERVAL_MS = 1000
 CLAIM_INTERVAL_MS = 5000
 LOAD_ROUNDS = 3
-FAILED_RELEASES_LIMIT = 2
 
 log = Logger("moves")
 
@@ -62,7 +58,7 @@
         self.even: tuple[Table, dict[str, Member]] | None = None
         self.announced = False
         self.processes: set[Process] = set()
-        self.failed_releases: dict[str, int] = defaultdict(int)
+        self.handovers = Handovers(env, term, service)
 
     def run(self) -> None:
         """Tend the table until the term ends."""
@@ -181,11 +177,11 @@
             return self._is_free(process)
         if not self.term.roster.is_heard(process):
             return False
-        order = self._create_release({entry["start"]}, process.incarnation)
+        order = self.handovers.create_release({entry["start"]}, process.incarnation)
         try:
             self.term.ask(process.node_id, order, RELEASE_TIMEOUT_MS)
         except KnapweedrockError as error:
-            self._count_failed_release(process.node_id, error)
+            self.handovers.count_failure(process.node_id, error)
             return False
         return True
 
@@ -268,7 +264,7 @@
         self.term.publish()
         done: list[Move] = []
         try:
-            done = self._release_all(moves, incarnations)
+            done = self.handovers.run(moves, incarnations)
         finally:
             starts = {move.start for move in moves}
             now_ms = self.env.clock.wall_ms()
@@ -280,79 +276,6 @@
         tables.flush(self.service)
         return bool(done)
 
-    def _release_all(
-        self, moves: list[Move], incarnations: dict[str, str]
-    ) -> list[Move]:
-        """Release ranges at their owners in parallel; return the moves done."""
-        by_source: dict[str, list[Move]] = defaultdict(list)
-        for move in moves:
-            by_source[move.source].append(move)
-        calls = [
-            gevent.spawn(self._hand_over, source, part, incarnations)
-            for source, part in by_source.items()
-        ]
-        gevent.joinall(calls)
-        return [move for call in calls for move in call.value or []]
-
-    def _hand_over(
-        self, source: str, moves: list[Move], incarnations: dict[str, str]
-    ) -> list[Move]:
-        """Release ranges at one owner and pass its records to the receivers."""
-        starts = {move.start for move in moves}
-        order = self._create_release(starts, incarnations.get(source, ""))
-        try:
-            released: Released = self.term.ask(
-                source, order, RELEASE_TIMEOUT_MS + ADOPT_TIMEOUT_MS
-            )
-        except KnapweedrockError as error:
-            self._count_failed_release(source, error)
-            return []
-        self.failed_releases.pop(source, None)
-        receivers = {move.receiver for move in moves}
-        calls = {
-            name: gevent.spawn(
-                self._pass_records, name, incarnations.get(name, ""), released
-            )
-            for name in receivers
-        }
-        gevent.joinall(list(calls.values()))
-        informed = {name for name, call in calls.items() if call.value}
-        return [move._replace(complete=move.receiver in informed) for move in moves]
-
-    def _create_release(self, starts: set[int], incarnation: str) -> Release:
-        return Release(
-            self.term.office.epoch,
-            self.term.count,
-            incarnation,
-            self.service,
-            self._find_spans(starts),
-            RELEASE_TIMEOUT_MS,
-        )
-
-    def _pass_records(
-        self, receiver: str, incarnation: str, released: Released
-    ) -> bool:
-        epoch = self.term.office.epoch
-        adopt = Adopt(epoch, self.service, incarnation, released.orders)
-        try:
-            self.term.ask(receiver, adopt, ADOPT_TIMEOUT_MS)
-        except KnapweedrockError:
-            self.env.counters.count("adoptions_failed")
-            return False
-        return True
-
-    def _count_failed_release(self, source: str, error: KnapweedrockError) -> None:
-        """Let the lease of an owner lapse that cannot be told to release."""
-        self.env.counters.count("releases_failed")
-        self.failed_releases[source] += 1
-        entry = self.term.roster.entries.get(source)
-        if entry is None or entry.suspended:
-            return
-        if self.failed_releases[source] < FAILED_RELEASES_LIMIT:
-            return
-        entry.suspended = True
-        log.warning("lease withheld node={} reason={}", source, error)
-
     def _write_takeovers(self, moves: list[Move]) -> None:
         changed = apply_moves(
             self._get_table(),
@@ -383,15 +306,6 @@
             return True
         return self.env.clock.now_ns() >= roster.free_at_ns(process, self.service)
 
-    def _find_spans(self, starts: set[int]) -> list[tuple[int, int]]:
-        ranges = self._get_table()["ranges"]
-        ends = [entry["start"] for entry in ranges[1:]] + [HASH_SPACE]
-        return [
-            (entry["start"], end)
-            for entry, end in zip(ranges, ends, strict=True)
-            if entry["start"] in starts
-        ]
-
     def _is_due(self, name: str, interval_ms: int) -> bool:
         now = self.env.clock.now_ns()
         if now - getattr(self, name) < interval_ms * NS_PER_MS:
--- a/knapweedrock/targets/crashes.py
+++ b/knapweedrock/targets/crashes.py
@@ -22,6 +22,7 @@
 PROBE_INTERVAL_MS = 50
 CLASSIFY_TIMEOUT_MS = 250
 TELL_TIMEOUT_MS = 200
+LATE_ANNOUNCEMENT_MS = 500
 
 log = logbook.Logger("crashes")
 
@@ -57,6 +58,8 @@
         self.suspects = suspects
         self.incarnation = ""
         self.announced = ""
+        self.broken_ns = 0
+        self.broken_incarnation = ""
         self.pending: set[str] = set()
         self.is_confirmed = False
         self.confirmed_ns = 0
@@ -81,19 +84,30 @@
         self.classified.clear()
         self.pending = {i.fingerprint for i in in_flight if i.began_ns > since_ns}
         self.is_confirmed = False
+        self.broken_ns = self.env.clock.now_ns()
+        self.broken_incarnation = self.incarnation
         self.ramp.confined = True
         self.pool.drop_idle()
         if is_first:
             gevent.spawn(self._probe)
 
     def note_incarnation(self, incarnation: str) -> None:
-        """Note an incarnation that the target shows now."""
+        """Note an incarnation that the target announced."""
+        if self._is_late(incarnation):
+            return
         if self.incarnation and incarnation != self.incarnation:
             self._confirm()
         self.incarnation = self.announced = incarnation
         self.ramp.confined = False
         self._settle()
 
+    def _is_late(self, incarnation: str) -> bool:
+        """Tell whether an announcement may be from before the last break."""
+        if self.settled.is_set() or incarnation != self.broken_incarnation:
+            return False
+        since_ns = self.env.clock.now_ns() - self.broken_ns
+        return since_ns < LATE_ANNOUNCEMENT_MS * NS_PER_MS
+
     def wait_classified(self) -> None:
         """Wait a moment until a crash is told apart, and told to the peers.
 
