Prove the announcement of moves on the keeper itself

The guard was needed as before: the log of a mesh without it shows the coordinator granting on an unwritten table until it resigned. Ruled out: that the coordinator no longer learns of the zone. Change: a scenario on the keeper, whose write has no effect: nobody may be asked to release. The scenario in single_owner stays.

--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -1,10 +1,12 @@
 """Steps about tables whose writes get no clear answer, and ranges not yet free."""
 
+from contextlib import suppress
 from types import SimpleNamespace
 
 from behave import given, then, when
 
 from features.support.builders import create_layout
+from features.support.caller_builders import build_member
 from features.support.http import call
 from features.support.memory import MemoryPlatform
 from features.support.mesh import Mesh, remove_directory
@@ -23,6 +25,8 @@
 from knapweedrock.configuration import create_configuration
 from knapweedrock.errors import PlatformError
 from knapweedrock.nodes.assignment import Move, apply_moves, create_table
+from knapweedrock.nodes.messages import Heartbeat, Released
+from knapweedrock.nodes.moves import TableKeeper
 from knapweedrock.nodes.roster import Roster
 from knapweedrock.nodes.tables import Tables, UnwrittenError
 
@@ -102,6 +106,49 @@
     assert context.tables.stored[SERVICE] == stored
 
 
+@given("node-{owner:d} owns all its ranges and node-{other:d} none")
+def own_all(context, owner, other):
+    """Give all ranges to one of two nodes."""
+    context.roster = Roster(context.env, {})
+    for number in (owner, other):
+        member = build_member(number, SERVICE)
+        heartbeat = Heartbeat(
+            CELL, member["node_id"], member["incarnation"], 1, 1, 1, 0, True, member
+        )
+        context.roster.hear(heartbeat)
+        assert context.roster.grant(read_process(heartbeat)) > 0
+    table = context.tables.get(SERVICE)
+    moves = [Move(entry["start"], "", f"node-{owner}") for entry in table["ranges"]]
+    incarnations = context.roster.list_incarnations()
+    context.tables.write(SERVICE, apply_moves(table, moves, incarnations, 1))
+    context.move = Move(0, f"node-{owner}", f"node-{other}")
+
+
+@when("the coordinator moves a range and its write has no effect")
+def move_unwritten(context):
+    """Move a range and note who is asked for anything."""
+    context.asked = []
+    term = SimpleNamespace(
+        office=FakeOffice(1),
+        tables=context.tables,
+        roster=context.roster,
+        moving=set(),
+        count=1,
+        publish=lambda: None,
+        publish_to_all=lambda: None,
+        ask=lambda *request: context.asked.append(request) or Released([]),
+    )
+    context.platform.effect = "never"
+    with suppress(UnwrittenError):
+        TableKeeper(context.env, term, SERVICE)._move([context.move], "load")
+
+
+@then("no node is asked to release")
+def check_unasked(context):
+    """Check that the move ended with its write."""
+    assert not context.asked, context.asked
+
+
 @given("a target that ignores fencing and requests of up to {longest_ms:d} ms")
 def hear_unfenced(context, longest_ms):
     """Hear a node beside such a target."""
--- a/features/support/offices.py
+++ b/features/support/offices.py
@@ -4,7 +4,7 @@
 
 from features.support.builders_nodes import create_node_settings
 from features.support.memory import MemoryPlatform
-from knapweedrock.clock import NS_PER_S
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.environment import Environment
 from knapweedrock.nodes.cell import name_table
 from knapweedrock.nodes.messages import Heartbeat
@@ -25,6 +25,10 @@
         """Return the time."""
         return self.ns
 
+    def wall_ms(self) -> int:
+        """Return the time as that of a day, which stands still too."""
+        return self.ns // NS_PER_MS
+
 
 def create_environment() -> Environment:
     """Create the environment of a node with a platform and a clock in here."""
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -11,6 +11,13 @@
       | never   | the write is refused and nobody owns a range |
       | later   | the write is refused and nobody owns a range |
 
+  Scenario: A move that is not written asks nobody to release
+    Given a coordinator that keeps a table
+    And node-2 owns all its ranges and node-3 none
+    When the coordinator moves a range and its write has no effect
+    Then no node is asked to release
+    And no table is in force that the platform does not hold
+
   Scenario: A range is not given away while a late request may still run
     Given a target that ignores fencing and requests of up to 700 ms
     When its node's lease lapses
