Log a table's trouble once, count answers from the record truly, check the list of guards

Cause: the keeper of a table wrote a line in each failing round (25 a second in an outage), where lines belong to changes of state; orders_answered counted the first answer of each order too; and a guard whose text or scenario moves went stale unseen (it did once today). Each has a test.

--- a/features/experiments.feature
+++ b/features/experiments.feature
@@ -8,6 +8,9 @@
     Then the shares of 3 seconds are "50 0 100" percent
     And the longest dip below 99 percent lasts 2 s
 
+  Scenario: Each guard's text stands once in the code, and its scenario exists
+    Then all guards can be taken out and name a scenario of their feature
+
   Scenario: A slope is read at a size that was not measured
     Given medians of 10, 20 and 40 at cells of 2, 4 and 8 nodes
     Then a cell of 16 nodes is worked out as 80
--- a/features/steps/experiments.py
+++ b/features/steps/experiments.py
@@ -1,5 +1,9 @@
 """Steps about the tables of the experiments."""
 
+import subprocess
+import sys
+from pathlib import Path
+
 from behave import given, then
 
 from bench.capacity import fit
@@ -8,6 +12,7 @@
 from features.support.builders import create_sample
 
 NS_PER_S = 1_000_000_000
+ROOT = Path(__file__).resolve().parents[2]
 
 
 @given('a table of the values "{values}"')
@@ -63,3 +68,11 @@
 def expect_fit(context, size, value):
     """Expect the line through the medians."""
     assert abs(fit(context.rows, "cost", size) - value) < 1e-6
+
+
+@then("all guards can be taken out and name a scenario of their feature")
+def check_guards(_context):
+    """Let the tool check its list against the tree."""
+    command = [sys.executable, "tools/guards.py", "--check"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stdout + done.stderr
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -140,6 +140,12 @@
     assert context.delivered[-1].body == context.first.body
 
 
+@then("{count:d} answer came from the record")
+def check_recorded(context, count):
+    """Check how many answers are counted as those of a record."""
+    assert context.bench.env.counters.total("orders_answered") == count
+
+
 @then("the target ran {count:d} {noun}")
 def check_runs(context, count, noun):
     """Count what the target ran, requests all of them."""
--- a/features/steps/tables.py
+++ b/features/steps/tables.py
@@ -2,8 +2,11 @@
 
 from contextlib import suppress
 from types import SimpleNamespace
+from unittest.mock import Mock
 
+import gevent
 from behave import given, then, when
+from logbook import TestHandler
 
 from features.support.builders import create_layout
 from features.support.caller_builders import build_member
@@ -143,6 +146,29 @@
         TableKeeper(context.env, term, SERVICE)._move([context.move], "load")
 
 
+@when("its table can't be tended for {wait_ms:d} ms")
+def fail_tending(context, wait_ms):
+    """Let the keeper run while each of its rounds fails."""
+    office = SimpleNamespace(ended=False, holds=lambda: True)
+    keeper = TableKeeper(context.env, SimpleNamespace(office=office), SERVICE)
+    keeper._tend = Mock(side_effect=PlatformError(Code.PLATFORM_UNAVAILABLE))
+    context.logged = TestHandler()
+    with context.logged.applicationbound():
+        task = gevent.spawn(keeper.run)
+        gevent.sleep(wait_ms / 1000)
+        office.ended = True
+        task.join()
+    context.rounds = keeper._tend.call_count
+
+
+@then("each round is counted and one line is logged")
+def check_logged(context):
+    """Compare the counter and the lines with the rounds."""
+    assert context.rounds >= 3, context.rounds
+    assert context.env.counters.total("table_tends_failed") == context.rounds
+    assert len(context.logged.records) == 1, context.logged.formatted_records
+
+
 @then("no node is asked to release")
 def check_unasked(context):
     """Check that the move ended with its write."""
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -18,6 +18,11 @@
     Then no node is asked to release
     And no table is in force that the platform does not hold
 
+  Scenario: A trouble of a table that lasts is logged once
+    Given a coordinator that keeps a table
+    When its table can't be tended for 400 ms
+    Then each round is counted and one line is logged
+
   Scenario: A range is not given away while a late request may still run
     Given a target that ignores fencing and requests of up to 700 ms
     When its node's lease lapses
--- a/knapweedrock/nodes/moves.py
+++ b/knapweedrock/nodes/moves.py
@@ -52,6 +52,7 @@
         self.balanced_ns = 0
         self.load_checked_ns = 0
         self.claimed_ns = 0
+        self.trouble = ""
         self.load_rounds = 0
         self.hot_keys = HotKeys(env.clock, service)
         self.surveyed: Table | None = None
@@ -66,13 +67,17 @@
             gevent.sleep(TEND_INTERVAL_MS / 1000)
             if not self.term.office.holds():
                 continue
+            trouble = ""
             try:
                 self._tend()
-            except UnwrittenError as error:
-                log.warning("table not written service={} {}", self.service, error)
-            except KnapweedrockError as error:
+            except (UnwrittenError, KnapweedrockError) as error:
                 self.env.counters.count("table_tends_failed")
-                log.warning("table not tended service={} {}", self.service, error)
+                trouble = str(error)
+            if trouble != self.trouble:
+                self.trouble = trouble
+                log.warning(
+                    "table service={} {}", self.service, trouble or "kept again"
+                )
 
     def _tend(self) -> None:
         tables = self.term.tables
--- a/knapweedrock/targets/delivery.py
+++ b/knapweedrock/targets/delivery.py
@@ -129,7 +129,8 @@
         if not work.request.key:
             raise RefusalError(Code.KEY_MISSING, "an order needs a key")
         record = self.orders.find(work.request, work.fingerprint)
-        if record is None:
+        is_known = record is not None
+        if not is_known:
             self.suspects.check(work.fingerprint)
             record = self.orders.begin(work.request, work.fingerprint, work.grant)
             gevent.spawn(self._run_order, work, record)
@@ -140,7 +141,8 @@
         if record.refusal:
             return record.refusal
         if record.delivered:
-            self.env.counters.count("orders_answered")
+            if is_known:
+                self.env.counters.count("orders_answered")
             return record.delivered._replace(view=self._get_view())
         raise KnapweedrockError(
             Code.ANSWER_LOST, "the order was sent once; its answer is not on record"
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -88,7 +88,15 @@
 
 
 def check_guard(guard: Guard) -> None:
-    """Raise `GuardError` where an edit does not fit the tree."""
+    """Raise `GuardError` where an edit or the scenario is not in the tree."""
+    feature = (ROOT / f"features/{guard.feature}.feature").read_text()
+    name = guard.scenario.partition(" -- ")[0]
+    patterns = (
+        re.sub("<[^>]+>", ".+", re.escape(title))
+        for title in re.findall(r"^ *Scenario[^:]*: (.+)$", feature, re.MULTILINE)
+    )
+    if not any(re.fullmatch(pattern, name) for pattern in patterns):
+        raise GuardError(f"{guard.feature}: found no scenario {name!r}")
     texts: dict[str, str] = {}
     for edit in guard.edits:
         text = texts.get(edit.file) or (ROOT / edit.file).read_text()
@@ -229,12 +237,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("names", nargs="*", help="guards to try; all by default")
     parser.add_argument("--list", action="store_true", help="list the guards")
+    parser.add_argument("--check", action="store_true", help="only look for the texts")
     options = parser.parse_args()
     try:
         guards = choose_guards(read_guards(), options.names)
         if options.list:
             list_guards(guards)
             return 0
+        if options.check:
+            for guard in guards:
+                check_guard(guard)
+            return 0
         return try_guards(guards)
     except GuardError as error:
         print(f"error: {error}", file=sys.stderr)
