--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -3,6 +3,8 @@
 Values reach the commands unchecked, so that all wrong ones are named at once.
 """
 
+import sys
+from pathlib import Path
 from typing import Any
 
 import click
@@ -82,6 +84,23 @@
     return run_node(settings)
 
 
+@cli.command(epilog=example("knapweedrock serve --settings-file node.env"))
+@click.option(
+    "--settings-file",
+    type=click.Path(dir_okay=False, path_type=Path),
+    required=True,
+    show_envvar=True,
+    help="File of KNAPWEEDROCK_SERVE_NAME=value lines; read again on SIGHUP.",
+)
+def serve(settings_file: Path) -> Any:
+    """Run a node of the mesh beside a target that holds its keys."""
+    from knapweedrock.logs import create_log_handler
+    from knapweedrock.mesh.node import run_node
+
+    with create_log_handler(stream=sys.stdout).applicationbound():
+        return run_node(settings_file)
+
+
 @cli.group(epilog=example("knapweedrock emulate platform --listen 127.0.0.1:7000"))
 def emulate() -> None:
     """Run a stand-in for tests and demonstrations."""
--- /dev/null
+++ b/knapweedrock/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers through the nodes of a deployment whose targets hold their keys."""
--- /dev/null
+++ b/knapweedrock/mesh/admission.py
@@ -0,0 +1,167 @@
+"""Admission to a target: its slots, a queue by urgency, and the rate while cold."""
+
+import heapq
+import itertools
+from collections import deque
+from typing import Any
+
+import gevent
+from gevent.event import AsyncResult
+
+from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
+from knapweedrock.codes import Code
+from knapweedrock.errors import RefusalError
+from knapweedrock.timers import Alarm
+
+# Calls of requests that run already come before all new work.
+INNER_RANK = -1
+SERVICE_WEIGHT = 0.05
+FIRST_SERVICE_MS = 100.0
+# Share of the time left that a late request may spend waiting.
+LATE_SHARE = 0.4
+MIN_PATIENCE_MS = 20.0
+MIN_RETRY_AFTER_MS = 50.0
+MAX_RETRY_AFTER_MS = 1000.0
+
+
+class Waiter:
+    """A request that waits for a slot until its patience ends."""
+
+    __slots__ = ("given_up", "rank", "result", "until_ns")
+
+    def __init__(self, rank: int, until_ns: int) -> None:
+        self.rank = rank
+        self.until_ns = until_ns
+        self.result: AsyncResult = AsyncResult()
+        self.given_up = False
+
+
+class Admission:
+    """Slots of one target, handed out by rank and then in order of arrival."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.slots = 1
+        self.in_flight = 0
+        self.service_ms = FIRST_SERVICE_MS
+        self.cold_until_ns = 0
+        self.cold_rate = 0.0
+        self._clock = clock
+        self._queue: list[tuple[int, int, Waiter]] = []
+        self._numbers = itertools.count()
+        self._waiting = 0
+        self._sent_ns: deque[int] = deque()
+        self._timer: Any = None
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of requests that wait."""
+        return self._waiting
+
+    def get_busy(self) -> float:
+        """Return the requests at the target and in the queue for each slot."""
+        return (self.in_flight + self._waiting) / max(self.slots, 1)
+
+    def is_cold(self) -> bool:
+        """Tell whether the target bears only a bounded rate now."""
+        return self.cold_rate > 0 and self._clock.now_ns() < self.cold_until_ns
+
+    def acquire(self, rank: int, objective_ms: float, remaining_ms: float) -> None:
+        """Take a slot, waiting for it as long as that helps the caller.
+
+        `objective_ms` is what is left of the time that the caller hopes for and
+        `remaining_ms` what is left of its deadline. Raises `RefusalError`.
+        """
+        if not self._waiting and self._has_room():
+            self._take()
+            return
+        patience_ms = self.find_patience_ms(objective_ms, remaining_ms)
+        ahead = sum(1 for r, _, w in self._queue if r <= rank and not w.given_up)
+        if self.estimate_wait_ms(ahead) > patience_ms:
+            raise self._refuse(Code.OVERLOADED)
+        waiter = Waiter(rank, self._clock.now_ns() + int(patience_ms * NS_PER_MS))
+        heapq.heappush(self._queue, (rank, next(self._numbers), waiter))
+        self._waiting += 1
+        self.wake()
+        self._wait(waiter, patience_ms)
+
+    def release(self, service_ms: float = 0.0) -> None:
+        """Give a slot back after this much time of service (0: not known)."""
+        if service_ms:
+            self.service_ms += (service_ms - self.service_ms) * SERVICE_WEIGHT
+        self.in_flight -= 1
+        self.wake()
+
+    def wake(self) -> None:
+        """Hand free slots to those who wait."""
+        while self._queue and self._has_room():
+            _, _, waiter = heapq.heappop(self._queue)
+            if waiter.given_up:
+                continue
+            self._waiting -= 1
+            self._take()
+            waiter.result.set(None)
+        if self._queue and self.is_cold() and self._timer is None:
+            self._timer = gevent.spawn_later(0.05, self._wake_cold)
+
+    def _wake_cold(self) -> None:
+        self._timer = None
+        self.wake()
+
+    def find_patience_ms(self, objective_ms: float, remaining_ms: float) -> float:
+        """Find the longest wait after which the answer is still worth the slot."""
+        in_time_ms = objective_ms - self.service_ms
+        if in_time_ms > MIN_PATIENCE_MS:
+            return min(in_time_ms, remaining_ms)
+        return max(MIN_PATIENCE_MS, (remaining_ms - self.service_ms) * LATE_SHARE)
+
+    def estimate_wait_ms(self, ahead: int) -> float:
+        """Estimate the wait behind this many requests in the queue."""
+        wait_ms = (ahead + 1) * self.service_ms / max(self.slots, 1)
+        if self.is_cold():
+            wait_ms = max(wait_ms, (ahead + 1) * 1000 / self.cold_rate)
+        return wait_ms
+
+    def get_retry_after_ms(self) -> float:
+        """Return when a refused request may find room."""
+        wait_ms = self.estimate_wait_ms(self._waiting)
+        return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+
+    def _has_room(self) -> bool:
+        if self.in_flight >= self.slots:
+            return False
+        if not self.is_cold():
+            return True
+        second_ago_ns = self._clock.now_ns() - NS_PER_S
+        while self._sent_ns and self._sent_ns[0] <= second_ago_ns:
+            self._sent_ns.popleft()
+        return len(self._sent_ns) < self.cold_rate
+
+    def _take(self) -> None:
+        self.in_flight += 1
+        if self.cold_rate:
+            self._sent_ns.append(self._clock.now_ns())
+            while len(self._sent_ns) > self.cold_rate:
+                self._sent_ns.popleft()
+
+    def _wait(self, waiter: Waiter, patience_ms: float) -> None:
+        try:
+            with Alarm(max(patience_ms, 1) / 1000):
+                waiter.result.get()
+        except TimeoutError:
+            if waiter.result.ready():
+                return
+            self._give_up(waiter)
+            raise self._refuse(Code.QUEUE_TIMEOUT) from None
+        except BaseException:
+            if waiter.result.ready():
+                self.release()
+            else:
+                self._give_up(waiter)
+            raise
+
+    def _give_up(self, waiter: Waiter) -> None:
+        waiter.given_up = True
+        self._waiting -= 1
+
+    def _refuse(self, code: Code) -> RefusalError:
+        return RefusalError(code, retry_after_ms=int(self.get_retry_after_ms()))
--- /dev/null
+++ b/knapweedrock/mesh/budgets.py
@@ -0,0 +1,36 @@
+"""Budget of repeated requests that all nodes share, kept at each by its own part."""
+
+from collections import deque
+
+from knapweedrock.clock import NS_PER_S, Clock
+
+WINDOW_S = 10
+# Part of what is allowed that is used, so that uneven nodes stay below the whole.
+USED_SHARE = 0.6
+
+
+class RetryBudget:
+    """Repeats to one service, bounded by the requests that entered at this node."""
+
+    def __init__(self, clock: Clock, ratio: float, slack: float) -> None:
+        self._clock = clock
+        self._ratio = ratio * USED_SHARE
+        self._slack = slack * USED_SHARE
+        self._requests: deque[int] = deque()
+        self._repeats: deque[int] = deque()
+
+    def count_request(self) -> None:
+        """Count a request for the service."""
+        self._requests.append(self._clock.now_ns())
+
+    def spend(self, nodes: int) -> bool:
+        """Take one repeat if the budget allows it; `nodes` share the slack."""
+        now_ns = self._clock.now_ns()
+        for times in (self._requests, self._repeats):
+            while times and times[0] < now_ns - WINDOW_S * NS_PER_S:
+                times.popleft()
+        allowed = self._ratio * len(self._requests) + self._slack / max(nodes, 1)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_ns)
+        return True
--- /dev/null
+++ b/knapweedrock/mesh/callers.py
@@ -0,0 +1,156 @@
+"""Connections of callers: requests read one after the other, answered in order."""
+
+import socket as system_socket
+from collections.abc import Callable
+from contextlib import suppress
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+from logbook import Logger
+
+from knapweedrock.callers.departures import CallerGoneError, DepartureWatch
+from knapweedrock.mesh.definitions import Limits
+from knapweedrock.mesh.http import (
+    RECEIVE_BYTES,
+    Headers,
+    MalformedMessageError,
+    Request,
+    RequestParser,
+    encode_answer,
+)
+from knapweedrock.sockets import disable_delay, receive_within, send_whole
+
+BACKLOG = 2048
+SEND_TIMEOUT_S = 10.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+log = Logger("callers")
+
+
+class Reply:
+    """An answer to a caller; `closes` ends its connection."""
+
+    __slots__ = ("body", "closes", "headers", "status")
+
+    def __init__(
+        self, status: int, headers: Headers, body: bytes, closes: bool = False
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.closes = closes
+
+
+# Answers a request of a caller at an address.
+Serve = Callable[[Request, str], Reply]
+
+
+class CallerServer:
+    """The listener for callers."""
+
+    def __init__(
+        self, address: tuple[str, int], serve: Serve, find_limits: Callable[[], Limits]
+    ) -> None:
+        self.closing = False
+        self.in_flight = 0
+        self._serve = serve
+        self._find_limits = find_limits
+        self._server = StreamServer(address, self._run, backlog=BACKLOG)
+        self._idle: set[socket.socket] = set()
+
+    def start(self) -> None:
+        """Open the listener."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and the connections that owe no answer."""
+        self._server.close()
+        for sock in list(self._idle):
+            with suppress(OSError):
+                sock.shutdown(system_socket.SHUT_RDWR)
+
+    def _run(self, sock: socket.socket, address: tuple) -> None:
+        disable_delay(sock)
+        watch = DepartureWatch(sock)
+        try:
+            self._talk(sock, watch, address[0])
+        except (OSError, CallerGoneError) as error:
+            log.debug("caller gone reason={}", error)
+        finally:
+            watch.close()
+            sock.close()
+
+    def _talk(self, sock: socket.socket, watch: DepartureWatch, address: str) -> None:
+        parser = RequestParser()
+        while True:
+            request = self._read(sock, parser)
+            if request is None:
+                return
+            self.in_flight += 1
+            try:
+                with watch:
+                    reply = self._serve(request, address)
+                closes = reply.closes or not request.keep_alive or self.closing
+                body = b"" if request.method == "HEAD" else reply.body
+                data = encode_answer(reply.status, reply.headers, body, closes)
+                send_whole(sock, data, SEND_TIMEOUT_S)
+            finally:
+                self.in_flight -= 1
+            if closes:
+                finish_sending(sock)
+                return
+
+    def _read(self, sock: socket.socket, parser: RequestParser) -> Request | None:
+        """Read the next request; None where the connection ends."""
+        limits = self._find_limits()
+        while not parser.requests:
+            try:
+                data = self._receive(sock, parser, limits)
+            except TimeoutError:
+                if not parser.is_idle():
+                    self._refuse(sock, 408)
+                return None
+            if not data:
+                return None
+            try:
+                parser.feed(data)
+            except MalformedMessageError as error:
+                log.info("malformed request reason={}", error)
+                self._refuse(sock, 400)
+                return None
+            if parser.head_bytes > limits.max_header_bytes and parser.in_head:
+                self._refuse(sock, 431)
+                return None
+            if parser.body_bytes > limits.max_body_bytes:
+                self._refuse(sock, 413)
+                return None
+            if parser.in_body and parser.expects_continue:
+                parser.expects_continue = False
+                send_whole(sock, CONTINUE, SEND_TIMEOUT_S)
+        return parser.requests.pop(0)
+
+    def _receive(
+        self, sock: socket.socket, parser: RequestParser, limits: Limits
+    ) -> bytes:
+        is_idle = parser.is_idle()
+        wait_ms = limits.idle_timeout_ms if is_idle else limits.header_timeout_ms
+        if is_idle:
+            self._idle.add(sock)
+        try:
+            return receive_within(sock, RECEIVE_BYTES, wait_ms / 1000)
+        finally:
+            self._idle.discard(sock)
+
+    def _refuse(self, sock: socket.socket, status: int) -> None:
+        send_whole(sock, encode_answer(status, [], b"", True), SEND_TIMEOUT_S)
+        finish_sending(sock)
+
+
+def finish_sending(sock: socket.socket) -> None:
+    """Let the other end read all before the connection is closed."""
+    with suppress(OSError):
+        sock.shutdown(system_socket.SHUT_WR)
+        with gevent.Timeout(1.0, False):
+            while sock.recv(RECEIVE_BYTES):
+                pass
--- /dev/null
+++ b/knapweedrock/mesh/coordinator.py
@@ -0,0 +1,409 @@
+"""The coordinator: one node leases rights to all and decides who owns which keys.
+
+The right to coordinate is an object in the platform's store that its holder renews.
+"""
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import gevent
+from gevent.event import Event
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.errors import KnapweedrockError, LinkError, PlatformError
+from knapweedrock.mesh import ownership
+from knapweedrock.mesh.messages import Board, Member, Publish, Renew, Renewed, Row
+from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
+from knapweedrock.platform.store import ConflictError, Store, Stored
+
+if TYPE_CHECKING:
+    from knapweedrock.mesh.node import Node
+
+LEADER_NAME = "coordinator"
+# Length of the leases that nodes get.
+LEASE_MS = 6000
+# Time for which a renewal of the right to coordinate counts.
+TERM_MS = 4000
+TERM_MARGIN_MS = 300
+TERM_RENEW_S = 1.0
+TERM_RETRY_S = 0.3
+WRITE_TIMEOUT_S = 1.5
+LEASE_MARGIN_MS = 400
+SILENT_MS = 1200
+FORGET_MS = 20_000
+GATHER_MS = 2500
+TICK_S = 0.1
+BALANCE_MS = 700
+REST_MS = 2500
+PUBLISH_TIMEOUT_MS = 500
+STORE_DOUBT_MS = 1500
+
+log = Logger("coordinator")
+
+
+class Heard(NamedTuple):
+    """When a member was heard last and until when its lease may run, in ns."""
+
+    at_ns: int
+    lease_until_ns: int
+
+
+class Coordinator:
+    """A term of one node as the coordinator of the mesh."""
+
+    def __init__(
+        self, node: "Node", store: Store, clock: Clock, counters: Counters
+    ) -> None:
+        self.leading = False
+        self.epoch = 0
+        self.board = Board(0, 0, "", {}, {})
+        self._node = node
+        self._store = store
+        self._clock = clock
+        self._counters = counters
+        self._lock: Stored | None = None
+        self._until_ns = 0
+        self._renewed_ns = 0
+        self._began_ns = 0
+        self._heard: dict[str, Heard] = {}
+        self._loads: dict[str, list] = {}
+        self._unheld: dict[str, list[Row]] = {}
+        # What targets let go, by service.
+        self._released: dict[str, list[tuple[int, int, str]]] = {}
+        self._stored: dict[str, Stored] = {}
+        self._rest: dict[str, int] = {}
+        self._balanced_ns = 0
+        self._wake = Event()
+        self._publishing: dict[str, Board] = {}
+
+    def has_authority(self) -> bool:
+        """Tell whether the right to coordinate still counts."""
+        return self.leading and self._clock.now_ns() < self._until_ns
+
+    def claim(self, found: Stored | None) -> bool:
+        """Try to take the right to coordinate; `found` is the object as last read."""
+        sent_ns = self._clock.now_ns()
+        epoch = int(found.value["epoch"]) + 1 if found else 1
+        value = self._describe_term(epoch, 0)
+        try:
+            if found is None:
+                lock = self._store.create(
+                    LEADER_KIND, LEADER_NAME, value, WRITE_TIMEOUT_S
+                )
+            else:
+                lock = self._store.replace(
+                    LEADER_KIND, LEADER_NAME, value, found.revision, WRITE_TIMEOUT_S
+                )
+            self._stored = self._load_tables(epoch)
+        except PlatformError as error:
+            log.info("claim failed epoch={} reason={}", epoch, error.detail)
+            return False
+        self._lock = lock
+        self.epoch = epoch
+        self._begin(sent_ns)
+        return True
+
+    def resign(self) -> None:
+        """Give the right up, so that another node can take it at once."""
+        if not self.leading:
+            return
+        self.leading = False
+        value = {**self._describe_term(self.epoch, 0), "released": True}
+        try:
+            self._store.replace(
+                LEADER_KIND, LEADER_NAME, value, self._lock.revision, WRITE_TIMEOUT_S
+            )
+            log.info("term given up epoch={}", self.epoch)
+        except PlatformError as error:
+            log.warning("term not given up reason={}", error.detail)
+
+    def renew(self, request: Renew) -> Renewed:
+        """Lease a node its rights and take its report; raises `NO_MAJORITY`."""
+        if not self.has_authority():
+            raise LinkError(Code.NO_MAJORITY, "not the coordinator")
+        now_ns = self._clock.now_ns()
+        member = request.member
+        name = member.node_id
+        self._heard[name] = Heard(now_ns, now_ns + LEASE_MS * NS_PER_MS)
+        self._loads[name] = request.loads
+        rows = self.board.tables.get(member.service, [])
+        self._note_unheld(name, rows, request)
+        if self.board.members.get(name) != member:
+            self._log_member(member)
+            self._change(members={**self.board.members, name: member})
+        newer = (self.board.epoch, self.board.version) > (
+            request.epoch,
+            request.version,
+        )
+        return Renewed(
+            self.epoch,
+            LEASE_MS,
+            self.board.coordinator,
+            self.board if newer else None,
+        )
+
+    def run_term(self) -> None:
+        """Renew the right to coordinate until it is lost."""
+        number = 0
+        while self.leading:
+            number += 1
+            sent_ns = self._clock.now_ns()
+            try:
+                self._lock = self._store.replace(
+                    LEADER_KIND,
+                    LEADER_NAME,
+                    self._describe_term(self.epoch, number),
+                    self._lock.revision,
+                    TERM_RENEW_S,
+                )
+            except ConflictError:
+                log.warning("term lost epoch={}", self.epoch)
+                self.leading = False
+                return
+            except PlatformError as error:
+                log.warning("term not renewed reason={}", error.detail)
+                gevent.sleep(TERM_RETRY_S)
+                continue
+            self._renewed_ns = sent_ns
+            self._until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
+            gevent.sleep(TERM_RENEW_S)
+
+    def run_plans(self) -> None:
+        """Decide on ownership whenever something has changed."""
+        while self.leading:
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            if not self.has_authority():
+                continue
+            try:
+                self._note_silent()
+                for service in self._list_services():
+                    self._plan(service)
+            except PlatformError as error:
+                log.warning("table not written reason={}", error.detail)
+
+    def _begin(self, sent_ns: int) -> None:
+        now_ns = self._clock.now_ns()
+        self.leading = True
+        self._began_ns = self._renewed_ns = now_ns
+        self._until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
+        known = self._node.board.members
+        lease_until_ns = now_ns + LEASE_MS * NS_PER_MS
+        tables = {
+            name: [Row(*row) for row in stored.value["rows"]]
+            for name, stored in self._stored.items()
+        }
+        owners = {row.node_id for rows in tables.values() for row in rows}
+        self._heard = {n: Heard(now_ns, lease_until_ns) for n in {*known, *owners}}
+        self._loads, self._unheld, self._released = {}, {}, {}
+        peer = self._node.peer
+        self.board = Board(self.epoch, 1, peer, dict(known), tables)
+        log.info("elected epoch={} members={}", self.epoch, len(known))
+        self._node.take_board(self.board)
+        gevent.spawn(self.run_term)
+        gevent.spawn(self.run_plans)
+        self._publish()
+
+    def _describe_term(self, epoch: int, number: int) -> dict:
+        node = self._node
+        return {
+            "epoch": epoch,
+            "node": node.settings.node_id,
+            "process": node.process,
+            "peer": node.peer,
+            "number": number,
+            "released": False,
+        }
+
+    def _load_tables(self, epoch: int) -> dict[str, Stored]:
+        """Put the epoch into each table, so that a former coordinator's writes fail."""
+        found = {}
+        for item in self._store.list(TABLE_KIND).items:
+            value = {**item.value, "epoch": epoch}
+            found[item.name] = self._store.replace(
+                TABLE_KIND, item.name, value, item.revision, WRITE_TIMEOUT_S
+            )
+        return found
+
+    def _list_services(self) -> list[str]:
+        configuration = self._node.configuration
+        if configuration is None:
+            return []
+        return [s.name for s in configuration.services.values() if s.keyed]
+
+    def _note_unheld(self, name: str, rows: list[Row], request: Renew) -> None:
+        released = self._released.setdefault(request.member.service, [])
+        released += [tuple(item) for item in request.released]
+        spans = {tuple(item) for item in request.unheld}
+        self._unheld[name] = [
+            row
+            for row in rows
+            if row.node_id == name and (row.start, row.end, row.token) in spans
+        ]
+        if spans:
+            self._wake.set()
+
+    def _note_silent(self) -> None:
+        """Take members that are not heard of as absent, and forget them later."""
+        now_ns = self._clock.now_ns()
+        members = dict(self.board.members)
+        for name, member in self.board.members.items():
+            heard = self._heard.get(name, Heard(self._began_ns, now_ns))
+            silent_ms = (now_ns - heard.at_ns) / NS_PER_MS
+            if silent_ms > FORGET_MS:
+                del members[name]
+            elif silent_ms > SILENT_MS and member.state == "ready":
+                members[name] = member._replace(state="absent")
+                log.warning("member silent node={} ms={}", name, int(silent_ms))
+        if members != self.board.members:
+            self._change(members=members)
+
+    def _plan(self, service: str) -> None:
+        rows = self.board.tables.get(service)
+        if rows is None:
+            self._plan_first(service)
+            return
+        facts = self._gather(service, rows)
+        now_ns = self._clock.now_ns()
+        settled = ownership.settle_rows(rows, facts)
+        if settled != rows:
+            self._write(service, ownership.merge_rows(settled))
+            return
+        if now_ns - self._renewed_ns > STORE_DOUBT_MS * NS_PER_MS:
+            # Nothing can be given away while the store is away.
+            marked = [row._replace(next_node="") for row in rows]
+        else:
+            marked = ownership.empty_unfit(rows, facts)
+            marked = self._balance(marked, facts, now_ns)
+        marked = ownership.merge_rows(ownership.mark_free(marked, facts))
+        if marked != rows:
+            self._change(tables={**self.board.tables, service: marked})
+
+    def _plan_first(self, service: str) -> None:
+        if self._clock.now_ns() - self._began_ns < GATHER_MS * NS_PER_MS:
+            return
+        fit = ownership.list_fit(self._gather(service, []))
+        if fit:
+            self._write(service, ownership.create_table(fit))
+
+    def _balance(
+        self, rows: list[Row], facts: ownership.Facts, now_ns: int
+    ) -> list[Row]:
+        if now_ns - self._balanced_ns < BALANCE_MS * NS_PER_MS:
+            return rows
+        self._balanced_ns = now_ns
+        resting = {n for n, until_ns in self._rest.items() if until_ns > now_ns}
+        marked = ownership.balance_rows(rows, facts, resting)
+        if marked == rows:
+            return rows
+        for row in marked:
+            if row.next_node and row not in rows:
+                until_ns = now_ns + REST_MS * NS_PER_MS
+                self._rest[row.node_id] = self._rest[row.next_node] = until_ns
+                log.info(
+                    "move begins keys={}-{} from={} to={} load={}",
+                    row.start,
+                    row.end,
+                    row.node_id,
+                    row.next_node,
+                    round(ownership.measure_piece(row, facts), 2),
+                )
+        return marked
+
+    def _gather(self, service: str, rows: list[Row]) -> ownership.Facts:
+        now_ns = self._clock.now_ns()
+        unheld = [row for found in self._unheld.values() for row in found]
+        for row in rows:
+            heard = self._heard.get(row.node_id, Heard(0, 0))
+            if heard.lease_until_ns + LEASE_MARGIN_MS * NS_PER_MS < now_ns:
+                unheld.append(row)
+        members = {
+            name: member
+            for name, member in self.board.members.items()
+            if member.service == service
+        }
+        return ownership.Facts(
+            members,
+            self._node.zones_out,
+            self._loads,
+            unheld,
+            self._released.get(service, []),
+        )
+
+    def _write(self, service: str, rows: list[Row]) -> None:
+        """Write a table and then publish it; raises `PlatformError`."""
+        value = {
+            "epoch": self.epoch,
+            "rows": [list(row._replace(next_node="")) for row in rows],
+        }
+        stored = self._stored.get(service)
+        if stored is None:
+            written = self._store.create(TABLE_KIND, service, value, WRITE_TIMEOUT_S)
+        else:
+            written = self._store.replace(
+                TABLE_KIND, service, value, stored.revision, WRITE_TIMEOUT_S
+            )
+        before = self.board.tables.get(service, [])
+        for row in rows:
+            if row not in before:
+                log.info(
+                    "keys given keys={}-{} node={} target={} token={} warm={}",
+                    row.start,
+                    row.end,
+                    row.node_id,
+                    row.target,
+                    row.token,
+                    bool(row.handover),
+                )
+                self._forget_released(service, row)
+        self._stored[service] = written
+        self._counters.count("table_writes")
+        self._change(tables={**self.board.tables, service: rows})
+
+    def _forget_released(self, service: str, row: Row) -> None:
+        self._released[service] = [
+            item
+            for item in self._released.get(service, [])
+            if item[1] < row.start or item[0] > row.end
+        ]
+
+    def _change(self, **fields) -> None:
+        version = self.board.version + 1
+        self.board = self.board._replace(version=version, **fields)
+        self._node.take_board(self.board)
+        self._publish()
+        self._wake.set()
+
+    def _publish(self) -> None:
+        for name, member in self.board.members.items():
+            if name == self._node.settings.node_id:
+                continue
+            if name not in self._publishing:
+                self._publishing[name] = self.board
+                gevent.spawn(self._push, name, member)
+
+    def _push(self, name: str, member: Member) -> None:
+        """Push boards to a member until it has the newest one."""
+        try:
+            pushed = None
+            while self.leading and pushed != self.board.version:
+                pushed = self.board.version
+                self._node.links.request(
+                    member.peer, Publish(self.board), PUBLISH_TIMEOUT_MS
+                )
+        except KnapweedrockError as error:
+            # It gets the board with its next lease.
+            log.debug("board not pushed node={} reason={}", name, error.detail)
+        finally:
+            self._publishing.pop(name, None)
+
+    def _log_member(self, member: Member) -> None:
+        log.info(
+            "member reports node={} target={} state={} cold={}",
+            member.node_id,
+            member.target,
+            member.state,
+            member.cold,
+        )
--- /dev/null
+++ b/knapweedrock/mesh/following.py
@@ -0,0 +1,124 @@
+"""Following of what operators write: the configuration and the zones that are out."""
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+from logbook import Logger
+
+from knapweedrock.errors import PlatformError
+from knapweedrock.mesh.definitions import Configuration
+from knapweedrock.mesh.messages import PublishConfiguration
+from knapweedrock.platform.documents import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    EVACUATION_KIND,
+    decode_configuration,
+)
+from knapweedrock.platform.store import Change, HistoryGoneError, Listing, Store
+
+WATCH_S = 20.0
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 1.0
+
+log = Logger("following")
+
+
+class Follower:
+    """The configuration and the zones out, which never go back to older ones."""
+
+    def __init__(self, store: Store, note: Callable[[], None]) -> None:
+        self.configuration: Configuration | None = None
+        self.document: Any = None
+        self.zones_out: frozenset[str] = frozenset()
+        self.zones_revision = 0
+        self._store = store
+        self._note = note
+
+    def start(self) -> None:
+        """Start to follow both kinds of objects."""
+        gevent.spawn(self._follow, CONFIGURATION_KIND, self._take_listed)
+        gevent.spawn(self._follow, EVACUATION_KIND, self._take_zones)
+
+    def take_pushed(self, message: PublishConfiguration) -> None:
+        """Take what the coordinator pushes to a node that can't read the store."""
+        if message.document:
+            self._take_document(msgspec.json.decode(message.document))
+        if message.zones_revision > self.zones_revision:
+            self._set_zones(frozenset(message.zones_out), message.zones_revision)
+
+    def _follow(self, kind: str, take: Callable[[Listing], None]) -> None:
+        """List a kind, then list it again whenever something of it has changed."""
+        pause_s = FIRST_PAUSE_S
+        revision = 0
+        lost = False
+        while True:
+            try:
+                if not revision:
+                    listing = self._store.list(kind)
+                    take(listing)
+                    revision = listing.revision
+                changes = self._store.watch(kind, revision, WATCH_S)
+                if changes.changes:
+                    self._take_changes(kind, changes.changes, changes.revision)
+                revision = changes.revision
+            except HistoryGoneError:
+                revision = 0
+                continue
+            except PlatformError as error:
+                if not lost:
+                    log.warning("store lost kind={} reason={}", kind, error.detail)
+                lost = True
+                revision = 0
+                gevent.sleep(pause_s)
+                pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+                continue
+            if lost:
+                log.info("store regained kind={}", kind)
+            lost = False
+            pause_s = FIRST_PAUSE_S
+
+    def _take_changes(self, kind: str, changes: list[Change], revision: int) -> None:
+        if kind == CONFIGURATION_KIND:
+            for change in changes:
+                if not change.removed and change.item.name == CONFIGURATION_NAME:
+                    self._take_document(change.item.value)
+            return
+        zones = set(self.zones_out)
+        for change in changes:
+            if change.removed:
+                zones.discard(change.item.name)
+            else:
+                zones.add(change.item.name)
+        self._set_zones(frozenset(zones), revision)
+
+    def _take_listed(self, listing: Listing) -> None:
+        for item in listing.items:
+            if item.name == CONFIGURATION_NAME:
+                self._take_document(item.value)
+
+    def _take_zones(self, listing: Listing) -> None:
+        if listing.revision >= self.zones_revision:
+            zones = frozenset(item.name for item in listing.items)
+            self._set_zones(zones, listing.revision)
+
+    def _set_zones(self, zones: frozenset[str], revision: int) -> None:
+        self.zones_revision = revision
+        if zones != self.zones_out:
+            log.info("zones out zones={} revision={}", sorted(zones), revision)
+            self.zones_out = zones
+            self._note()
+
+    def _take_document(self, document: Any) -> None:
+        try:
+            found = decode_configuration(document)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.error("configuration not taken reason={!r}", error)
+            return
+        if self.configuration and found.version <= self.configuration.version:
+            return
+        log.info("configuration in force version={}", found.version)
+        self.configuration = found
+        self.document = document
+        self._note()
--- /dev/null
+++ b/knapweedrock/mesh/gateway.py
@@ -0,0 +1,269 @@
+"""Delivery of requests to the target beside this node."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import gevent
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.errors import KnapweedrockError, RefusalError
+from knapweedrock.mesh.admission import INNER_RANK, Admission
+from knapweedrock.mesh.exchanges import (
+    BrokenExchangeError,
+    Exchanges,
+    TimeoutExchangeError,
+    is_sound,
+)
+from knapweedrock.mesh.http import Answer, Headers, dial
+from knapweedrock.mesh.messages import Forward, Forwarded
+from knapweedrock.mesh.suspects import Suspects, create_fingerprint
+from knapweedrock.platform.headers import (
+    ATTEMPT_ID,
+    COLD,
+    EXPECTED_INSTANCE,
+    INSTANCE,
+    NOT_EXECUTED,
+    REMAINING,
+)
+
+if TYPE_CHECKING:
+    from knapweedrock.mesh.node import Node
+
+# Left for the way back, so that the target's own answer comes first.
+RETURN_MS = 5.0
+PROBE_TIMEOUT_S = 0.4
+MOVING_RETRY_MS = 300
+LOAD_DECAY = 0.5
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+log = Logger("gateway")
+
+
+class Gateway:
+    """All that stands between a request and the target beside this node."""
+
+    def __init__(
+        self,
+        node: "Node",
+        clock: Clock,
+        counters: Counters,
+        admission: Admission,
+        tell_crash: Callable[[list[str]], None],
+    ) -> None:
+        self.admission = admission
+        self.suspects = Suspects(clock)
+        self.in_flight: dict[int, str] = {}
+        # Time that requests for each key spent at the target, in ms, decaying.
+        self.key_ms: Counter[int] = Counter()
+        self.closing = False
+        self._node = node
+        self._clock = clock
+        self._counters = counters
+        self._tell_crash = tell_crash
+        self._target = node.target
+        address = node.settings.target
+        self.exchanges = Exchanges(address or ("0.0.0.0", 0), clock, counters)
+
+    def deliver(self, request: Forward) -> Forwarded:
+        """Deliver a request to the target and return what became of it."""
+        try:
+            return self._deliver(request)
+        except KnapweedrockError as error:
+            retry_after_ms = getattr(error, "retry_after_ms", 0)
+            self._counters.count("gateway_failures", code=error.code.name)
+            return self._create_failed(error.code, error.detail, retry_after_ms)
+
+    def _deliver(self, request: Forward) -> Forwarded:
+        began_ns = self._clock.now_ns()
+        self._check(request)
+        fingerprint = create_fingerprint(
+            request.method, request.path, request.key, request.body
+        )
+        if self.suspects.is_refused(fingerprint):
+            raise RefusalError(Code.QUARANTINED)
+        rank = INNER_RANK if request.inner else request.priority
+        self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
+        sent_ns = self._clock.now_ns()
+        served_ms = 0.0
+        try:
+            # The target may have left, or the key moved, while the request waited.
+            self._check(request)
+            waited_ms = (sent_ns - began_ns) / NS_PER_MS
+            answer = self._exchange(request, request.remaining_ms - waited_ms)
+            served_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
+        finally:
+            self.in_flight.pop(id(request), None)
+            self.admission.release(served_ms)
+            if request.key >= 0:
+                spent_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
+                self.key_ms[request.key] += spent_ms
+        return self._judge(request, answer, fingerprint)
+
+    def _check(self, request: Forward) -> None:
+        """Raise where the target may not get the request now."""
+        node, target = self._node, self._target
+        if self.closing:
+            raise RefusalError(Code.LEAVING)
+        if request.service != node.settings.service or not target.name:
+            raise RefusalError(Code.NO_LIVE_TARGET)
+        if target.draining:
+            raise RefusalError(Code.LEAVING)
+        if target.dead:
+            raise RefusalError(Code.TARGET_UNREACHABLE, "the target is down")
+        if node.settings.zone in node.zones_out:
+            raise RefusalError(Code.ZONE_OUT)
+        rows = node.find_rows(request.service)
+        if request.key >= 0 and not node.holds.may_serve(
+            request.key, target.name, rows
+        ):
+            raise RefusalError(Code.NOT_OWNER, "", MOVING_RETRY_MS)
+
+    def _exchange(self, request: Forward, remaining_ms: float) -> Answer:
+        if remaining_ms < RETURN_MS:
+            raise RefusalError(Code.DEADLINE_PASSED)
+        headers = [pair for pair in request.headers if pair[0] != REMAINING]
+        attempt_id = find_header(headers, ATTEMPT_ID)
+        headers.append((REMAINING, str(int(remaining_ms - RETURN_MS))))
+        headers.append((EXPECTED_INSTANCE, self._target.instance))
+        name = self._target.name
+        fingerprint = create_fingerprint(
+            request.method, request.path, request.key, request.body
+        )
+        self.in_flight[id(request)] = fingerprint
+        try:
+            return self.exchanges.run(
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                attempt_id,
+                remaining_ms / 1000,
+            )
+        except ConnectionRefusedError as error:
+            self._target.note_dead(name)
+            self._node.report_soon()
+            raise RefusalError(
+                Code.TARGET_UNREACHABLE, str(error), MOVING_RETRY_MS
+            ) from error
+        except TimeoutExchangeError:
+            raise
+        except BrokenExchangeError:
+            self._note_broken(name)
+            raise
+
+    def _note_broken(self, name: str) -> None:
+        """Find out whether the target has crashed, and who was there."""
+        present = list(self.in_flight.values())
+        if not self._target.dead:
+            gevent.spawn(self._classify, name, present)
+
+    def _classify(self, name: str, present: list[str]) -> None:
+        try:
+            connection = dial(self.exchanges.address, PROBE_TIMEOUT_S)
+        except ConnectionRefusedError:
+            if self._target.name == name and not self._target.dead:
+                self._target.note_dead(name)
+                self.exchanges.drop_idle()
+                self.suspects.count_crash(present)
+                self._tell_crash(present)
+                self._node.report_soon()
+        except OSError as error:
+            log.warning("target can't be reached reason={}", error)
+        else:
+            connection.close()
+
+    def _judge(self, request: Forward, answer: Answer, fingerprint: str) -> Forwarded:
+        """Tell a refusal of the target from its final answer."""
+        if answer.find(NOT_EXECUTED) or answer.status == 421:
+            self._counters.count("target_refusals", status=str(answer.status))
+            if answer.status == 400:
+                return self._create_done(answer)
+            if answer.status == 421:
+                raise RefusalError(Code.TARGET_FENCED, "", MOVING_RETRY_MS)
+            retry_after_ms = int(self.admission.get_retry_after_ms())
+            raise RefusalError(Code.TARGET_SHED, "", retry_after_ms)
+        if not is_sound(answer):
+            raise KnapweedrockError(Code.ANSWER_TRUNCATED, "not the target's answer")
+        self.suspects.clear(fingerprint)
+        return self._create_done(answer)
+
+    def _create_done(self, answer: Answer) -> Forwarded:
+        headers = [p for p in answer.headers if p[0].lower() not in HOP_HEADERS]
+        return Forwarded(
+            int(Code.DONE),
+            answer.status,
+            headers,
+            answer.body,
+            "",
+            0,
+            self.admission.get_busy(),
+        )
+
+    def _create_failed(self, code: Code, detail: str, retry_ms: float) -> Forwarded:
+        busy = self.admission.get_busy()
+        return Forwarded(int(code), 0, [], b"", detail, retry_ms, busy)
+
+    def probe(self) -> None:
+        """Ask the target whether it lives; a late heartbeat alone says nothing."""
+        node, target = self._node, self._target
+        configuration = node.configuration
+        service = (
+            configuration.services.get(node.settings.service) if configuration else None
+        )
+        if service is None or not node.settings.target:
+            return
+        headers: Headers = [("host", "{}:{}".format(*self.exchanges.address))]
+        try:
+            answer = self.exchanges.run(
+                "GET", service.health_path, headers, b"", "", PROBE_TIMEOUT_S
+            )
+        except ConnectionRefusedError:
+            target.note_dead(target.name)
+            node.report_soon()
+            return
+        except KnapweedrockError as error:
+            if not target.silent and target.name:
+                log.warning("target is silent reason={}", error.detail)
+                target.silent = True
+                node.report_soon()
+            return
+        if answer.find(INSTANCE) != target.instance:
+            return
+        was_usable = target.is_usable()
+        target.note_alive()
+        cold_ms = answer.find(COLD)
+        if cold_ms:
+            target.set_cold(float(cold_ms), configuration)
+        if not was_usable:
+            node.report_soon()
+
+    def decay_loads(self) -> None:
+        """Let older load count for less."""
+        for key, spent_ms in list(self.key_ms.items()):
+            if spent_ms < 1:
+                del self.key_ms[key]
+            else:
+                self.key_ms[key] = spent_ms * LOAD_DECAY
+
+
+def find_header(headers: Headers, name: str) -> str:
+    """Return the value of a header in lower case, or nothing."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return ""
--- /dev/null
+++ b/knapweedrock/mesh/holds.py
@@ -0,0 +1,122 @@
+"""Keys that the target beside a node may hold, decided at each of its heartbeats."""
+
+from typing import NamedTuple
+
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.mesh.definitions import Grant, Heartbeat, HeartbeatReply, Released
+from knapweedrock.mesh.messages import Row
+
+# A target's clock may run this much slow while it counts a hold.
+CLOCK_RATE = 0.97
+GRANT_MARGIN_MS = 50
+MIN_HOLD_MS = 300
+LAPSE_MARGIN_MS = 200
+
+
+class Granted(NamedTuple):
+    """What was granted last: rows of one target until a time, in ns."""
+
+    target: str
+    rows: tuple[Row, ...]
+    until_ns: int
+
+
+class Holds:
+    """Grants of one node to its target, and what the target let go."""
+
+    def __init__(self, node_id: str, max_hold_ms: int) -> None:
+        self.node_id = node_id
+        self.granted = Granted("", (), 0)
+        self.released: list[Released] = []
+        self.lease_until_ns = 0
+        self._max_hold_ms = max_hold_ms
+        self._heartbeat: Heartbeat | None = None
+        self._lapse_ns = 0
+        self._given_up: list[Row] = []
+
+    def extend_lease(self, sent_ns: int, lease_ms: float) -> None:
+        """Count a lease from when it was asked for."""
+        until_ns = sent_ns + int(lease_ms * NS_PER_MS)
+        self.lease_until_ns = max(self.lease_until_ns, until_ns)
+
+    def reply(
+        self, heartbeat: Heartbeat, rows: list[Row], now_ns: int
+    ) -> HeartbeatReply:
+        """Answer a heartbeat with all that its sender may hold."""
+        self._heartbeat = heartbeat
+        self.released += heartbeat.released
+        left_ms = (self.lease_until_ns - now_ns) / NS_PER_MS
+        hold_ms = int(min(self._max_hold_ms, left_ms * CLOCK_RATE - GRANT_MARGIN_MS))
+        if hold_ms < MIN_HOLD_MS:
+            return HeartbeatReply(None, 0)
+        own = () if heartbeat.draining else self.find_own(rows, heartbeat.target)
+        until_ns = now_ns + hold_ms * NS_PER_MS
+        self.granted = Granted(heartbeat.target, own, until_ns)
+        lapse_ms = hold_ms / CLOCK_RATE + LAPSE_MARGIN_MS
+        self._lapse_ns = max(self._lapse_ns, now_ns + int(lapse_ms * NS_PER_MS))
+        grants = tuple(Grant(r.start, r.end, r.token, r.handover) for r in own)
+        return HeartbeatReply(grants, hold_ms)
+
+    def find_own(self, rows: list[Row], target: str) -> tuple[Row, ...]:
+        """List the rows that this start of the target owns and keeps."""
+        return tuple(
+            row
+            for row in rows
+            if row.node_id == self.node_id
+            and row.target == target
+            and not row.next_node
+            and not self._is_given_up(row)
+        )
+
+    def may_serve(self, key: int, target: str, rows: list[Row]) -> bool:
+        """Tell whether the target holds a key, as far as this node knows."""
+        granted = self.granted
+        own = granted.rows if granted.target == target else rows
+        for row in own:
+            if row.start <= key <= row.end:
+                return row.node_id == self.node_id and row.target == target
+        return False
+
+    def give_up_unheld(self, rows: list[Row], dead: str, now_ns: int) -> list[Row]:
+        """List own rows that surely no start of the target holds; never grant them.
+
+        `dead` names a start of the target that is known to have ended.
+        """
+        own = [row for row in rows if row.node_id == self.node_id]
+        self._given_up = [
+            known
+            for known in self._given_up
+            if any(row.token == known.token and overlaps(row, known) for row in own)
+        ]
+        for row in own:
+            if not self._is_given_up(row) and self._is_unheld(row, dead, now_ns):
+                self._given_up.append(row)
+        return [row for row in own if self._is_given_up(row)]
+
+    def _is_given_up(self, row: Row) -> bool:
+        return any(
+            row.token == known.token and overlaps(row, known)
+            for known in self._given_up
+        )
+
+    def _is_unheld(self, row: Row, dead: str, now_ns: int) -> bool:
+        if dead and row.target == dead:
+            return True
+        known = self._heartbeat
+        if known is None:
+            return False
+        if row.target != known.target:
+            return True
+        if self._lapse_ns and now_ns > self._lapse_ns:
+            return True
+        if not row.next_node and not known.draining:
+            return False
+        kept = self.granted.rows if self.granted.target == known.target else None
+        if kept is None or any(overlaps(row, other) for other in kept):
+            return False
+        return not any(overlaps(row, span) for span in known.held)
+
+
+def overlaps(row, other) -> bool:
+    """Tell whether two ranges of keys share a key."""
+    return row.start <= other.end and other.start <= row.end
--- /dev/null
+++ b/knapweedrock/mesh/http.py
@@ -0,0 +1,293 @@
+"""HTTP/1.1 messages on sockets: requests of callers, answers of servers."""
+
+import socket as system_socket
+from contextlib import suppress
+from typing import NamedTuple
+
+import httptools
+from gevent import socket
+
+from knapweedrock.sockets import disable_delay, receive_within, send_whole
+
+RECEIVE_BYTES = 65536
+MIN_TIMEOUT_S = 0.001
+FIRST_FINAL_STATUS = 200
+BODILESS = frozenset({204, 304})
+MAX_ANSWER_BYTES = 64 << 20
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+Headers = list[tuple[str, str]]
+
+
+class MalformedMessageError(Exception):
+    """Bytes that are not a message of the protocol."""
+
+
+class Answer(NamedTuple):
+    """A whole answer; `reusable` tells whether its connection can go on."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    reusable: bool
+
+    def find(self, name: str) -> str:
+        """Return the value of a header by its lower-case name, or nothing."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return ""
+
+
+class Request(NamedTuple):
+    """A whole request as a caller sent it; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: Headers
+    fields: dict[str, str]
+    body: bytes
+    keep_alive: bool
+
+
+class AnswerParser:
+    """Collects the answers that come on one connection."""
+
+    def __init__(self) -> None:
+        self.answers: list[Answer] = []
+        self.began = False
+        self.extra = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; raises `MalformedMessageError`."""
+        self.began = True
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            if not self.answers:
+                raise MalformedMessageError(str(error)) from error
+            self.extra = True
+
+    def finish(self) -> None:
+        """Complete an answer that ends with its connection."""
+        if self._has_head and not self._is_framed:
+            self._add(reusable=False)
+
+    def _reset(self) -> None:
+        self._headers: Headers = []
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._has_head = False
+        self._is_framed = False
+        self._is_closing = False
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        if self.answers:
+            self.extra = True
+        self._reset()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head."""
+        self._has_head = True
+        for name, _ in self._headers:
+            if name.lower() in ("content-length", "transfer-encoding"):
+                self._is_framed = True
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self._size += len(data)
+        if self._size > MAX_ANSWER_BYTES:
+            raise MalformedMessageError("the answer is too large")
+        self._chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of an answer."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            self._reset()
+            return
+        self._add(reusable=bool(self._parser.should_keep_alive()))
+
+    def _add(self, reusable: bool) -> None:
+        status = self._parser.get_status_code()
+        body = b"".join(self._chunks)
+        self.answers.append(Answer(status, self._headers, body, reusable))
+        self._has_head = False
+
+
+class RequestParser:
+    """Collects the requests of one caller's connection."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.in_head = False
+        self.in_body = False
+        self.head_bytes = 0
+        self.body_bytes = 0
+        self.expects_continue = False
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes; raises `MalformedMessageError`."""
+        if not self.in_body:
+            self.head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise MalformedMessageError(str(error)) from error
+
+    def is_idle(self) -> bool:
+        """Tell whether no request has begun."""
+        return not self.in_head and not self.in_body
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.in_head = True
+        self.body_bytes = 0
+        self.expects_continue = False
+        self._target: list[bytes] = []
+        self._headers: Headers = []
+        self._fields: dict[str, str] = {}
+        self._chunks: list[bytes] = []
+
+    def on_url(self, data: bytes) -> None:
+        """Take a piece of the request target."""
+        self._target.append(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        key = name.decode("latin-1").lower()
+        text = value.decode("latin-1")
+        self._headers.append((key, text))
+        self._fields[key] = text
+
+    def on_headers_complete(self) -> None:
+        """Take the end of the head."""
+        self.in_head = False
+        self.in_body = True
+        self.expects_continue = "100-continue" in self._fields.get("expect", "")
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        self.body_bytes += len(data)
+        self._chunks.append(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of a request."""
+        self.in_head = False
+        self.in_body = False
+        self.head_bytes = 0
+        self.requests.append(
+            Request(
+                self._parser.get_method().decode("latin-1"),
+                b"".join(self._target).decode("latin-1"),
+                self._headers,
+                self._fields,
+                b"".join(self._chunks),
+                bool(self._parser.should_keep_alive()),
+            )
+        )
+
+
+class Connection:
+    """A dialled connection that owes at most one answer at a time."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.idle_since_ns = 0
+        self.idle_limit_ns = 0
+        self.used = False
+
+    def send(self, data: bytes, timeout_s: float) -> None:
+        """Send the bytes of a request; raises `OSError`."""
+        send_whole(self.sock, data, max(timeout_s, MIN_TIMEOUT_S))
+
+    def read(self, parser: AnswerParser, timeout_s: float) -> Answer:
+        """Read until the parser has an answer; raises `OSError`."""
+        while not parser.answers:
+            data = receive_within(
+                self.sock, RECEIVE_BYTES, max(timeout_s, MIN_TIMEOUT_S)
+            )
+            if not data:
+                parser.finish()
+                if parser.answers:
+                    break
+                raise ConnectionError("the connection was closed before the answer")
+            parser.feed(data)
+        return parser.answers.pop(0)
+
+    def is_clean(self) -> bool:
+        """Tell whether the idle connection is open and nothing came on it."""
+        try:
+            self.sock._sock.recv(1, system_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close the socket, waking its reader."""
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+
+def dial(address: tuple[str, int], timeout_s: float) -> Connection:
+    """Open a connection whose silent end is noticed; raises `OSError`."""
+    sock = socket.create_connection(address, timeout=max(timeout_s, MIN_TIMEOUT_S))
+    disable_delay(sock)
+    enable_probes(sock)
+    return Connection(sock)
+
+
+def enable_probes(sock: socket.socket) -> None:
+    """Let the system find out that the other end is gone without a word."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def encode_request(method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    """Encode a request with a body of known length."""
+    lines = [f"{method} {target} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if body or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"content-length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def encode_answer(status: int, headers: Headers, body: bytes, closes: bool) -> bytes:
+    """Encode an answer with a body of known length."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if status not in BODILESS:
+        lines.append(f"Content-Length: {len(body)}")
+    if closes:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- /dev/null
+++ b/knapweedrock/mesh/messages.py
@@ -0,0 +1,162 @@
+"""Messages between the nodes of a mesh."""
+
+from typing import NamedTuple
+
+from knapweedrock.nodes.messages import message
+
+
+class Member(NamedTuple):
+    """A node and the target beside it, as the node last reported them.
+
+    `state` is `ready`, `draining` or `absent`. `instance` is the id that the target
+    checks on requests, `target` names this start of it.
+    """
+
+    node_id: str
+    process: str
+    peer: str
+    zone: str
+    service: str
+    target: str
+    instance: str
+    state: str
+    slots: int
+    cold: bool
+
+
+class Row(NamedTuple):
+    """Keys from `start` to `end` and who owns them.
+
+    `handover` is the mark of the last holder. `next_node` names the node that the
+    row moves to; the owner lets such a row go. A `node_id` of nothing is no owner.
+    """
+
+    start: int
+    end: int
+    node_id: str
+    target: str
+    token: int
+    handover: str
+    next_node: str
+
+
+class RowLoad(NamedTuple):
+    """Load of the keys of a row: requests at the target at once, and where they lie.
+
+    `cuts` holds the keys that divide the load into equal parts.
+    """
+
+    start: int
+    end: int
+    load: float
+    cuts: tuple[int, ...]
+
+
+class Board(NamedTuple):
+    """All that the coordinator publishes; a higher epoch or version is newer."""
+
+    epoch: int
+    version: int
+    coordinator: str
+    members: dict[str, Member]
+    tables: dict[str, list[Row]]
+
+
+@message(50)
+class Forward(NamedTuple):
+    """A caller's request on its way to the node beside a target.
+
+    `key` is -1 where the service has no keys; the times are what was left when it
+    was sent. `inner` marks a call that a target made for a request it runs.
+    """
+
+    service: str
+    key: int
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    remaining_ms: float
+    objective_ms: float
+    priority: int
+    idempotent: bool
+    inner: bool
+
+
+@message(51)
+class Forwarded(NamedTuple):
+    """Final answer to `Forward`.
+
+    With code `DONE` it holds the target's whole answer. `busy` is the number of
+    requests at the target and in its queue for each slot.
+    """
+
+    code: int
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    detail: str
+    retry_after_ms: float
+    busy: float
+
+
+@message(52)
+class Renew(NamedTuple):
+    """Request of a node for its lease, with all that it reports.
+
+    `released` lists keys that the target has let go since the last answer, as
+    `(start, end, handover)`; `unheld` lists rows that it surely does not hold and
+    never grants again, as `(start, end, token)`. `busy` is the number of requests at
+    the target and in its queue for each slot.
+    """
+
+    member: Member
+    epoch: int
+    version: int
+    config_version: int
+    zones_revision: int
+    released: list[tuple[int, int, str]]
+    unheld: list[tuple[int, int, int]]
+    loads: list[RowLoad]
+    busy: float
+
+
+@message(53)
+class Renewed(NamedTuple):
+    """Lease of a node, counted from when it sent the request.
+
+    `board` is None where the node has the newest one. A `lease_ms` of 0 grants
+    nothing. `coordinator` is the peer address of the coordinator that it knows.
+    """
+
+    epoch: int
+    lease_ms: float
+    coordinator: str
+    board: Board | None
+
+
+@message(54)
+class Publish(NamedTuple):
+    """Push of a newer board by the coordinator."""
+
+    board: Board
+
+
+@message(55)
+class PublishConfiguration(NamedTuple):
+    """Push of a newer configuration and of the zones that are out.
+
+    `document` is the configuration as the store holds it, in JSON.
+    """
+
+    version: int
+    document: bytes
+    zones_out: list[str]
+    zones_revision: int
+
+
+@message(56)
+class Crashed(NamedTuple):
+    """Requests that were at a target when it crashed, by fingerprint."""
+
+    fingerprints: list[str]
--- /dev/null
+++ b/knapweedrock/mesh/ownership.py
@@ -0,0 +1,313 @@
+"""Decisions on who owns which keys, as functions of what is known."""
+
+from collections.abc import Collection
+from typing import NamedTuple
+
+from knapweedrock.mesh.holds import overlaps
+from knapweedrock.mesh.messages import Member, Row, RowLoad
+
+KEYS = 65536
+# Load of a target's slots above which its keys are moved to others.
+BUSY_SHARE = 0.7
+# Difference of load, in shares of the slots, that is worth a move.
+WORTH_SHARE = 0.3
+# Load that stands for all keys of a service where none is measured.
+IDLE_LOAD = 1.0
+MAX_MOVES = 4
+
+
+class Facts(NamedTuple):
+    """What the coordinator knows of a service's targets.
+
+    `loads` holds the measured load of rows by node, `unheld` the rows that surely
+    nobody holds, and `released` what targets let go, as `(start, end, handover)`.
+    """
+
+    members: dict[str, Member]
+    zones_out: Collection[str]
+    loads: dict[str, list[RowLoad]]
+    unheld: Collection[Row]
+    released: Collection[tuple[int, int, str]]
+
+
+def list_fit(facts: Facts) -> list[Member]:
+    """List the members whose targets may own keys."""
+    return [
+        member
+        for member in facts.members.values()
+        if member.state == "ready" and member.zone not in facts.zones_out
+    ]
+
+
+def create_table(members: list[Member]) -> list[Row]:
+    """Divide all keys evenly among some members."""
+    ordered = sorted(members, key=lambda member: member.node_id)
+    count = len(ordered)
+    rows = []
+    for index, member in enumerate(ordered):
+        start = index * KEYS // count
+        end = (index + 1) * KEYS // count - 1
+        rows.append(Row(start, end, member.node_id, member.target, 1, "", ""))
+    return rows
+
+
+def find_row(rows: list[Row], key: int) -> Row | None:
+    """Find the row of a key."""
+    low, high = 0, len(rows)
+    while low < high:
+        middle = (low + high) // 2
+        if rows[middle].end < key:
+            low = middle + 1
+        else:
+            high = middle
+    if low < len(rows) and rows[low].start <= key:
+        return rows[low]
+    return None
+
+
+def measure_loads(rows: list[Row], facts: Facts) -> dict[str, float]:
+    """Measure the load of each fit member, rows on their way to it included."""
+    totals = {member.node_id: 0.0 for member in list_fit(facts)}
+    for row in rows:
+        node_id = row.next_node or row.node_id
+        if node_id in totals:
+            totals[node_id] += measure_row(row, facts)
+    return totals
+
+
+def measure_row(row: Row, facts: Facts) -> float:
+    """Measure the load of a row in requests at the target at once."""
+    width = row.end - row.start + 1
+    load = IDLE_LOAD * width / KEYS
+    for known in facts.loads.get(row.node_id, ()):
+        if overlaps(row, known):
+            common = min(row.end, known.end) - max(row.start, known.start) + 1
+            load += known.load * common / (known.end - known.start + 1)
+    return load
+
+
+def cut_row(row: Row, facts: Facts) -> list[Row]:
+    """Cut a row where its load divides into equal parts."""
+    pieces = []
+    start = row.start
+    for known in facts.loads.get(row.node_id, ()):
+        for cut in known.cuts:
+            if start < cut <= row.end:
+                pieces.append(row._replace(start=start, end=cut - 1))
+                start = cut
+    pieces.append(row._replace(start=start))
+    return pieces
+
+
+def choose_least(totals: dict[str, float], facts: Facts) -> str:
+    """Choose the member with the smallest load for its slots."""
+    return min(
+        totals,
+        key=lambda node_id: (
+            totals[node_id] / max(facts.members[node_id].slots, 1),
+            node_id,
+        ),
+    )
+
+
+def empty_unfit(rows: list[Row], facts: Facts) -> list[Row]:
+    """Let rows go whose owner leaves or lies in a zone that is out."""
+    totals = measure_loads(rows, facts)
+    if not totals:
+        return rows
+    found = []
+    for row in rows:
+        owner = facts.members.get(row.node_id)
+        stays = row.next_node in totals if row.next_node else row.node_id in totals
+        if stays or owner is None or owner.state == "absent":
+            found.append(row)
+            continue
+        for piece in cut_row(row, facts):
+            next_node = choose_least(totals, facts)
+            totals[next_node] += measure_row(piece, facts)
+            found.append(piece._replace(next_node=next_node))
+    return found
+
+
+def mark_free(rows: list[Row], facts: Facts) -> list[Row]:
+    """Name the next owners of rows that nobody holds any more.
+
+    A row is given away only after its mark is published: a node that has forgotten
+    that it gave the row up learns of the mark before it can grant the row again.
+    """
+    totals = measure_loads(rows, facts)
+    if not totals:
+        return rows
+    found = []
+    for row in rows:
+        if row.next_node in totals or not is_free(row, facts):
+            found.append(row)
+            continue
+        if row.node_id in totals:
+            found.append(row._replace(next_node=row.node_id))
+            continue
+        for piece in cut_row(row, facts):
+            next_node = choose_least(totals, facts)
+            totals[next_node] += measure_row(piece, facts)
+            found.append(piece._replace(next_node=next_node))
+    return found
+
+
+def settle_rows(rows: list[Row], facts: Facts) -> list[Row]:
+    """Give marked rows that nobody holds any more to their next owners."""
+    fit = {member.node_id: member for member in list_fit(facts)}
+    found = []
+    for row in rows:
+        if row.next_node not in fit or not is_free(row, facts):
+            found.append(row)
+            continue
+        for piece in cut_released(row, facts):
+            found.append(
+                piece._replace(
+                    node_id=row.next_node,
+                    target=fit[row.next_node].target,
+                    token=row.token + 1,
+                    next_node="",
+                )
+            )
+    return found
+
+
+def is_free(row: Row, facts: Facts) -> bool:
+    """Tell whether nobody holds a row any more."""
+    return any(
+        row.node_id == known.node_id
+        and row.target == known.target
+        and row.token == known.token
+        and known.start <= row.start
+        and row.end <= known.end
+        for known in facts.unheld
+    )
+
+
+def cut_released(row: Row, facts: Facts) -> list[Row]:
+    """Cut a row into what was let go together, each with its handover."""
+    pieces = []
+    start = row.start
+    for first, last, handover in sorted(facts.released):
+        if last < start or first > row.end:
+            continue
+        if first > start:
+            pieces.append(row._replace(start=start, end=first - 1, handover=""))
+            start = first
+        end = min(last, row.end)
+        pieces.append(row._replace(start=start, end=end, handover=handover))
+        start = end + 1
+    if start <= row.end:
+        pieces.append(row._replace(start=start, handover=""))
+    return pieces
+
+
+def balance_rows(rows: list[Row], facts: Facts, resting: Collection[str]) -> list[Row]:
+    """Begin one move from the busiest target to the least busy one, if worth it.
+
+    Members that are `resting` took part in a move a moment ago.
+    """
+    totals = measure_loads(rows, facts)
+    if len(totals) < 2 or sum(1 for row in rows if row.next_node) >= MAX_MOVES:
+        return rows
+    owners = {row.next_node or row.node_id for row in rows}
+    idle = [node_id for node_id in totals if node_id not in owners]
+    receiver = idle[0] if idle else choose_least(totals, facts)
+    shares = {n: totals[n] / max(facts.members[n].slots, 1) for n in totals}
+    giver = max(shares, key=lambda node_id: (shares[node_id], node_id))
+    if giver == receiver or giver in resting or receiver in resting:
+        return rows
+    is_worth = shares[giver] - shares[receiver] > WORTH_SHARE
+    if not idle and (shares[giver] < BUSY_SHARE or not is_worth):
+        return rows
+    wanted = (totals[giver] - totals[receiver]) / 2
+    return move_load(rows, facts, giver, receiver, wanted)
+
+
+def move_load(
+    rows: list[Row], facts: Facts, giver: str, receiver: str, wanted: float
+) -> list[Row]:
+    """Mark the piece of a giver's rows whose load is closest to what is wanted."""
+    best: tuple[float, Row, Row] | None = None
+    for row in rows:
+        if row.node_id != giver or row.next_node:
+            continue
+        for piece in list_ends(row, facts):
+            load = measure_piece(piece, facts)
+            miss = abs(load - wanted)
+            if load <= wanted * 1.5 and (best is None or miss < best[0]):
+                best = (miss, row, piece)
+    if best is None:
+        return rows
+    _, row, piece = best
+    found = []
+    for item in rows:
+        if item != row:
+            found.append(item)
+            continue
+        if row.start < piece.start:
+            found.append(row._replace(end=piece.start - 1))
+        found.append(piece._replace(next_node=receiver))
+        if piece.end < row.end:
+            found.append(row._replace(start=piece.end + 1))
+    return found
+
+
+def list_ends(row: Row, facts: Facts) -> list[Row]:
+    """List the pieces at both ends of a row, and the row as a whole."""
+    pieces = cut_row(row, facts)
+    if len(pieces) == 1 and row.end > row.start:
+        middle = (row.start + row.end) // 2
+        pieces = [row._replace(end=middle), row._replace(start=middle + 1)]
+    ends = [row]
+    for piece in pieces[1:]:
+        ends.append(row._replace(end=piece.start - 1))
+        ends.append(row._replace(start=piece.start))
+    return ends
+
+
+def measure_piece(piece: Row, facts: Facts) -> float:
+    """Measure the load of a piece by the equal parts that the cuts make."""
+    load = IDLE_LOAD * (piece.end - piece.start + 1) / KEYS
+    for known in facts.loads.get(piece.node_id, ()):
+        edges = [known.start, *known.cuts, known.end + 1]
+        part = known.load / (len(edges) - 1)
+        for first, after in zip(edges, edges[1:], strict=False):
+            if after <= first:
+                # Cuts that fall together: one key bears more than a part.
+                load += part if piece.start <= first <= piece.end else 0
+                continue
+            common = min(piece.end, after - 1) - max(piece.start, first) + 1
+            load += part * max(common, 0) / (after - first)
+    return load
+
+
+def merge_rows(rows: list[Row]) -> list[Row]:
+    """Join neighbours that one start of a target owns under one token."""
+    found = rows[:1]
+    for row in rows[1:]:
+        last = found[-1]
+        same = last._replace(start=0, end=0) == row._replace(start=0, end=0)
+        if same and last.end + 1 == row.start:
+            found[-1] = last._replace(end=row.end)
+        else:
+            found.append(row)
+    return found
+
+
+def find_cuts(key_ms: dict[int, float], start: int, end: int, parts: int) -> RowLoad:
+    """Measure the load of a row from the time spent on each key, and where it lies.
+
+    `key_ms` is the time in ms that the keys took during the last second.
+    """
+    keys = sorted(key for key in key_ms if start <= key <= end)
+    total = sum(key_ms[key] for key in keys)
+    cuts: list[int] = []
+    reached = 0.0
+    for key in keys:
+        while len(cuts) < parts - 1 and reached >= total * (len(cuts) + 1) / parts:
+            cuts.append(key)
+        reached += key_ms[key]
+    cuts = [cut for cut in cuts if cut > start] if total > 0 else []
+    return RowLoad(start, end, round(total / 1000, 2), tuple(cuts))
--- /dev/null
+++ b/knapweedrock/mesh/routing.py
@@ -0,0 +1,379 @@
+"""Routing of callers' requests to a target that may serve them, until it is settled."""
+
+import random
+from typing import TYPE_CHECKING, NamedTuple
+
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import INFO, Code, Outcome
+from knapweedrock.counters import Counters
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.mesh.budgets import RetryBudget
+from knapweedrock.mesh.callers import Reply
+from knapweedrock.mesh.choice import Chooser
+from knapweedrock.mesh.definitions import Configuration, Part, Route, Service
+from knapweedrock.mesh.gateway import HOP_HEADERS
+from knapweedrock.mesh.http import Headers, Request
+from knapweedrock.mesh.messages import Forward, Forwarded, Member
+from knapweedrock.mesh.ownership import KEYS, find_row
+from knapweedrock.platform.headers import ATTEMPT_ID, CALLER, KEY, REMAINING
+from knapweedrock.platform.headers import SET_BY_NODES as NODE_HEADERS
+
+if TYPE_CHECKING:
+    from knapweedrock.mesh.node import Node
+
+LINK_MARGIN_MS = 30.0
+LEAST_MS = 5.0
+# Wait for a key's next owner, as a share of the time left and at most.
+HOLD_SHARE = 0.35
+HOLD_MS = 500.0
+PAUSE_MS = 40.0
+START_RETRY_AFTER_MS = 500
+DEFAULT_RETRY_AFTER_MS = 200
+# Share of the time left after which a caller may be asked to come back.
+RETURN_SHARE = 0.3
+JITTER = 0.25
+SERVER_ERROR = 500
+
+# Refusals that end once the key has its next owner.
+FOLLOWED = frozenset(
+    {
+        Code.NOT_OWNER,
+        Code.NO_OWNER,
+        Code.MOVING,
+        Code.ZONE_OUT,
+        Code.LEAVING,
+        Code.NO_LIVE_TARGET,
+        Code.TARGET_UNREACHABLE,
+        Code.TARGET_FENCED,
+        Code.PEER_UNREACHABLE,
+    }
+)
+# Refusals by the target itself: it was reached, though it did not run the request.
+REACHED = frozenset({Code.TARGET_FENCED, Code.TARGET_SHED})
+ROOM = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT})
+
+log = Logger("routing")
+
+
+class Job(NamedTuple):
+    """A request with all that its configuration says of it."""
+
+    request: Request
+    route: Route
+    service: Service
+    key: int
+    headers: Headers
+    inner: bool
+    end_ns: int
+    objective_ns: int
+
+
+class Progress:
+    """What has become of a request so far."""
+
+    def __init__(self, hold_until_ns: int) -> None:
+        self.hold_until_ns = hold_until_ns
+        self.reached = 0
+        self.tried: set[str] = set()
+        self.lost: Forwarded | None = None
+        self.failed: Forwarded | None = None
+
+
+class Router:
+    """Serves callers' requests."""
+
+    def __init__(
+        self, node: "Node", clock: Clock, counters: Counters, chooser: Chooser
+    ) -> None:
+        self.chooser = chooser
+        self._node = node
+        self._clock = clock
+        self._counters = counters
+        self._budgets: dict[str, RetryBudget] = {}
+        self._turns: dict[str, int] = {}
+
+    def serve(self, request: Request, address: str) -> Reply:
+        """Answer one request of a caller at an address."""
+        configuration = self._node.configuration
+        if configuration is None:
+            return create_refusal(Code.CONFIG_STALE, START_RETRY_AFTER_MS)
+        route = find_route(configuration, request)
+        if route is None:
+            self._counters.count("requests_unrouted")
+            return create_refusal(Code.NO_RULE, 0)
+        try:
+            job = self._create_job(configuration, route, request, address)
+        except KnapweedrockError as error:
+            return create_refusal(error.code, 0)
+        began_ns = self._clock.now_ns()
+        result = self._run(job)
+        latency_ms = (self._clock.now_ns() - began_ns) / NS_PER_MS
+        self._note(job, result, latency_ms)
+        return self._create_reply(job, result)
+
+    def _create_job(
+        self,
+        configuration: Configuration,
+        route: Route,
+        request: Request,
+        address: str,
+    ) -> Job:
+        now_ns = self._clock.now_ns()
+        remaining_ms = read_remaining_ms(request, route)
+        # What a caller's earlier attempts have used is gone for this one as well.
+        used_ms = max(route.timeout_ms - remaining_ms, 0)
+        service = configuration.services.get(self._choose_part(route).service)
+        if service is None:
+            raise KnapweedrockError(Code.UNKNOWN_SERVICE)
+        headers = [
+            pair
+            for pair in request.headers
+            if pair[0] not in HOP_HEADERS and pair[0] not in NODE_HEADERS
+        ]
+        headers.append((CALLER, self._node.settings.service))
+        return Job(
+            request,
+            route,
+            service,
+            read_key(request) if service.keyed else -1,
+            headers,
+            address == self._node.settings.caller[0],
+            now_ns + int(min(remaining_ms, route.timeout_ms) * NS_PER_MS),
+            now_ns + int((route.objective_ms - used_ms) * NS_PER_MS),
+        )
+
+    def _choose_part(self, route: Route) -> Part:
+        """Choose a service so that each gets its share of every few requests."""
+        if len(route.parts) == 1:
+            return route.parts[0]
+        turn = self._turns.get(route.name, random.randrange(1000)) + 1
+        self._turns[route.name] = turn
+        total = sum(part.weight for part in route.parts)
+        point = (turn * 0.618033988749895) % 1.0 * total
+        for part in route.parts:
+            point -= part.weight
+            if point < 0:
+                return part
+        return route.parts[-1]
+
+    def _run(self, job: Job) -> Forwarded:
+        now_ns = self._clock.now_ns()
+        hold_ms = min(HOLD_MS, HOLD_SHARE * (job.end_ns - now_ns) / NS_PER_MS)
+        progress = Progress(now_ns + int(hold_ms * NS_PER_MS))
+        self._find_budget(job).count_request()
+        while True:
+            remaining_ms = self._find_left_ms(job)
+            if remaining_ms < LEAST_MS:
+                return settle(create_failed(Code.DEADLINE_PASSED), progress)
+            member = self._find_member(job, progress)
+            if member is None:
+                code = Code.NO_OWNER if job.key >= 0 else Code.NO_LIVE_TARGET
+                result = create_failed(code)
+            else:
+                result = self._send(job, member, remaining_ms)
+                self._note_result(member, result)
+            if not self._goes_on(job, progress, member, result):
+                return settle(result, progress)
+
+    def _goes_on(
+        self, job: Job, progress: Progress, member: Member | None, result: Forwarded
+    ) -> bool:
+        """Note a result; tell whether the request is to be sent once more."""
+        code = Code(result.code)
+        if code is Code.DONE:
+            if result.status < SERVER_ERROR or not job.route.idempotent:
+                return False
+            progress.reached += 1
+            progress.failed = result
+            return self._may_repeat(job, progress, member)
+        if INFO[code].outcome is Outcome.MAY_HAVE_RUN:
+            progress.reached += 1
+            progress.lost = result
+            return job.route.idempotent and self._may_repeat(job, progress, member)
+        if code in REACHED:
+            progress.reached += 1
+            if not self._may_repeat(job, progress, member):
+                return False
+        if job.key < 0 and member is not None:
+            progress.tried.add(member.node_id)
+            return self._find_member(job, progress) is not None
+        if code in FOLLOWED:
+            return self._wait_for_owner(progress)
+        return False
+
+    def _may_repeat(self, job: Job, progress: Progress, member: Member | None) -> bool:
+        """Tell whether one more target may be reached for the request."""
+        if progress.reached >= job.route.max_attempts:
+            return False
+        if self._find_left_ms(job) < LEAST_MS * 4:
+            return False
+        nodes = len(self._node.board.members)
+        if not self._find_budget(job).spend(nodes):
+            self._counters.count("retries_denied", service=job.service.name)
+            return False
+        self._counters.count("retries", service=job.service.name)
+        if member is not None and job.key < 0:
+            progress.tried.add(member.node_id)
+            if self._find_member(job, progress) is None:
+                progress.tried.clear()
+        return True
+
+    def _wait_for_owner(self, progress: Progress) -> bool:
+        """Wait for news of owners; tell whether to send the request again."""
+        left_ms = (progress.hold_until_ns - self._clock.now_ns()) / NS_PER_MS
+        if left_ms <= 0 or self._node.closing:
+            return False
+        self._node.wait_board(min(PAUSE_MS, left_ms) / 1000)
+        return True
+
+    def _find_member(self, job: Job, progress: Progress) -> Member | None:
+        node = self._node
+        if job.key < 0:
+            members = node.list_members(job.service.name)
+            return self.chooser.choose(members, node.zones_out, progress.tried)
+        row = find_row(node.find_rows(job.service.name), job.key)
+        if row is None:
+            return None
+        return node.board.members.get(row.node_id)
+
+    def _send(self, job: Job, member: Member, remaining_ms: float) -> Forwarded:
+        node = self._node
+        objective_ms = (job.objective_ns - self._clock.now_ns()) / NS_PER_MS
+        message = Forward(
+            job.service.name,
+            job.key,
+            job.request.method,
+            job.request.target,
+            job.headers,
+            job.request.body,
+            round(remaining_ms, 1),
+            round(objective_ms, 1),
+            job.route.priority,
+            job.route.idempotent,
+            job.inner,
+        )
+        peer = self.chooser.find_peer(member)
+        began_ns = self._clock.now_ns()
+        peer.in_flight += 1
+        try:
+            if member.node_id == node.settings.node_id:
+                result = node.gateway.deliver(message)
+            else:
+                result = node.links.request(
+                    member.peer, message, remaining_ms + LINK_MARGIN_MS, cancels=True
+                )
+        except KnapweedrockError as error:
+            return create_failed(error.code, error.detail)
+        finally:
+            peer.in_flight -= 1
+        latency_ms = (self._clock.now_ns() - began_ns) / NS_PER_MS
+        is_done = result.code == Code.DONE
+        self.chooser.note_answer(member, result.busy, latency_ms if is_done else 0)
+        return result
+
+    def _note_result(self, member: Member, result: Forwarded) -> None:
+        if result.code == Code.DONE and result.status < SERVER_ERROR:
+            return
+        if Code(result.code) not in ROOM:
+            self.chooser.note_failure(member)
+
+    def _find_left_ms(self, job: Job) -> float:
+        return (job.end_ns - self._clock.now_ns()) / NS_PER_MS
+
+    def _find_budget(self, job: Job) -> RetryBudget:
+        settings = self._node.settings
+        found = self._budgets.get(job.service.name)
+        if found is None:
+            found = self._budgets[job.service.name] = RetryBudget(
+                self._clock, settings.retry_ratio, settings.retry_slack
+            )
+        return found
+
+    def _create_reply(self, job: Job, result: Forwarded) -> Reply:
+        code = Code(result.code)
+        if code is Code.DONE:
+            return Reply(result.status, result.headers, result.body)
+        left_ms = self._find_left_ms(job)
+        wait_ms = result.retry_after_ms or DEFAULT_RETRY_AFTER_MS
+        wait_ms *= random.uniform(1, 1 + JITTER)
+        return create_refusal(code, min(wait_ms, left_ms * RETURN_SHARE))
+
+    def _note(self, job: Job, result: Forwarded, latency_ms: float) -> None:
+        code = Code(result.code)
+        self._counters.count("requests", code=code.name, service=job.service.name)
+        if code is Code.DONE and result.status < SERVER_ERROR:
+            return
+        log.info(
+            "request failed id={} route={} key={} code={} status={} ms={} detail={}",
+            job.request.fields.get(ATTEMPT_ID, ""),
+            job.route.name,
+            job.key,
+            code.name,
+            result.status,
+            int(latency_ms),
+            result.detail,
+        )
+
+
+def find_route(configuration: Configuration, request: Request) -> Route | None:
+    """Find the route with the longest prefix for a request."""
+    host = request.fields.get("host", "").lower().partition(":")[0]
+    path = request.target.partition("?")[0]
+    for route in configuration.routes:
+        if route.host == host and path.startswith(route.prefix):
+            return route
+    return None
+
+
+def read_remaining_ms(request: Request, route: Route) -> float:
+    """Read how long the caller still waits; raises `BAD_REQUEST`."""
+    text = request.fields.get(REMAINING, "")
+    if not text:
+        return route.timeout_ms
+    try:
+        return float(text)
+    except ValueError as error:
+        raise KnapweedrockError(Code.BAD_REQUEST, str(error)) from error
+
+
+def read_key(request: Request) -> int:
+    """Read the key of a request; -1 where it has none."""
+    text = request.fields.get(KEY, "")
+    if not text:
+        return -1
+    if not text.isdigit() or int(text) >= KEYS:
+        raise KnapweedrockError(Code.BAD_REQUEST, f"expected a key, found {text!r}")
+    return int(text)
+
+
+def create_failed(code: Code, detail: str = "") -> Forwarded:
+    """Create the result of an attempt that failed on this side."""
+    return Forwarded(int(code), 0, [], b"", detail, 0, 0.0)
+
+
+def settle(final: Forwarded, progress: Progress) -> Forwarded:
+    """Return the result that is true of all attempts together.
+
+    A last attempt that did not run says nothing of an earlier one that may have.
+    """
+    if final.code == Code.DONE:
+        return final
+    if progress.failed is not None:
+        return progress.failed
+    if progress.lost is None or INFO[Code(final.code)].outcome is Outcome.MAY_HAVE_RUN:
+        return final
+    return progress.lost
+
+
+def create_refusal(code: Code, retry_after_ms: float) -> Reply:
+    """Create the answer to a request that is given up."""
+    info = INFO[code]
+    status = info.http_status
+    if code is Code.QUARANTINED:
+        status = 503
+    headers = [("Knapweedrock-Code", str(int(code)))]
+    if retry_after_ms > 0 and status in (429, 503):
+        headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
+    return Reply(status, headers, b"")
--- /dev/null
+++ b/knapweedrock/mesh/settings.py
@@ -0,0 +1,67 @@
+"""Settings of a node of the mesh, from a file of environment variables."""
+
+from pathlib import Path
+
+from knapweedrock.checker import Address, Checker
+from knapweedrock.errors import SettingError
+from knapweedrock.mesh.definitions import NodeSettings
+
+VARIABLES = "KNAPWEEDROCK_SERVE"
+MAX_MS = 3_600_000
+MAX_RATIO = 1000.0
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Read and check all settings; raise an ExceptionGroup with every error."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        wrong = SettingError("--settings-file", str(path), f"a file: {error}")
+        raise ExceptionGroup("settings", [wrong]) from error
+    return create_settings(parse_variables(text))
+
+
+def parse_variables(text: str) -> dict[str, str]:
+    """Parse lines of `KNAPWEEDROCK_SERVE_NAME=value`, and skip all others."""
+    given = {}
+    for line in text.splitlines():
+        name, separator, value = line.strip().partition("=")
+        if separator and name.startswith(f"{VARIABLES}_"):
+            given[name.removeprefix(f"{VARIABLES}_").lower()] = value
+    return given
+
+
+def create_settings(given: dict[str, str]) -> NodeSettings:
+    """Build the settings; raise an ExceptionGroup with every SettingError."""
+    checker = Checker(given, VARIABLES)
+    settings = NodeSettings(
+        node_id=checker.read_name("node_id"),
+        zone=checker.read_name("zone"),
+        service=read_optional_name(checker, "service"),
+        target=read_optional_address(checker, "target"),
+        caller=checker.read_address("caller"),
+        heartbeat=checker.read_address("heartbeat"),
+        ready=checker.read_address("ready"),
+        peer=checker.read_address("peer"),
+        metrics=checker.read_address("metrics"),
+        store=checker.read_address("store"),
+        heartbeat_interval_ms=checker.read_integer("heartbeat_interval_ms", 1, MAX_MS),
+        max_hold_ms=checker.read_integer("max_hold_ms", 1, MAX_MS),
+        drain_timeout_ms=checker.read_integer("drain_timeout_ms", 0, MAX_MS),
+        shutdown_ms=int(checker.read_number("shutdown_s", 0, MAX_MS) * 1000),
+        retry_ratio=checker.read_number("retry_ratio", 0, MAX_RATIO),
+        retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
+        cold_factor=checker.read_number("cold_factor", 0, MAX_RATIO),
+    )
+    checker.close()
+    return settings
+
+
+def read_optional_name(checker: Checker, name: str) -> str:
+    """Read a name that may be missing."""
+    return checker.read_name(name) if checker.given.get(name) else ""
+
+
+def read_optional_address(checker: Checker, name: str) -> Address | None:
+    """Read an address that may be missing."""
+    return checker.read_address(name) if checker.given.get(name) else None
--- /dev/null
+++ b/knapweedrock/mesh/targets.py
@@ -0,0 +1,140 @@
+"""What a node knows of the target beside it."""
+
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.mesh.admission import Admission
+from knapweedrock.mesh.definitions import Configuration, Heartbeat, NodeSettings
+from knapweedrock.mesh.messages import Member
+
+# Heartbeats that may fail to come before the target is probed.
+LATE_INTERVALS = 1.7
+
+log = Logger("target")
+
+
+class Target:
+    """The target beside this node: its start, its state, its heartbeats."""
+
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, admission: Admission
+    ) -> None:
+        self.name = ""
+        self.instance = ""
+        self.draining = False
+        self.silent = False
+        self.dead = ""
+        self.slots = 0
+        self.heard_ns = 0
+        self._settings = settings
+        self._clock = clock
+        self._admission = admission
+        self._sequence = -1
+        self._ended: set[str] = set()
+
+    def adopt(self, member: Member) -> None:
+        """Take up what the mesh knows of the target after a restart of the node."""
+        if self.name or not member.target:
+            return
+        self.name, self.instance = member.target, member.instance
+        self.draining = member.state == "draining"
+        self._set_slots(member.slots)
+        log.info("target known from peers target={}", self.name)
+
+    def is_usable(self) -> bool:
+        """Tell whether the target may get requests."""
+        return bool(self.name) and not (self.draining or self.silent or self.dead)
+
+    def is_late(self) -> bool:
+        """Tell whether a heartbeat is overdue."""
+        limit_ms = LATE_INTERVALS * self._settings.heartbeat_interval_ms
+        return self._clock.now_ns() - self.heard_ns > limit_ms * NS_PER_MS
+
+    def take(self, heartbeat: Heartbeat, configuration: Configuration | None) -> bool:
+        """Take a heartbeat; tell whether it is news of the target that runs now."""
+        if heartbeat.target in self._ended:
+            return False
+        if heartbeat.target != self.name:
+            if self.name and not self._is_later(heartbeat.target):
+                return False
+            self._begin(heartbeat)
+        elif heartbeat.sequence <= self._sequence:
+            return False
+        self._sequence = heartbeat.sequence
+        self.heard_ns = self._clock.now_ns()
+        self.silent = False
+        if heartbeat.draining and not self.draining:
+            log.info("target is draining target={}", self.name)
+        self.draining = self.draining or heartbeat.draining
+        self._set_slots(heartbeat.slots)
+        self.set_cold(heartbeat.cold_ms, configuration)
+        return True
+
+    def set_cold(self, cold_ms: float, configuration: Configuration | None) -> None:
+        """Note how long the target stays cold."""
+        service = (
+            configuration.services.get(self._settings.service)
+            if configuration
+            else None
+        )
+        if service is not None:
+            self._admission.cold_rate = service.cold_rate
+        until_ns = self._clock.now_ns() + int(cold_ms * NS_PER_MS)
+        self._admission.cold_until_ns = until_ns
+
+    def leave(self, name: str) -> None:
+        """Note that a start of the target leaves for good."""
+        if name.split("@")[0] == self.instance:
+            log.info("target leaves target={}", self.name)
+            self.draining = True
+
+    def note_dead(self, name: str) -> None:
+        """Note that a start of the target has ended."""
+        if name and name == self.name and not self.dead:
+            log.warning("target is down target={}", name)
+            self.dead = name
+
+    def note_alive(self) -> None:
+        """Note that the target that was taken for ended answers."""
+        if self.dead:
+            log.info("target is up again target={}", self.name)
+        self.dead = ""
+        self.silent = False
+
+    def describe(self, node_id: str, process: str, peer: str) -> Member:
+        """Describe this node and its target to the mesh."""
+        state = "absent"
+        if self.name and self.draining and not self.dead:
+            state = "draining"
+        elif self.is_usable():
+            state = "ready"
+        return Member(
+            node_id,
+            process,
+            peer,
+            self._settings.zone,
+            self._settings.service,
+            self.name,
+            self.instance,
+            state,
+            self.slots,
+            self._admission.is_cold(),
+        )
+
+    def _begin(self, heartbeat: Heartbeat) -> None:
+        log.info("target announced itself target={}", heartbeat.target)
+        if self.name:
+            self._ended.add(self.name)
+        self.name, self.instance = heartbeat.target, heartbeat.instance
+        self.draining = False
+        self.dead = ""
+        self._sequence = -1
+
+    def _is_later(self, name: str) -> bool:
+        """Tell whether a start is later than the one that is known."""
+        born, known = int(name.rpartition("@")[2]), int(self.name.rpartition("@")[2])
+        return born >= known
+
+    def _set_slots(self, slots: int) -> None:
+        self.slots = slots
+        self._admission.slots = max(slots, 1)
--- a/knapweedrock/platform/__init__.py
+++ b/knapweedrock/platform/__init__.py
@@ -1,3 +1,1 @@
-"""Talk to the platform's object API."""
-
-from knapweedrock.platform import http as http
+"""Speak to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/knapweedrock/platform/documents.py
@@ -0,0 +1,81 @@
+"""The operators' configuration as the platform's store holds it."""
+
+from typing import Any
+
+from knapweedrock.mesh.definitions import (
+    Configuration,
+    Limits,
+    Part,
+    Route,
+    Service,
+)
+
+# Kinds and names under which operators write.
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+EVACUATION_KIND = "evacuations"
+# Kinds of the mesh's own.
+LEADER_KIND = "knapweedrock-leaders"
+TABLE_KIND = "knapweedrock-tables"
+IDEMPOTENT_TYPES = frozenset({"safe", "download"})
+DEFAULT_OBJECTIVE_MS = 500
+
+
+def decode_configuration(fields: dict[str, Any]) -> Configuration:
+    """Decode a configuration; raises `KeyError`, `TypeError` or `ValueError`."""
+    routes = [decode_route(name, item) for name, item in fields["routes"].items()]
+    routes.sort(key=lambda route: -len(route.prefix))
+    return Configuration(
+        version=int(fields["version"]),
+        routes=tuple(routes),
+        services={
+            name: decode_service(name, item)
+            for name, item in fields["services"].items()
+        },
+        limits=decode_limits(fields.get("limits") or {}),
+    )
+
+
+def decode_route(name: str, item: dict[str, Any]) -> Route:
+    """Decode one route."""
+    # One service, or several that share the requests by weight.
+    split = item.get("trafficSplit")
+    if split:
+        parts = tuple(Part(p["service"], float(p["weight"])) for p in split)
+    else:
+        parts = (Part(item["service"], 1.0),)
+    return Route(
+        name=name,
+        host=item["host"].lower(),
+        prefix=item["pathPrefix"],
+        idempotent=item["routeType"] in IDEMPOTENT_TYPES,
+        timeout_ms=float(item["timeoutMs"]),
+        objective_ms=float(item.get("targetLatencyMs") or DEFAULT_OBJECTIVE_MS),
+        priority=int(item.get("priority", 0)),
+        parts=parts,
+        max_attempts=int(item.get("maxAttempts", 1)),
+    )
+
+
+def decode_service(name: str, item: dict[str, Any]) -> Service:
+    """Decode one service."""
+    return Service(
+        name=name,
+        health_path=item["healthCheckPath"],
+        connection_limit=int(item["connectionLimit"]),
+        keyed=bool(item.get("sharded", False)),
+        cold_s=float(item.get("coldStartS", 0)),
+        cold_rate=float(item.get("coldPerS", 0)),
+        warmup_s=float(item.get("warmupS", 0)),
+    )
+
+
+def decode_limits(item: dict[str, Any]) -> Limits:
+    """Decode the bounds on callers, with the usual ones where none is set."""
+    usual = Limits()
+    return Limits(
+        int(item.get("maxHeaderBytes", usual.max_header_bytes)),
+        int(item.get("maxBodyBytes", usual.max_body_bytes)),
+        float(item.get("headerTimeoutMs", usual.header_timeout_ms)),
+        float(item.get("idleTimeoutMs", usual.idle_timeout_ms)),
+    )
--- /dev/null
+++ b/knapweedrock/platform/headers.py
@@ -0,0 +1,24 @@
+"""Names of the headers that callers, nodes and targets exchange; in lower case."""
+
+# Identifies one attempt of a caller; the target repeats it in its answer.
+ATTEMPT_ID = "x-attempt-id"
+# Milliseconds that the caller still waits.
+REMAINING = "x-timeout-remaining"
+# Key of the request, 0 to 65535.
+KEY = "x-shard-key"
+# Proves that an answer is the target's own.
+SIGNATURE = "x-response-signature"
+# Instance that must answer; any other refuses with 421.
+EXPECTED_INSTANCE = "x-expected-instance"
+# Present where the target says that it did not run the request.
+NOT_EXECUTED = "x-not-executed"
+# Service beside which the request entered the mesh.
+CALLER = "x-caller-service"
+# Running, waiting, slots and, in percent, how long work takes on the VM now.
+LOAD = "x-server-load"
+# Milliseconds that the target stays cold, in answers to health checks.
+COLD = "x-cold-milliseconds"
+# Instance that answers a health check.
+INSTANCE = "x-instance-id"
+# What only a node may say to a target.
+SET_BY_NODES = frozenset({REMAINING, EXPECTED_INSTANCE, CALLER})
--- /dev/null
+++ b/knapweedrock/platform/store.py
@@ -0,0 +1,238 @@
+"""Client of the platform's store: objects by kind and name, with revisions."""
+
+from typing import Any, NamedTuple
+
+import gevent
+import msgspec
+
+from knapweedrock.clock import NS_PER_S, Clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.errors import PlatformError
+from knapweedrock.mesh.http import (
+    Answer,
+    AnswerParser,
+    Connection,
+    MalformedMessageError,
+    dial,
+    encode_request,
+)
+
+CALL_TIMEOUT_S = 1.0
+DIAL_TIMEOUT_S = 0.7
+WATCH_MARGIN_S = 2.0
+RETRY_PAUSE_S = 0.1
+CONTENT_TYPE = ("Content-Type", "application/json")
+
+
+class Stored(NamedTuple):
+    """An object's value and the revision of its last change."""
+
+    name: str
+    revision: int
+    value: Any
+
+
+class Listing(NamedTuple):
+    """All objects of a kind at one revision of the store."""
+
+    items: list[Stored]
+    revision: int
+
+
+class Change(NamedTuple):
+    """An object that changed or was removed."""
+
+    item: Stored
+    removed: bool
+
+
+class Changes(NamedTuple):
+    """What changed up to a revision of the store."""
+
+    changes: list[Change]
+    revision: int
+
+
+class ConflictError(PlatformError):
+    """A write whose condition did not hold; `current` is the object as it is."""
+
+    def __init__(self, current: Stored | None) -> None:
+        super().__init__(Code.PLATFORM_CONFLICT)
+        self.current = current
+
+
+class HistoryGoneError(PlatformError):
+    """A watch from a revision whose history the store has dropped."""
+
+    def __init__(self) -> None:
+        super().__init__(Code.PLATFORM_NOT_FOUND, "the history is gone")
+
+
+class Store:
+    """The platform's store over HTTP; each call raises `PlatformError`."""
+
+    def __init__(
+        self, address: tuple[str, int], clock: Clock, counters: Counters
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._counters = counters
+        self._idle: list[Connection] = []
+
+    def get(
+        self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Stored | None:
+        """Read an object; None where it does not exist."""
+        answer = self._call("GET", f"/objects/{kind}/{name}", None, timeout_s)
+        if answer.status == 404:
+            return None
+        return decode_object(decode_body(answer))
+
+    def list(self, kind: str, timeout_s: float = CALL_TIMEOUT_S) -> Listing:
+        """Read all objects of a kind, page by page."""
+        items: list[Stored] = []
+        query = ""
+        while True:
+            answer = self._call("GET", f"/objects/{kind}{query}", None, timeout_s)
+            if answer.status == 404:
+                return Listing([], 0)
+            page = decode_body(answer)
+            items += [decode_object(item) for item in page.get("items") or ()]
+            if not page.get("hasMore") or not items:
+                return Listing(items, int(page["atRevision"]))
+            query = f"?after={items[-1].name}"
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
+        """Wait for changes after a revision; raises `HistoryGoneError`."""
+        path = f"/objects/{kind}?watch={revision}&waitMs={int(wait_s * 1000)}"
+        answer = self._call("GET", path, None, wait_s + WATCH_MARGIN_S)
+        if answer.status == 410:
+            raise HistoryGoneError
+        page = decode_body(answer)
+        changes = [
+            Change(decode_object(event["object"]), bool(event.get("removed")))
+            for event in page.get("events") or ()
+        ]
+        return Changes(changes, int(page["atRevision"]))
+
+    def create(self, kind: str, name: str, value: Any, timeout_s: float) -> Stored:
+        """Create an object; raises `ConflictError` where another one exists."""
+        body = {"metadata": {"name": name}, "specification": value, "status": None}
+        return self._write("POST", f"/objects/{kind}", body, timeout_s)
+
+    def replace(
+        self, kind: str, name: str, value: Any, revision: int, timeout_s: float
+    ) -> Stored:
+        """Replace an object that is at a revision; raises `ConflictError`."""
+        body = {
+            "metadata": {"name": name, "revision": revision},
+            "specification": value,
+            "status": None,
+        }
+        return self._write("PUT", f"/objects/{kind}/{name}", body, timeout_s)
+
+    def _write(self, method: str, path: str, body: Any, timeout_s: float) -> Stored:
+        """Write until it is known whether the write took effect.
+
+        A write whose answer is lost is sent again under the same condition: if the
+        first one took effect, the store shows our own value in its refusal.
+        """
+        data = msgspec.json.encode(body)
+        end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
+        while True:
+            left_s = (end_ns - self._clock.now_ns()) / NS_PER_S
+            try:
+                answer = self._call(method, path, data, min(left_s, CALL_TIMEOUT_S))
+            except PlatformError:
+                if left_s < RETRY_PAUSE_S * 2:
+                    raise
+                gevent.sleep(RETRY_PAUSE_S)
+                continue
+            if answer.status != 409:
+                return decode_object(decode_body(answer))
+            current = decode_current(answer)
+            if current is not None and current.value == body["specification"]:
+                return current
+            raise ConflictError(current)
+
+    def _call(
+        self, method: str, path: str, data: bytes | None, timeout_s: float
+    ) -> Answer:
+        """Make one call; raises `PlatformError` unless it was answered."""
+        self._counters.count("store_calls", method=method)
+        headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
+        if data is not None:
+            headers.append(CONTENT_TYPE)
+        message = encode_request(method, path, headers, data or b"")
+        end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
+        connection = None
+        try:
+            connection = self._take(min(timeout_s, DIAL_TIMEOUT_S))
+            left_s = (end_ns - self._clock.now_ns()) / NS_PER_S
+            connection.send(message, left_s)
+            answer = connection.read(AnswerParser(), left_s)
+        except (OSError, MalformedMessageError) as error:
+            if connection is not None:
+                connection.close()
+            self._counters.count("store_calls_failed", reason=type(error).__name__)
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, str(error)) from error
+        except BaseException:
+            if connection is not None:
+                connection.close()
+            raise
+        self._keep(connection, answer)
+        return self._check(answer)
+
+    def _check(self, answer: Answer) -> Answer:
+        if answer.status == 429:
+            self._counters.count("store_calls_failed", reason="429")
+            raise PlatformError(Code.PLATFORM_RATE_LIMITED)
+        if answer.status >= 500:
+            self._counters.count("store_calls_failed", reason=str(answer.status))
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, f"status {answer.status}")
+        return answer
+
+    def _take(self, timeout_s: float) -> Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_clean():
+                return connection
+            connection.close()
+        return dial(self._address, timeout_s)
+
+    def _keep(self, connection: Connection, answer: Answer) -> None:
+        if answer.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+
+def decode_body(answer: Answer) -> dict[str, Any]:
+    """Decode the body of a good answer; raises `PlatformError`."""
+    if answer.status >= 300:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"status {answer.status}")
+    try:
+        fields = msgspec.json.decode(answer.body)
+    except (msgspec.DecodeError, UnicodeError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
+    if not isinstance(fields, dict):
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, "expected an object")
+    return fields
+
+
+def decode_object(fields: dict[str, Any]) -> Stored:
+    """Decode an object; raises `PlatformError`."""
+    try:
+        about = fields["metadata"]
+        return Stored(about["name"], int(about["revision"]), fields["specification"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, repr(error)) from error
+
+
+def decode_current(answer: Answer) -> Stored | None:
+    """Decode the object that a refused write was answered with, if it is there."""
+    try:
+        return decode_object(msgspec.json.decode(answer.body))
+    except (msgspec.DecodeError, UnicodeError, PlatformError):
+        return None
--- a/knapweedrock/settings.py
+++ b/knapweedrock/settings.py
@@ -151,6 +151,7 @@
 def _read_platform_kind(checker: Checker) -> str:
     """Read a kind that the registry of platforms knows."""
     # Imported here since the clients of the platform import this module.
+    import knapweedrock.platform.http  # noqa: F401
     from knapweedrock.platform.interface import KINDS
 
     return checker.read_choice("platform_kind", KINDS)
