--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -64,11 +64,12 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Close the listener and the connections that owe no answer."""
+        """Close the listener and the connections on which no request has come."""
         self._server.close()
         for sock in list(self._idle):
-            with suppress(OSError):
-                sock.shutdown(system_socket.SHUT_RDWR)
+            if not has_unread(sock):
+                with suppress(OSError):
+                    sock.shutdown(system_socket.SHUT_RDWR)
 
     def _run(self, sock: socket.socket, address: tuple) -> None:
         disable_delay(sock)
@@ -147,6 +148,14 @@
         finish_sending(sock)
 
 
+def has_unread(sock: socket.socket) -> bool:
+    """Tell whether bytes have come that were not read yet."""
+    try:
+        return bool(sock._sock.recv(1, system_socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def finish_sending(sock: socket.socket) -> None:
     """Let the other end read all before the connection is closed."""
     with suppress(OSError):
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -247,8 +247,7 @@
         was_usable = target.is_usable()
         target.note_alive()
         cold_ms = answer.find(COLD)
-        if cold_ms:
-            target.set_cold(float(cold_ms), configuration)
+        target.set_cold(float(cold_ms or 0))
         if not was_usable:
             node.report_soon()
 
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -40,7 +40,7 @@
 from knapweedrock.mesh.ownership import find_cuts
 from knapweedrock.mesh.routing import Router
 from knapweedrock.mesh.settings import read_settings
-from knapweedrock.mesh.targets import Target
+from knapweedrock.mesh.targets import ASSUMED_COLD_MS, Target
 from knapweedrock.nodes.messages import Done
 from knapweedrock.platform.documents import LEADER_KIND
 from knapweedrock.platform.heartbeats import Leave, decode_message, encode_reply
@@ -100,6 +100,7 @@
         self._board_news = Event()
         self._report = Event()
         self._reported = Event()
+        self._was_out = False
         self._leader = ""
         self._lock: Stored | None = None
         self._lock_seen_ns = 0
@@ -149,8 +150,8 @@
             return
         self.board = board
         own = board.members.get(self.settings.node_id)
-        if own is not None:
-            self.target.adopt(own)
+        if own is not None and self.target.adopt(own):
+            gevent.spawn(self.gateway.probe)
         news, self._board_news = self._board_news, Event()
         news.set()
         if any(
@@ -179,8 +180,8 @@
         end_ns = began_ns + (
             (self.settings.shutdown_ms - SHUTDOWN_MARGIN_MS) * NS_PER_MS
         )
-        gevent.sleep(LEAVE_MS / 1000)
         self.callers.closing = True
+        gevent.sleep(LEAVE_MS / 1000)
         self.callers.stop()
         while self.clock.now_ns() < end_ns and self._is_busy():
             gevent.sleep(STOP_POLL_S)
@@ -203,6 +204,13 @@
         if configuration and self.settings.service in configuration.services:
             service = configuration.services[self.settings.service]
             self.gateway.exchanges.limit = service.connection_limit
+            self.gateway.admission.cold_rate = service.cold_rate
+        is_out = self.settings.zone in self.zones_out
+        if self._was_out and not is_out:
+            # Its targets may have turned cold while they got nothing.
+            self.target.assume_cold(ASSUMED_COLD_MS)
+            gevent.spawn(self.gateway.probe)
+        self._was_out = is_out
 
     def _answer_ready(self, request: Request, _address: str) -> Reply:
         is_ready = (
@@ -243,7 +251,7 @@
         ):
             raise RefusalError(Code.BAD_ANNOUNCEMENT, "not the target beside this node")
         before = self._describe()
-        is_news = self.target.take(heartbeat, self.configuration)
+        is_news = self.target.take(heartbeat)
         if not is_news:
             return b"{}"
         if self.target.dead:
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -4,11 +4,13 @@
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.mesh.admission import Admission
-from knapweedrock.mesh.definitions import Configuration, Heartbeat, NodeSettings
+from knapweedrock.mesh.definitions import Heartbeat, NodeSettings
 from knapweedrock.mesh.messages import Member
 
 # Heartbeats that may fail to come before the target is probed.
 LATE_INTERVALS = 1.7
+# Time for which a target is taken as cold where nothing is known of it.
+ASSUMED_COLD_MS = 3000
 
 log = Logger("target")
 
@@ -32,14 +34,16 @@
         self._sequence = -1
         self._ended: set[str] = set()
 
-    def adopt(self, member: Member) -> None:
+    def adopt(self, member: Member) -> bool:
         """Take up what the mesh knows of the target after a restart of the node."""
         if self.name or not member.target:
-            return
+            return False
         self.name, self.instance = member.target, member.instance
         self.draining = member.state == "draining"
         self._set_slots(member.slots)
+        self.assume_cold(ASSUMED_COLD_MS)
         log.info("target known from peers target={}", self.name)
+        return True
 
     def is_usable(self) -> bool:
         """Tell whether the target may get requests."""
@@ -50,7 +54,7 @@
         limit_ms = LATE_INTERVALS * self._settings.heartbeat_interval_ms
         return self._clock.now_ns() - self.heard_ns > limit_ms * NS_PER_MS
 
-    def take(self, heartbeat: Heartbeat, configuration: Configuration | None) -> bool:
+    def take(self, heartbeat: Heartbeat) -> bool:
         """Take a heartbeat; tell whether it is news of the target that runs now."""
         if heartbeat.target in self._ended:
             return False
@@ -67,21 +71,20 @@
             log.info("target is draining target={}", self.name)
         self.draining = self.draining or heartbeat.draining
         self._set_slots(heartbeat.slots)
-        self.set_cold(heartbeat.cold_ms, configuration)
+        self.set_cold(heartbeat.cold_ms)
         return True
 
-    def set_cold(self, cold_ms: float, configuration: Configuration | None) -> None:
+    def set_cold(self, cold_ms: float) -> None:
         """Note how long the target stays cold."""
-        service = (
-            configuration.services.get(self._settings.service)
-            if configuration
-            else None
-        )
-        if service is not None:
-            self._admission.cold_rate = service.cold_rate
         until_ns = self._clock.now_ns() + int(cold_ms * NS_PER_MS)
         self._admission.cold_until_ns = until_ns
 
+    def assume_cold(self, cold_ms: float) -> None:
+        """Take the target as cold until it says how long it is."""
+        until_ns = self._clock.now_ns() + int(cold_ms * NS_PER_MS)
+        if until_ns > self._admission.cold_until_ns:
+            self._admission.cold_until_ns = until_ns
+
     def leave(self, name: str) -> None:
         """Note that a start of the target leaves for good."""
         if name.split("@")[0] == self.instance:
