--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -3,7 +3,6 @@
 Values reach the commands unchecked, so that all wrong ones are named at once.
 """
 
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -94,11 +93,13 @@
 )
 def serve(settings_file: Path) -> Any:
     """Run a node of the mesh beside a target that holds its keys."""
-    from knapweedrock.logs import create_log_handler
     from knapweedrock.mesh.node import run_node
+    from knapweedrock.mesh.output import create_output
 
-    with create_log_handler(stream=sys.stdout).applicationbound():
-        return run_node(settings_file)
+    output = create_output()
+    with output.applicationbound():
+        run_node(settings_file)
+    output.flush_now()
 
 
 @cli.group(epilog=example("knapweedrock emulate platform --listen 127.0.0.1:7000"))
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -77,7 +77,7 @@
         try:
             self._talk(sock, watch, address[0])
         except (OSError, CallerGoneError) as error:
-            log.debug("caller gone reason={}", error)
+            log.debug("caller gone", reason=error)
         finally:
             watch.close()
             sock.close()
@@ -117,7 +117,7 @@
             try:
                 parser.feed(data)
             except MalformedMessageError as error:
-                log.info("malformed request reason={}", error)
+                log.info("malformed request", reason=error)
                 self._refuse(sock, 400)
                 return None
             if parser.head_bytes > limits.max_header_bytes and parser.in_head:
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -98,7 +98,7 @@
                 )
             self._stored = self._load_tables(epoch)
         except PlatformError as error:
-            log.info("claim failed epoch={} reason={}", epoch, error.detail)
+            log.info("claim failed", epoch=epoch, reason=error.detail)
             return False
         self._lock = lock
         self.epoch = epoch
@@ -115,9 +115,9 @@
             self._store.replace(
                 LEADER_KIND, LEADER_NAME, value, self._lock.revision, WRITE_TIMEOUT_S
             )
-            log.info("term given up epoch={}", self.epoch)
+            log.info("term given up", epoch=self.epoch)
         except PlatformError as error:
-            log.warning("term not given up reason={}", error.detail)
+            log.warning("term not given up", reason=error.detail)
 
     def renew(self, request: Renew) -> Renewed:
         """Lease a node its rights and take its report; raises `NO_MAJORITY`."""
@@ -159,11 +159,11 @@
                     TERM_RENEW_S,
                 )
             except ConflictError:
-                log.warning("term lost epoch={}", self.epoch)
+                log.warning("term lost", epoch=self.epoch)
                 self.leading = False
                 return
             except PlatformError as error:
-                log.warning("term not renewed reason={}", error.detail)
+                log.warning("term not renewed", reason=error.detail)
                 gevent.sleep(TERM_RETRY_S)
                 continue
             self._renewed_ns = sent_ns
@@ -182,7 +182,7 @@
                 for service in self._list_services():
                     self._plan(service)
             except PlatformError as error:
-                log.warning("table not written reason={}", error.detail)
+                log.warning("table not written", reason=error.detail)
 
     def _begin(self, sent_ns: int) -> None:
         now_ns = self._clock.now_ns()
@@ -200,7 +200,7 @@
         self._loads, self._unheld, self._released = {}, {}, {}
         peer = self._node.peer
         self.board = Board(self.epoch, 1, peer, dict(known), tables)
-        log.info("elected epoch={} members={}", self.epoch, len(known))
+        log.info("elected", epoch=self.epoch, members=len(known))
         self._node.take_board(self.board)
         gevent.spawn(self.run_term)
         gevent.spawn(self.run_plans)
@@ -256,7 +256,7 @@
                 del members[name]
             elif silent_ms > SILENT_MS and member.state == "ready":
                 members[name] = member._replace(state="absent")
-                log.warning("member silent node={} ms={}", name, int(silent_ms))
+                log.warning("member silent", node=name, ms=int(silent_ms))
         if members != self.board.members:
             self._change(members=members)
 
@@ -303,12 +303,11 @@
                 until_ns = now_ns + REST_MS * NS_PER_MS
                 self._rest[row.node_id] = self._rest[row.next_node] = until_ns
                 log.info(
-                    "move begins keys={}-{} from={} to={} load={}",
-                    row.start,
-                    row.end,
-                    row.node_id,
-                    row.next_node,
-                    round(ownership.measure_piece(row, facts), 2),
+                    "move begins",
+                    keys=f"{row.start}-{row.end}",
+                    giver=row.node_id,
+                    receiver=row.next_node,
+                    load=round(ownership.measure_piece(row, facts), 2),
                 )
         return marked
 
@@ -349,13 +348,12 @@
         for row in rows:
             if row not in before:
                 log.info(
-                    "keys given keys={}-{} node={} target={} token={} warm={}",
-                    row.start,
-                    row.end,
-                    row.node_id,
-                    row.target,
-                    row.token,
-                    bool(row.handover),
+                    "keys given",
+                    keys=f"{row.start}-{row.end}",
+                    node=row.node_id,
+                    target=row.target,
+                    token=row.token,
+                    warm=bool(row.handover),
                 )
                 self._forget_released(service, row)
         self._stored[service] = written
@@ -395,15 +393,15 @@
                 )
         except KnapweedrockError as error:
             # It gets the board with its next lease.
-            log.debug("board not pushed node={} reason={}", name, error.detail)
+            log.debug("board not pushed", node=name, reason=error.detail)
         finally:
             self._publishing.pop(name, None)
 
     def _log_member(self, member: Member) -> None:
         log.info(
-            "member reports node={} target={} state={} cold={}",
-            member.node_id,
-            member.target,
-            member.state,
-            member.cold,
+            "member reports",
+            node=member.node_id,
+            target=member.target,
+            state=member.state,
+            cold=member.cold,
         )
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -68,14 +68,14 @@
                 continue
             except PlatformError as error:
                 if not lost:
-                    log.warning("store lost kind={} reason={}", kind, error.detail)
+                    log.warning("store lost", kind=kind, reason=error.detail)
                 lost = True
                 revision = 0
                 gevent.sleep(pause_s)
                 pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
                 continue
             if lost:
-                log.info("store regained kind={}", kind)
+                log.info("store regained", kind=kind)
             lost = False
             pause_s = FIRST_PAUSE_S
 
@@ -106,7 +106,7 @@
     def _set_zones(self, zones: frozenset[str], revision: int) -> None:
         self.zones_revision = revision
         if zones != self.zones_out:
-            log.info("zones out zones={} revision={}", sorted(zones), revision)
+            log.info("zones out", zones=sorted(zones), revision=revision)
             self.zones_out = zones
             self._note()
 
@@ -114,11 +114,11 @@
         try:
             found = decode_configuration(document)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.error("configuration not taken reason={!r}", error)
+            log.error("configuration not taken", reason=repr(error))
             return
         if self.configuration and found.version <= self.configuration.version:
             return
-        log.info("configuration in force version={}", found.version)
+        log.info("configuration in force", version=found.version)
         self.configuration = found
         self.document = document
         self._note()
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -76,6 +76,8 @@
         self._counters = counters
         self._tell_crash = tell_crash
         self._target = node.target
+        self._queue_ms = node.histograms.create("queue_ms")
+        self._service_ms = node.histograms.create("service_ms")
         address = node.settings.target
         self.exchanges = Exchanges(address or ("0.0.0.0", 0), clock, counters)
 
@@ -85,9 +87,33 @@
             return self._deliver(request)
         except KnapweedrockError as error:
             retry_after_ms = getattr(error, "retry_after_ms", 0)
-            self._counters.count("gateway_failures", code=error.code.name)
+            self._note_failure(request, error)
             return self._create_failed(error.code, error.detail, retry_after_ms)
 
+    def _note_failure(self, request: Forward, error: KnapweedrockError) -> None:
+        self._counters.count("gateway_failures", code=error.code.name)
+        node, admission = self._node, self.admission
+
+        def describe() -> dict[str, object]:
+            return {
+                "service": request.service,
+                "key": request.key,
+                "code": error.code.name,
+                "detail": error.detail,
+                "target": self._target.name,
+                "heartbeat_ms": self._target.get_age_ms(),
+                "in_flight": admission.in_flight,
+                "waiting": admission.waiting,
+                "service_ms": round(admission.service_ms, 1),
+                "cold": admission.is_cold(),
+                "remaining_ms": request.remaining_ms,
+                "objective_ms": request.objective_ms,
+                "board": f"{node.board.epoch}.{node.board.version}",
+            }
+
+        attempt_id = find_header(request.headers, ATTEMPT_ID)
+        node.decisions.note_failure("delivery failed", attempt_id, describe)
+
     def _deliver(self, request: Forward) -> Forwarded:
         began_ns = self._clock.now_ns()
         self._check(request)
@@ -100,12 +126,14 @@
         self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
         sent_ns = self._clock.now_ns()
         served_ms = 0.0
+        self._queue_ms.observe((sent_ns - began_ns) / NS_PER_MS)
         try:
             # The target may have left, or the key moved, while the request waited.
             self._check(request)
             waited_ms = (sent_ns - began_ns) / NS_PER_MS
             answer = self._exchange(request, request.remaining_ms - waited_ms)
             served_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
+            self._service_ms.observe(served_ms)
         finally:
             self.in_flight.pop(id(request), None)
             self.admission.release(served_ms)
@@ -183,7 +211,7 @@
                 self._tell_crash(present)
                 self._node.report_soon()
         except OSError as error:
-            log.warning("target can't be reached reason={}", error)
+            log.warning("target can't be reached", reason=error)
         else:
             connection.close()
 
@@ -238,7 +266,7 @@
             return
         except KnapweedrockError as error:
             if not target.silent and target.name:
-                log.warning("target is silent reason={}", error.detail)
+                log.warning("target is silent", reason=error.detail)
                 target.silent = True
                 node.report_soon()
             return
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -103,7 +103,7 @@
             return
         self.closed = True
         self._counters.count("links_dropped")
-        log.info("link lost peer={} reason={}", self.peer, reason)
+        log.info("link lost", peer=self.peer, reason=reason)
         for result in list(self.pending.values()):
             result.set_exception(LinkError(Code.PEER_LOST, reason))
         self._connection.shut_down()
@@ -263,9 +263,9 @@
                         self._handle, connection, sender, frame, running
                     )
         except LinkError as error:
-            log.warning("bad frame sender={} reason={}", sender, error.detail)
+            log.warning("bad frame", sender=sender, reason=error.detail)
         except OSError as error:
-            log.debug("link ended sender={} reason={}", sender, error)
+            log.debug("link ended", sender=sender, reason=error)
         finally:
             self.accepted.discard(connection)
             for task in list(running.values()):
--- /dev/null
+++ b/knapweedrock/mesh/metrics.py
@@ -0,0 +1,88 @@
+"""Counters, gauges and histograms as text for a scrape.
+
+The text is written here since importing `aioprometheus` brings an event loop that
+costs a restarted node a third of its start.
+"""
+
+from bisect import bisect_left
+
+from knapweedrock.counters import Counters, Labels
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+PREFIX = "knapweedrock"
+BOUNDS_MS = (5, 10, 25, 50, 100, 200, 300, 500, 750, 1000, 1500, 2500, 5000, 10000)
+
+
+class Histogram:
+    """Counts of observed times in ms by upper bound and labels."""
+
+    def __init__(self) -> None:
+        self.counts: dict[Labels, list[int]] = {}
+        self.sums: dict[Labels, float] = {}
+
+    def observe(self, value_ms: float, **labels: str) -> None:
+        """Count one time."""
+        key = tuple(labels.items())
+        counts = self.counts.get(key)
+        if counts is None:
+            counts = self.counts[key] = [0] * (len(BOUNDS_MS) + 1)
+            self.sums[key] = 0.0
+        counts[bisect_left(BOUNDS_MS, value_ms)] += 1
+        self.sums[key] += value_ms
+
+
+class Histograms:
+    """All histograms of a process by name."""
+
+    def __init__(self) -> None:
+        self.by_name: dict[str, Histogram] = {}
+
+    def create(self, name: str) -> Histogram:
+        """Return the histogram of a name."""
+        return self.by_name.setdefault(name, Histogram())
+
+
+def render_metrics(counters: Counters, histograms: Histograms) -> str:
+    """Render all metrics in the Prometheus text format."""
+    lines = []
+    for kind, values in (("counter", counters.counts), ("gauge", counters.gauges)):
+        named = ""
+        for (name, labels), value in sorted(values.items()):
+            if name != named:
+                lines.append(f"# TYPE {PREFIX}_{name} {kind}")
+                named = name
+            lines.append(f"{PREFIX}_{name}{render_labels(labels)} {value}")
+    for name, histogram in sorted(histograms.by_name.items()):
+        lines.append(f"# TYPE {PREFIX}_{name} histogram")
+        for labels in sorted(histogram.counts):
+            lines += render_histogram(name, labels, histogram)
+    return "\n".join(lines) + "\n"
+
+
+def render_histogram(name: str, labels: Labels, histogram: Histogram) -> list[str]:
+    """Render the buckets of one set of labels."""
+    lines = []
+    total = 0
+    for bound, count in zip(
+        (*BOUNDS_MS, "+Inf"), histogram.counts[labels], strict=True
+    ):
+        total += count
+        shown = render_labels((*labels, ("le", str(bound))))
+        lines.append(f"{PREFIX}_{name}_bucket{shown} {total}")
+    shown = render_labels(labels)
+    lines.append(f"{PREFIX}_{name}_sum{shown} {histogram.sums[labels]:.3f}")
+    lines.append(f"{PREFIX}_{name}_count{shown} {total}")
+    return lines
+
+
+def render_labels(labels: Labels) -> str:
+    """Render labels, or nothing where there are none."""
+    if not labels:
+        return ""
+    shown = ",".join(f'{name}="{escape(value)}"' for name, value in labels)
+    return "{" + shown + "}"
+
+
+def escape(value: str) -> str:
+    """Escape a label's value."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -16,6 +16,7 @@
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.choice import Chooser
 from knapweedrock.mesh.coordinator import LEADER_NAME, TERM_MS, Coordinator
+from knapweedrock.mesh.decisions import Decisions
 from knapweedrock.mesh.definitions import (
     Configuration,
     Heartbeat,
@@ -37,6 +38,7 @@
     Renew,
     Row,
 )
+from knapweedrock.mesh.metrics import CONTENT_TYPE, Histograms, render_metrics
 from knapweedrock.mesh.ownership import find_cuts
 from knapweedrock.mesh.routing import Router
 from knapweedrock.mesh.settings import read_settings
@@ -76,6 +78,8 @@
         self.process = uuid.uuid4().hex[:12]
         self.peer = "{}:{}".format(*settings.peer)
         self.counters = Counters()
+        self.histograms = Histograms()
+        self.decisions = Decisions(clock, self.counters)
         self.closing = False
         self.board = Board(0, 0, "", {}, {})
         self.clock = clock
@@ -129,12 +133,13 @@
     def start(self) -> None:
         """Open the listeners and start the tasks."""
         self.links.start()
+        self.decisions.start()
         for server in (*self._pages, self.callers):
             server.start()
         self.follower.start()
         for run in (self._run_renewals, self._run_probes, self._run_loads):
             gevent.spawn(run)
-        log.info("node started id={} process={}", self.settings.node_id, self.process)
+        log.info("node started", id=self.settings.node_id, process=self.process)
 
     def find_rows(self, service: str) -> list[Row]:
         """Return the rows of a service's keys."""
@@ -144,6 +149,10 @@
         """List the members whose targets serve a service."""
         return [m for m in self.board.members.values() if m.service == service]
 
+    def get_lease_ms(self) -> int:
+        """Return what is left of this node's lease; below 0 where it has lapsed."""
+        return (self.holds.lease_until_ns - self.clock.now_ns()) // NS_PER_MS
+
     def take_board(self, board: Board) -> None:
         """Take a newer board."""
         if (board.epoch, board.version) <= (self.board.epoch, self.board.version):
@@ -175,7 +184,7 @@
         """Send callers elsewhere, finish what is in flight, and close."""
         began_ns = self.clock.now_ns()
         self.closing = True
-        log.info("node stops in_flight={}", self.callers.in_flight)
+        log.info("node stops", in_flight=self.callers.in_flight)
         gevent.spawn(self.coordinator.resign)
         end_ns = began_ns + (
             (self.settings.shutdown_ms - SHUTDOWN_MARGIN_MS) * NS_PER_MS
@@ -189,7 +198,7 @@
         while self.clock.now_ns() < end_ns and self.gateway.in_flight:
             gevent.sleep(STOP_POLL_S)
         self.links.stop()
-        log.info("node stopped id={}", self.settings.node_id)
+        log.info("node stopped", id=self.settings.node_id)
 
     def _is_busy(self) -> bool:
         return self.callers.in_flight > 0
@@ -221,12 +230,23 @@
         return Reply(200 if is_ready else 503, [], b"")
 
     def _answer_metrics(self, request: Request, _address: str) -> Reply:
-        lines = []
-        for (name, labels), value in sorted(self.counters.counts.items()):
-            text = ",".join(f'{key}="{item}"' for key, item in labels)
-            lines.append(f"knapweedrock_{name}{{{text}}} {value}")
-        body = ("\n".join(lines) + "\n").encode()
-        return Reply(200, [("Content-Type", "text/plain; version=0.0.4")], body)
+        self._set_gauges()
+        body = render_metrics(self.counters, self.histograms).encode()
+        return Reply(200, [("Content-Type", CONTENT_TYPE)], body)
+
+    def _set_gauges(self) -> None:
+        admission, counters = self.gateway.admission, self.counters
+        configuration = self.configuration
+        counters.gauge("in_flight", admission.in_flight)
+        counters.gauge("waiting", admission.waiting)
+        counters.gauge("lease_ms", self.get_lease_ms())
+        counters.gauge("rows_granted", len(self.holds.granted.rows))
+        counters.gauge("board_epoch", self.board.epoch)
+        counters.gauge("board_version", self.board.version)
+        counters.gauge("coordinating", int(self.coordinator.has_authority()))
+        counters.gauge(
+            "configuration_version", configuration.version if configuration else 0
+        )
 
     def _answer_target(self, request: Request, _address: str) -> Reply:
         try:
@@ -239,7 +259,7 @@
                 body = self._take_heartbeat(message)
         except RefusalError as error:
             self.counters.count("heartbeats_refused")
-            log.warning("heartbeat refused reason={}", error.detail)
+            log.warning("heartbeat refused", reason=error.detail)
             return Reply(error.info.http_status, [], b"")
         return Reply(200, [("Content-Type", "application/json")], body)
 
@@ -277,7 +297,7 @@
             try:
                 is_renewed = self._renew()
             except PlatformError as error:
-                log.warning("coordinator not found reason={}", error.detail)
+                log.warning("coordinator not found", reason=error.detail)
                 is_renewed = False
             self._report.wait(RENEW_S if is_renewed else RENEW_RETRY_S)
             self._report.clear()
@@ -330,7 +350,7 @@
         self._lock_read_ns = now_ns
         lock = self.store.get(LEADER_KIND, LEADER_NAME)
         if lock is None or self._may_claim(lock):
-            log.info("claims coordination reason={}", error.detail)
+            log.info("claims coordination", reason=error.detail)
             if self.coordinator.claim(lock):
                 self._leader = ""
                 return
@@ -391,7 +411,7 @@
         try:
             self.links.request(peer, message, CRASH_TIMEOUT_MS)
         except KnapweedrockError as error:
-            log.info("crash not told peer={} reason={}", peer, error.detail)
+            log.info("crash not told", peer=peer, reason=error.detail)
 
 
 def create_node(settings: NodeSettings) -> Node:
@@ -417,7 +437,7 @@
         found = read_settings(path)
     except ExceptionGroup as group:
         for error in group.exceptions:
-            log.error("settings not taken reason={}", error)
+            log.error("settings not taken", reason=error)
         return
-    log.info("settings read anew changed={}", found != node.settings)
+    log.info("settings read anew", changed=found != node.settings)
     node.settings = found
--- /dev/null
+++ b/knapweedrock/mesh/output.py
@@ -0,0 +1,116 @@
+"""Log lines on standard output: written aside, bounded in number, never waited for."""
+
+import errno
+import os
+import stat
+import sys
+from collections import deque
+
+import gevent
+import logbook
+import msgspec
+from gevent.event import Event
+from gevent.socket import wait_write
+
+MAX_WAITING_LINES = 4000
+FLUSH_S = 0.05
+WRITE_TIMEOUT_S = 0.5
+BATCH_LINES = 200
+LINE_FEED = b"\n"
+
+
+class OutputHandler(logbook.Handler):
+    """Writes records as JSON lines from a task of its own.
+
+    Where the reader of the output is too slow, the oldest lines are left out and
+    counted; the next line that is written says how many.
+    """
+
+    def __init__(self, descriptor: int, level: int = logbook.INFO) -> None:
+        super().__init__(level)
+        self.left_out = 0
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._news = Event()
+        self._rest = b""
+        if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+            os.set_blocking(descriptor, False)
+        gevent.spawn(self._run)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Take a record; it is written later."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self._lines.popleft()
+            self.left_out += 1
+        self._lines.append(encode_record(record))
+        self._news.set()
+
+    def flush_now(self) -> None:
+        """Write what the reader takes at once."""
+        while self._rest or self._lines:
+            try:
+                self._write_some()
+            except OSError:
+                return
+
+    def _run(self) -> None:
+        while True:
+            self._news.wait()
+            self._news.clear()
+            gevent.sleep(FLUSH_S)
+            while self._rest or self._lines:
+                self._flush_some()
+
+    def _flush_some(self) -> None:
+        try:
+            self._write_some()
+        except BlockingIOError:
+            try:
+                wait_write(self._descriptor, timeout=WRITE_TIMEOUT_S)
+            except OSError:
+                gevent.sleep(WRITE_TIMEOUT_S)
+        except OSError as error:
+            if error.errno != errno.EPIPE:
+                raise
+            # Nobody reads any more; the lines have nowhere to go.
+            self.left_out += len(self._lines)
+            self._lines.clear()
+            self._rest = b""
+
+    def _write_some(self) -> None:
+        if not self._rest:
+            self._rest = self._take_batch()
+        sent = os.write(self._descriptor, self._rest)
+        self._rest = self._rest[sent:]
+
+    def _take_batch(self) -> bytes:
+        lines = []
+        if self.left_out:
+            lines.append(
+                msgspec.json.encode(
+                    {"message": "lines left out", "count": self.left_out}
+                )
+            )
+            self.left_out = 0
+        while self._lines and len(lines) < BATCH_LINES:
+            lines.append(self._lines.popleft())
+        return LINE_FEED.join(lines) + LINE_FEED
+
+
+def encode_record(record: logbook.LogRecord) -> bytes:
+    """Encode a record as one JSON object; keyword arguments become its fields."""
+    fields = {
+        "time": record.time.isoformat(timespec="milliseconds"),
+        "level": record.level_name.lower(),
+        "part": record.channel,
+        "message": record.message,
+        **record.kwargs,
+    }
+    if record.exc_info:
+        fields["exception"] = record.formatted_exception
+    return msgspec.json.encode(fields, enc_hook=str)
+
+
+def create_output() -> OutputHandler:
+    """Create the handler for standard output."""
+    return OutputHandler(sys.stdout.fileno())
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -3,8 +3,6 @@
 import random
 from typing import TYPE_CHECKING, NamedTuple
 
-from logbook import Logger
-
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.counters import Counters
@@ -54,8 +52,6 @@
 REACHED = frozenset({Code.TARGET_FENCED, Code.TARGET_SHED})
 ROOM = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT})
 
-log = Logger("routing")
-
 
 class Job(NamedTuple):
     """A request with all that its configuration says of it."""
@@ -75,6 +71,8 @@
 
     def __init__(self, hold_until_ns: int) -> None:
         self.hold_until_ns = hold_until_ns
+        self.member: Member | None = None
+        self.sent = 0
         self.reached = 0
         self.tried: set[str] = set()
         self.lost: Forwarded | None = None
@@ -93,6 +91,7 @@
         self._counters = counters
         self._budgets: dict[str, RetryBudget] = {}
         self._turns: dict[str, int] = {}
+        self._latencies = node.histograms.create("request_ms")
 
     def serve(self, request: Request, address: str) -> Reply:
         """Answer one request of a caller at an address."""
@@ -108,9 +107,10 @@
         except KnapweedrockError as error:
             return create_refusal(error.code, 0)
         began_ns = self._clock.now_ns()
-        result = self._run(job)
+        progress = self._create_progress(job)
+        result = self._run(job, progress)
         latency_ms = (self._clock.now_ns() - began_ns) / NS_PER_MS
-        self._note(job, result, latency_ms)
+        self._note(job, progress, result, latency_ms)
         return self._create_reply(job, result)
 
     def _create_job(
@@ -158,16 +158,19 @@
                 return part
         return route.parts[-1]
 
-    def _run(self, job: Job) -> Forwarded:
-        now_ns = self._clock.now_ns()
-        hold_ms = min(HOLD_MS, HOLD_SHARE * (job.end_ns - now_ns) / NS_PER_MS)
-        progress = Progress(now_ns + int(hold_ms * NS_PER_MS))
+    def _create_progress(self, job: Job) -> Progress:
+        hold_ms = min(HOLD_MS, HOLD_SHARE * self._find_left_ms(job))
+        return Progress(self._clock.now_ns() + int(hold_ms * NS_PER_MS))
+
+    def _run(self, job: Job, progress: Progress) -> Forwarded:
         self._find_budget(job).count_request()
         while True:
             remaining_ms = self._find_left_ms(job)
             if remaining_ms < LEAST_MS:
                 return settle(create_failed(Code.DEADLINE_PASSED), progress)
             member = self._find_member(job, progress)
+            progress.member = member
+            progress.sent += 1
             if member is None:
                 code = Code.NO_OWNER if job.key >= 0 else Code.NO_LIVE_TARGET
                 result = create_failed(code)
@@ -300,21 +303,40 @@
         wait_ms *= random.uniform(1, 1 + JITTER)
         return create_refusal(code, min(wait_ms, left_ms * RETURN_SHARE))
 
-    def _note(self, job: Job, result: Forwarded, latency_ms: float) -> None:
+    def _note(
+        self, job: Job, progress: Progress, result: Forwarded, latency_ms: float
+    ) -> None:
         code = Code(result.code)
+        is_good = code is Code.DONE and result.status < SERVER_ERROR
         self._counters.count("requests", code=code.name, service=job.service.name)
-        if code is Code.DONE and result.status < SERVER_ERROR:
-            return
-        log.info(
-            "request failed id={} route={} key={} code={} status={} ms={} detail={}",
-            job.request.fields.get(ATTEMPT_ID, ""),
-            job.route.name,
-            job.key,
-            code.name,
-            result.status,
-            int(latency_ms),
-            result.detail,
+        self._latencies.observe(
+            latency_ms, outcome="good" if is_good else "failed", route=job.route.name
         )
+        node = self._node
+
+        def describe() -> dict[str, object]:
+            return {
+                "route": job.route.name,
+                "service": job.service.name,
+                "key": job.key,
+                "node": progress.member.node_id if progress.member else "",
+                "code": code.name,
+                "status": result.status,
+                "detail": result.detail,
+                "ms": round(latency_ms, 1),
+                "left_ms": round(self._find_left_ms(job), 1),
+                "sent": progress.sent,
+                "reached": progress.reached,
+                "configuration": node.configuration.version,
+                "board": f"{node.board.epoch}.{node.board.version}",
+                "lease_ms": node.get_lease_ms(),
+            }
+
+        attempt_id = job.request.fields.get(ATTEMPT_ID, "")
+        if is_good:
+            node.decisions.note_success("request done", attempt_id, describe)
+        else:
+            node.decisions.note_failure("request failed", attempt_id, describe)
 
 
 def find_route(configuration: Configuration, request: Request) -> Route | None:
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -42,17 +42,21 @@
         self.draining = member.state == "draining"
         self._set_slots(member.slots)
         self.assume_cold(ASSUMED_COLD_MS)
-        log.info("target known from peers target={}", self.name)
+        log.info("target known from peers", target=self.name)
         return True
 
     def is_usable(self) -> bool:
         """Tell whether the target may get requests."""
         return bool(self.name) and not (self.draining or self.silent or self.dead)
 
+    def get_age_ms(self) -> int:
+        """Return how long ago the target was heard of."""
+        return (self._clock.now_ns() - self.heard_ns) // NS_PER_MS
+
     def is_late(self) -> bool:
         """Tell whether a heartbeat is overdue."""
         limit_ms = LATE_INTERVALS * self._settings.heartbeat_interval_ms
-        return self._clock.now_ns() - self.heard_ns > limit_ms * NS_PER_MS
+        return self.get_age_ms() > limit_ms
 
     def take(self, heartbeat: Heartbeat) -> bool:
         """Take a heartbeat; tell whether it is news of the target that runs now."""
@@ -68,7 +72,7 @@
         self.heard_ns = self._clock.now_ns()
         self.silent = False
         if heartbeat.draining and not self.draining:
-            log.info("target is draining target={}", self.name)
+            log.info("target is draining", target=self.name)
         self.draining = self.draining or heartbeat.draining
         self._set_slots(heartbeat.slots)
         self.set_cold(heartbeat.cold_ms)
@@ -88,19 +92,19 @@
     def leave(self, name: str) -> None:
         """Note that a start of the target leaves for good."""
         if name.split("@")[0] == self.instance:
-            log.info("target leaves target={}", self.name)
+            log.info("target leaves", target=self.name)
             self.draining = True
 
     def note_dead(self, name: str) -> None:
         """Note that a start of the target has ended."""
         if name and name == self.name and not self.dead:
-            log.warning("target is down target={}", name)
+            log.warning("target is down", target=name)
             self.dead = name
 
     def note_alive(self) -> None:
         """Note that the target that was taken for ended answers."""
         if self.dead:
-            log.info("target is up again target={}", self.name)
+            log.info("target is up again", target=self.name)
         self.dead = ""
         self.silent = False
 
@@ -125,7 +129,7 @@
         )
 
     def _begin(self, heartbeat: Heartbeat) -> None:
-        log.info("target announced itself target={}", heartbeat.target)
+        log.info("target announced itself", target=heartbeat.target)
         if self.name:
             self._ended.add(self.name)
         self.name, self.instance = heartbeat.target, heartbeat.instance
