Estimate the wait of less urgent requests truly; spread requests to a cold target

Found by the tests of a rush: a quarter of the refused waited 200 ms for their refusal, since the estimate left out those who overtake; a cold target got its second's requests at once and then none.

--- /dev/null
+++ b/features/mesh_input.feature
@@ -0,0 +1,68 @@
+Feature: What others say to a node is decoded once, and broken input harms nothing
+  Scenario Outline: A heartbeat with <fault> names no target
+    Given the heartbeat of a target
+    When it comes with <fault>
+    Then the heartbeat is refused with code 303
+
+    Examples:
+      | fault                    |
+      | no state                 |
+      | an unknown state         |
+      | a text for its slots     |
+      | a key above the highest  |
+      | bytes that are no JSON   |
+      | a list for all           |
+      | a fraction for its start |
+
+  Scenario: A good heartbeat is decoded whole
+    Given the heartbeat of a target
+    When it comes as it is
+    Then its holds, releases and start are known
+
+  Scenario: A heartbeat of an earlier start changes nothing
+    Given a node's view of a target that has started twice
+    When a heartbeat of its first start comes late
+    Then the second start is still the one that counts
+
+  Scenario: A heartbeat of another service at this address is refused
+    Given a mesh of 1 keyed targets
+    When a heartbeat of another service comes to its node
+    Then the heartbeat is answered with 400
+    And the node still names its own target
+
+  Scenario: A broken configuration keeps the one in force
+    Given a mesh of 1 keyed targets
+    When operators write a configuration without routes
+    And operators write version 3
+    Then version 3 is in force within 2 s
+
+  Scenario: A configuration never goes back
+    Given a mesh of 1 keyed targets
+    When operators write version 7
+    Then version 7 is in force within 2 s
+    When operators write version 5
+    And 500 ms pass in the mesh
+    Then version 7 is in force within 1 s
+
+  Scenario: Versions reach nodes whose watch has lost its history
+    Given a mesh of 2 keyed targets
+    When the store drops its history
+    And operators write version 9
+    Then version 9 is in force within 2 s
+
+  Scenario: All wrong settings are named at once
+    Given settings without a store and with a text for the longest hold
+    When they are read
+    Then both are named in one error
+
+  Scenario Outline: Two requests in one, by <trick>, are refused
+    Given a mesh of 1 keyed targets
+    When a request comes with <trick>
+    Then the answer is 400
+    And the target ran nothing
+
+    Examples:
+      | trick                         |
+      | a length and chunks           |
+      | two lengths                   |
+      | a length that is no number    |
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from collections import deque
+from collections import Counter, deque
 from typing import Any
 
 import gevent
@@ -20,6 +20,14 @@
 # Share of the time left that a late request may spend waiting.
 LATE_SHARE = 0.4
 MIN_PATIENCE_MS = 20.0
+# Share of the patience that the estimated wait may take, so that those who are let
+# into the queue are rarely refused at the end of their wait.
+ADMITTED_SHARE = 0.7
+TAKEN_COUNT = 64
+MIN_OPEN_SHARE = 0.1
+# Requests to a cold target are spread over each second, at nearly its rate.
+COLD_SPACING = 0.95
+COLD_POLL_S = 0.01
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 1000.0
 
@@ -50,6 +58,9 @@
         self._numbers = itertools.count()
         self._waiting = 0
         self._sent_ns: deque[int] = deque()
+        # Ranks of the last requests that got a slot.
+        self._taken: deque[int] = deque(maxlen=TAKEN_COUNT)
+        self._taken_by_rank: Counter[int] = Counter()
         self._timer: Any = None
 
     @property
@@ -72,16 +83,18 @@
         `remaining_ms` what is left of its deadline. Raises `RefusalError`.
         """
         if not self._waiting and self._has_room():
-            self._take()
+            self._take(rank)
             return
         patience_ms = self.find_patience_ms(objective_ms, remaining_ms)
         ahead = sum(1 for r, _, w in self._queue if r <= rank and not w.given_up)
-        if self.estimate_wait_ms(ahead) > patience_ms:
+        wait_ms = self.estimate_wait_ms(ahead) / self._find_open_share(rank)
+        if wait_ms > patience_ms * ADMITTED_SHARE:
             raise self._refuse(Code.OVERLOADED)
         waiter = Waiter(rank, self._clock.now_ns() + int(patience_ms * NS_PER_MS))
         heapq.heappush(self._queue, (rank, next(self._numbers), waiter))
         self._waiting += 1
         self.wake()
+        self._push_out(rank)
         self._wait(waiter, patience_ms)
 
     def release(self, service_ms: float = 0.0) -> None:
@@ -98,10 +111,10 @@
             if waiter.given_up:
                 continue
             self._waiting -= 1
-            self._take()
+            self._take(waiter.rank)
             waiter.result.set(None)
         if self._queue and self.is_cold() and self._timer is None:
-            self._timer = gevent.spawn_later(0.05, self._wake_cold)
+            self._timer = gevent.spawn_later(COLD_POLL_S, self._wake_cold)
 
     def _wake_cold(self) -> None:
         self._timer = None
@@ -126,18 +139,44 @@
         wait_ms = self.estimate_wait_ms(self._waiting)
         return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
 
+    def _push_out(self, rank: int) -> None:
+        """Refuse the last of the less urgent where it can't be served in time."""
+        waiting = [item for item in self._queue if not item[2].given_up]
+        if not waiting:
+            return
+        last = max(waiting)[2]
+        left_ms = (last.until_ns - self._clock.now_ns()) / NS_PER_MS
+        if last.rank > rank and self.estimate_wait_ms(self._waiting - 1) > left_ms:
+            self._give_up(last)
+            last.result.set_exception(self._refuse(Code.OVERLOADED))
+
+    def _find_open_share(self, rank: int) -> float:
+        """Find the share of the slots that the more urgent leave to a rank."""
+        if not self._taken:
+            return 1.0
+        urgent = sum(n for r, n in self._taken_by_rank.items() if r < rank)
+        return max(1 - urgent / len(self._taken), MIN_OPEN_SHARE)
+
     def _has_room(self) -> bool:
         if self.in_flight >= self.slots:
             return False
         if not self.is_cold():
             return True
-        second_ago_ns = self._clock.now_ns() - NS_PER_S
-        while self._sent_ns and self._sent_ns[0] <= second_ago_ns:
+        now_ns = self._clock.now_ns()
+        while self._sent_ns and self._sent_ns[0] <= now_ns - NS_PER_S:
             self._sent_ns.popleft()
-        return len(self._sent_ns) < self.cold_rate
+        if not self._sent_ns:
+            return True
+        spacing_ns = COLD_SPACING * NS_PER_S / self.cold_rate
+        is_spaced = now_ns - self._sent_ns[-1] >= spacing_ns
+        return is_spaced and len(self._sent_ns) < self.cold_rate
 
-    def _take(self) -> None:
+    def _take(self, rank: int) -> None:
         self.in_flight += 1
+        if len(self._taken) == self._taken.maxlen:
+            self._taken_by_rank[self._taken[0]] -= 1
+        self._taken.append(rank)
+        self._taken_by_rank[rank] += 1
         if self.cold_rate:
             self._sent_ns.append(self._clock.now_ns())
             while len(self._sent_ns) > self.cold_rate:
@@ -149,19 +188,21 @@
                 waiter.result.get()
         except TimeoutError:
             if waiter.result.ready():
+                waiter.result.get()
                 return
             self._give_up(waiter)
             raise self._refuse(Code.QUEUE_TIMEOUT) from None
         except BaseException:
-            if waiter.result.ready():
+            if waiter.result.successful():
                 self.release()
             else:
                 self._give_up(waiter)
             raise
 
     def _give_up(self, waiter: Waiter) -> None:
-        waiter.given_up = True
-        self._waiting -= 1
+        if not waiter.given_up:
+            waiter.given_up = True
+            self._waiting -= 1
 
     def _refuse(self, code: Code) -> RefusalError:
         return RefusalError(code, retry_after_ms=int(self.get_retry_after_ms()))
