--- /dev/null
+++ b/features/support/mesh_processes.py
@@ -0,0 +1,84 @@
+"""A mesh whose nodes are processes of their own, with their logs in files."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from features.support.mesh_harness import Mesh, Place
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+STOP_S = 10
+
+
+class ProcessNode:
+    """A node's process."""
+
+    def __init__(self, place: Place, folder: Path, drained: bool) -> None:
+        self.place = place
+        self.log = folder / f"{place.settings.node_id}.jsonl"
+        settings = folder / f"{place.settings.node_id}.env"
+        settings.write_text(format_settings(place))
+        command = [sys.executable, "-m", "knapweedrock", "serve"]
+        command += ["--settings-file", str(settings)]
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        output = self.log.open("ab") if drained else subprocess.PIPE
+        self.process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=output, stderr=subprocess.STDOUT
+        )
+
+    def abort(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
+
+    def stop(self) -> int:
+        """End the process in order and return its exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(STOP_S)
+
+
+class ProcessMesh(Mesh):
+    """Some VMs, each with a node's process beside its target.
+
+    With `drained` unset nobody reads what the nodes write.
+    """
+
+    def __init__(self, keyed: int, drained: bool = True) -> None:
+        super().__init__(keyed)
+        self._folder = tempfile.TemporaryDirectory()
+        self._drained = drained
+
+    def start_node(self, place: Place) -> ProcessNode:
+        """Start the process of a place's node."""
+        node = ProcessNode(place, Path(self._folder.name), self._drained)
+        self.nodes[place.settings.node_id] = node
+        return node
+
+    def stop(self) -> None:
+        """End everything at once."""
+        super().stop()
+        self._folder.cleanup()
+
+    def list_logs(self) -> list[str]:
+        """List the files with the nodes' logs."""
+        return [str(path) for path in Path(self._folder.name).glob("*.jsonl")]
+
+    def is_settled(self) -> bool:
+        """Tell whether every key is held."""
+        return all(self.find_owner(key) for key in range(0, 65536, 4096))
+
+
+def format_settings(place: Place) -> str:
+    """Format the settings of a node as its process reads them."""
+    fields = place.settings._asdict()
+    fields["shutdown_s"] = fields.pop("shutdown_ms") / 1000
+    lines = []
+    for name, value in fields.items():
+        shown = "{}:{}".format(*value) if isinstance(value, tuple) else value
+        lines.append(f"KNAPWEEDROCK_SERVE_{name.upper()}={shown}")
+    return "\n".join(lines) + "\n"
--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -9,6 +9,8 @@
 import click
 
 from knapweedrock import __version__
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError
 from knapweedrock.logs import LEVELS, create_log_handler
 from knapweedrock.operators.definition import COMMANDS
 from knapweedrock.options import example, flag, setting
@@ -94,12 +96,22 @@
 def serve(settings_file: Path) -> Any:
     """Run a node of the mesh beside a target that holds its keys."""
     from knapweedrock.mesh.node import run_node
-    from knapweedrock.mesh.output import create_output
 
-    output = create_output()
-    with output.applicationbound():
-        run_node(settings_file)
-    output.flush_now()
+    run_node(settings_file)
+
+
+@cli.command(epilog=example("knapweedrock story 9c41d07be2a35f68 logs/*.jsonl"))
+@click.argument("attempt_id")
+@click.argument("files", nargs=-1, required=True, type=click.File("r"))
+def story(attempt_id: str, files: tuple) -> Any:
+    """Tell what became of a request, and why, from the logs of all nodes."""
+    from knapweedrock.operators.story import format_story, read_lines, tell_story
+
+    lines = read_lines(line for file in files for line in file)
+    found = tell_story(attempt_id, lines)
+    if found is None:
+        raise KnapweedrockError(Code.REPORT_MALFORMED, f"no line names {attempt_id}")
+    click.echo(format_story(found))
 
 
 @cli.group(epilog=example("knapweedrock emulate platform --listen 127.0.0.1:7000"))
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -5,8 +5,9 @@
 from knapweedrock.clock import NS_PER_S, Clock
 
 WINDOW_S = 10
-# Part of what is allowed that is used, so that uneven nodes stay below the whole.
-USED_SHARE = 0.6
+# Part of what is allowed that is used: the calls of a repeated run count as repeats
+# at the service that is called, and nobody tells them from others there.
+USED_SHARE = 0.35
 
 
 class RetryBudget:
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -35,8 +35,9 @@
 FORGET_MS = 20_000
 GATHER_MS = 2500
 TICK_S = 0.1
-BALANCE_MS = 700
-REST_MS = 2500
+BALANCE_MS = 500
+MOVES_AT_ONCE = 3
+REST_MS = 1800
 PUBLISH_TIMEOUT_MS = 500
 STORE_DOUBT_MS = 1500
 
@@ -256,7 +257,7 @@
                 del members[name]
             elif silent_ms > SILENT_MS and member.state == "ready":
                 members[name] = member._replace(state="absent")
-                log.warning("member silent", node=name, ms=int(silent_ms))
+                log.warning("member silent", about=name, ms=int(silent_ms))
         if members != self.board.members:
             self._change(members=members)
 
@@ -294,22 +295,34 @@
         if now_ns - self._balanced_ns < BALANCE_MS * NS_PER_MS:
             return rows
         self._balanced_ns = now_ns
-        resting = {n for n, until_ns in self._rest.items() if until_ns > now_ns}
-        marked = ownership.balance_rows(rows, facts, resting)
-        if marked == rows:
-            return rows
+        for _ in range(MOVES_AT_ONCE):
+            resting = {n for n, until_ns in self._rest.items() if until_ns > now_ns}
+            marked = ownership.balance_rows(rows, facts, resting)
+            if marked == rows:
+                break
+            self._note_moves(rows, marked, facts, now_ns)
+            rows = marked
+        return rows
+
+    def _note_moves(
+        self,
+        before: list[Row],
+        marked: list[Row],
+        facts: ownership.Facts,
+        now_ns: int,
+    ) -> None:
+        """Log moves that begin, and let both sides rest after them."""
         for row in marked:
-            if row.next_node and row not in rows:
+            if row.next_node and row not in before:
                 until_ns = now_ns + REST_MS * NS_PER_MS
                 self._rest[row.node_id] = self._rest[row.next_node] = until_ns
                 log.info(
                     "move begins",
                     keys=f"{row.start}-{row.end}",
-                    giver=row.node_id,
+                    about=row.node_id,
                     receiver=row.next_node,
                     load=round(ownership.measure_piece(row, facts), 2),
                 )
-        return marked
 
     def _gather(self, service: str, rows: list[Row]) -> ownership.Facts:
         now_ns = self._clock.now_ns()
@@ -350,7 +363,7 @@
                 log.info(
                     "keys given",
                     keys=f"{row.start}-{row.end}",
-                    node=row.node_id,
+                    about=row.node_id,
                     target=row.target,
                     token=row.token,
                     warm=bool(row.handover),
@@ -393,14 +406,14 @@
                 )
         except KnapweedrockError as error:
             # It gets the board with its next lease.
-            log.debug("board not pushed", node=name, reason=error.detail)
+            log.debug("board not pushed", about=name, reason=error.detail)
         finally:
             self._publishing.pop(name, None)
 
     def _log_member(self, member: Member) -> None:
         log.info(
             "member reports",
-            node=member.node_id,
+            about=member.node_id,
             target=member.target,
             state=member.state,
             cold=member.cold,
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -1,6 +1,5 @@
 """Delivery of requests to the target beside this node."""
 
-from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
     is_sound,
 )
 from knapweedrock.mesh.http import Answer, Headers, dial
+from knapweedrock.mesh.loads import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
 from knapweedrock.platform.headers import (
@@ -37,7 +37,6 @@
 RETURN_MS = 5.0
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
-LOAD_DECAY = 0.5
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -68,8 +67,7 @@
         self.admission = admission
         self.suspects = Suspects(clock)
         self.in_flight: dict[int, str] = {}
-        # Time that requests for each key spent at the target, in ms, decaying.
-        self.key_ms: Counter[int] = Counter()
+        self.loads = LoadMeter(clock)
         self.closing = False
         self._node = node
         self._clock = clock
@@ -122,8 +120,7 @@
         )
         if self.suspects.is_refused(fingerprint):
             raise RefusalError(Code.QUARANTINED)
-        rank = INNER_RANK if request.inner else request.priority
-        self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
+        self._wait_for_slot(request)
         sent_ns = self._clock.now_ns()
         served_ms = 0.0
         self._queue_ms.observe((sent_ns - began_ns) / NS_PER_MS)
@@ -139,9 +136,19 @@
             self.admission.release(served_ms)
             if request.key >= 0:
                 spent_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
-                self.key_ms[request.key] += spent_ms
+                self.loads.add(request.key, spent_ms)
         return self._judge(request, answer, fingerprint)
 
+    def _wait_for_slot(self, request: Forward) -> None:
+        """Take a slot; what is refused counts as load that the keys would bring."""
+        rank = INNER_RANK if request.inner else request.priority
+        try:
+            self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
+        except RefusalError:
+            if request.key >= 0:
+                self.loads.add(request.key, self.admission.service_ms)
+            raise
+
     def _check(self, request: Forward) -> None:
         """Raise where the target may not get the request now."""
         node, target = self._node, self._target
@@ -153,7 +160,7 @@
             raise RefusalError(Code.LEAVING)
         if target.dead:
             raise RefusalError(Code.TARGET_UNREACHABLE, "the target is down")
-        if node.settings.zone in node.zones_out:
+        if node.is_zone_closed():
             raise RefusalError(Code.ZONE_OUT)
         rows = node.find_rows(request.service)
         if request.key >= 0 and not node.holds.may_serve(
@@ -279,14 +286,6 @@
         if not was_usable:
             node.report_soon()
 
-    def decay_loads(self) -> None:
-        """Let older load count for less."""
-        for key, spent_ms in list(self.key_ms.items()):
-            if spent_ms < 1:
-                del self.key_ms[key]
-            else:
-                self.key_ms[key] = spent_ms * LOAD_DECAY
-
 
 def find_header(headers: Headers, name: str) -> str:
     """Return the value of a header in lower case, or nothing."""
--- /dev/null
+++ b/knapweedrock/mesh/loads.py
@@ -0,0 +1,41 @@
+"""Measuring of the load that keys bring to a target."""
+
+from knapweedrock.clock import NS_PER_MS, Clock
+
+# Older load counts this much after each interval.
+INTERVAL_MS = 250.0
+DECAY = 0.84
+FORGOTTEN_MS = 0.5
+
+
+class LoadMeter:
+    """Time that requests for each key spend at the target, the last seconds' most."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._key_ms: dict[int, float] = {}
+        self._weight_ms = 0.0
+        self._since_ns = clock.now_ns()
+
+    def add(self, key: int, spent_ms: float) -> None:
+        """Add the time that a request for a key took, or would have taken."""
+        self._key_ms[key] = self._key_ms.get(key, 0.0) + spent_ms
+
+    def decay(self) -> None:
+        """Let older load count for less; call it every interval."""
+        now_ns = self._clock.now_ns()
+        self._weight_ms += (now_ns - self._since_ns) / NS_PER_MS
+        self._weight_ms *= DECAY
+        self._since_ns = now_ns
+        self._key_ms = {
+            key: spent_ms * DECAY
+            for key, spent_ms in self._key_ms.items()
+            if spent_ms > FORGOTTEN_MS
+        }
+
+    def measure(self) -> dict[int, float]:
+        """Return the time that each key takes in a second, in ms."""
+        now_ns = self._clock.now_ns()
+        window_ms = self._weight_ms + (now_ns - self._since_ns) / NS_PER_MS
+        scale = 1000 / max(window_ms, INTERVAL_MS)
+        return {key: spent_ms * scale for key, spent_ms in self._key_ms.items()}
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 from logbook import Logger
+from logbook.concurrency import enable_gevent
 
 from knapweedrock.clock import NS_PER_MS, Clock, create_clock
 from knapweedrock.codes import Code
@@ -28,6 +29,7 @@
 from knapweedrock.mesh.holds import Holds
 from knapweedrock.mesh.http import Request
 from knapweedrock.mesh.links import Links
+from knapweedrock.mesh.loads import INTERVAL_MS
 from knapweedrock.mesh.messages import (
     Board,
     Crashed,
@@ -39,6 +41,7 @@
     Row,
 )
 from knapweedrock.mesh.metrics import CONTENT_TYPE, Histograms, render_metrics
+from knapweedrock.mesh.output import create_output
 from knapweedrock.mesh.ownership import find_cuts
 from knapweedrock.mesh.routing import Router
 from knapweedrock.mesh.settings import read_settings
@@ -58,7 +61,8 @@
 FIRST_READ_SPREAD_S = 0.3
 DRAIN_REPORT_S = 0.4
 PROBE_S = 0.3
-LOAD_S = 1.0
+# A target in a zone that is taken out serves its keys this long, while they move.
+ZONE_CLOSE_MS = 3000
 LOAD_PARTS = 8
 CRASH_TIMEOUT_MS = 500
 # Ends the node this long before it would be killed.
@@ -105,6 +109,7 @@
         self._report = Event()
         self._reported = Event()
         self._was_out = False
+        self._out_since_ns = 0
         self._tasks: list[gevent.Greenlet] = []
         self._leader = ""
         self._lock: Stored | None = None
@@ -131,6 +136,13 @@
         """Return the availability zones whose targets get nothing."""
         return self.follower.zones_out
 
+    def is_zone_closed(self) -> bool:
+        """Tell whether the zone is out for so long that its keys must have moved."""
+        if not self._was_out:
+            return False
+        out_ms = (self.clock.now_ns() - self._out_since_ns) / NS_PER_MS
+        return out_ms > ZONE_CLOSE_MS
+
     def start(self) -> None:
         """Open the listeners and start the tasks."""
         self.links.start()
@@ -226,6 +238,8 @@
             self.gateway.exchanges.limit = service.connection_limit
             self.gateway.admission.cold_rate = service.cold_rate
         is_out = self.settings.zone in self.zones_out
+        if is_out and not self._was_out:
+            self._out_since_ns = self.clock.now_ns()
         if self._was_out and not is_out:
             # Its targets may have turned cold while they got nothing.
             self.target.assume_cold(ASSUMED_COLD_MS)
@@ -381,16 +395,17 @@
 
     def _measure_loads(self, rows: list[Row]) -> list:
         own = self.settings.node_id
+        key_ms = self.gateway.loads.measure()
         return [
-            find_cuts(self.gateway.key_ms, row.start, row.end, LOAD_PARTS)
+            find_cuts(key_ms, row.start, row.end, LOAD_PARTS)
             for row in rows
             if row.node_id == own
         ]
 
     def _run_loads(self) -> None:
         while True:
-            gevent.sleep(LOAD_S)
-            self.gateway.decay_loads()
+            gevent.sleep(INTERVAL_MS / 1000)
+            self.gateway.loads.decay()
 
     def _run_probes(self) -> None:
         while True:
@@ -432,14 +447,19 @@
 
 def run_node(path: Path) -> None:
     """Run a node until SIGTERM or SIGINT, then stop in order."""
-    node = create_node(read_settings(path))
-    leave = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, leave.set)
-    gevent.signal_handler(signal.SIGHUP, reload_settings, node, path)
-    node.start()
-    leave.wait()
-    node.stop()
+    settings = read_settings(path)
+    enable_gevent()
+    output = create_output(settings.node_id)
+    with output.applicationbound():
+        node = create_node(settings)
+        leave = Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, leave.set)
+        gevent.signal_handler(signal.SIGHUP, reload_settings, node, path)
+        node.start()
+        leave.wait()
+        node.stop()
+    output.flush_now()
 
 
 def reload_settings(node: Node, path: Path) -> None:
--- a/knapweedrock/mesh/output.py
+++ b/knapweedrock/mesh/output.py
@@ -26,8 +26,11 @@
     counted; the next line that is written says how many.
     """
 
-    def __init__(self, descriptor: int, level: int = logbook.INFO) -> None:
+    def __init__(
+        self, descriptor: int, node_id: str, level: int = logbook.INFO
+    ) -> None:
         super().__init__(level)
+        self._node_id = node_id
         self.left_out = 0
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
@@ -42,7 +45,7 @@
         if len(self._lines) >= MAX_WAITING_LINES:
             self._lines.popleft()
             self.left_out += 1
-        self._lines.append(encode_record(record))
+        self._lines.append(encode_record(record, self._node_id))
         self._news.set()
 
     def flush_now(self) -> None:
@@ -97,10 +100,11 @@
         return LINE_FEED.join(lines) + LINE_FEED
 
 
-def encode_record(record: logbook.LogRecord) -> bytes:
+def encode_record(record: logbook.LogRecord, node_id: str) -> bytes:
     """Encode a record as one JSON object; keyword arguments become its fields."""
     fields = {
         "time": record.time.isoformat(timespec="milliseconds"),
+        "node": node_id,
         "level": record.level_name.lower(),
         "part": record.channel,
         "message": record.message,
@@ -111,6 +115,6 @@
     return msgspec.json.encode(fields, enc_hook=str)
 
 
-def create_output() -> OutputHandler:
-    """Create the handler for standard output."""
-    return OutputHandler(sys.stdout.fileno())
+def create_output(node_id: str) -> OutputHandler:
+    """Create the handler for a node's standard output."""
+    return OutputHandler(sys.stdout.fileno(), node_id)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -23,9 +23,12 @@
 
 LINK_MARGIN_MS = 30.0
 LEAST_MS = 5.0
-# Wait for a key's next owner, as a share of the time left and at most.
-HOLD_SHARE = 0.35
-HOLD_MS = 500.0
+# Wait for a node or target that is away, as a share of the time left and at most.
+AWAY_SHARE = 0.35
+AWAY_MS = 500.0
+# Wait for a key that is on its way to its next owner.
+MOVE_SHARE = 0.6
+MOVE_MS = 1000.0
 PAUSE_MS = 40.0
 START_RETRY_AFTER_MS = 500
 DEFAULT_RETRY_AFTER_MS = 200
@@ -48,6 +51,8 @@
         Code.PEER_UNREACHABLE,
     }
 )
+# Refusals while a key is on its way to another owner.
+MOVED = frozenset({Code.NOT_OWNER, Code.MOVING, Code.LEAVING, Code.TARGET_FENCED})
 # Refusals by the target itself: it was reached, though it did not run the request.
 REACHED = frozenset({Code.TARGET_FENCED, Code.TARGET_SHED})
 ROOM = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT})
@@ -69,8 +74,9 @@
 class Progress:
     """What has become of a request so far."""
 
-    def __init__(self, hold_until_ns: int) -> None:
-        self.hold_until_ns = hold_until_ns
+    def __init__(self, away_until_ns: int, move_until_ns: int) -> None:
+        self.away_until_ns = away_until_ns
+        self.move_until_ns = move_until_ns
         self.member: Member | None = None
         self.sent = 0
         self.reached = 0
@@ -159,8 +165,12 @@
         return route.parts[-1]
 
     def _create_progress(self, job: Job) -> Progress:
-        hold_ms = min(HOLD_MS, HOLD_SHARE * self._find_left_ms(job))
-        return Progress(self._clock.now_ns() + int(hold_ms * NS_PER_MS))
+        now_ns, left_ms = self._clock.now_ns(), self._find_left_ms(job)
+        away_ms = min(AWAY_MS, AWAY_SHARE * left_ms)
+        move_ms = min(MOVE_MS, MOVE_SHARE * left_ms)
+        return Progress(
+            now_ns + int(away_ms * NS_PER_MS), now_ns + int(move_ms * NS_PER_MS)
+        )
 
     def _run(self, job: Job, progress: Progress) -> Forwarded:
         self._find_budget(job).count_request()
@@ -202,10 +212,20 @@
         if job.key < 0 and member is not None:
             progress.tried.add(member.node_id)
             return self._find_member(job, progress) is not None
+        if job.key < 0 and not self._has_ready(job):
+            return False
         if code in FOLLOWED:
-            return self._wait_for_owner(progress)
+            until_ns = progress.away_until_ns
+            if code in MOVED and job.key >= 0:
+                until_ns = progress.move_until_ns
+            return self._wait_for_owner(until_ns)
         return False
 
+    def _has_ready(self, job: Job) -> bool:
+        """Tell whether any target of the service is ready, if out of reach just now."""
+        members = self._node.list_members(job.service.name)
+        return any(member.state == "ready" for member in members)
+
     def _may_repeat(self, job: Job, progress: Progress, member: Member | None) -> bool:
         """Tell whether one more target may be reached for the request."""
         if progress.reached >= job.route.max_attempts:
@@ -223,9 +243,9 @@
                 progress.tried.clear()
         return True
 
-    def _wait_for_owner(self, progress: Progress) -> bool:
+    def _wait_for_owner(self, until_ns: int) -> bool:
         """Wait for news of owners; tell whether to send the request again."""
-        left_ms = (progress.hold_until_ns - self._clock.now_ns()) / NS_PER_MS
+        left_ms = (until_ns - self._clock.now_ns()) / NS_PER_MS
         if left_ms <= 0 or self._node.closing:
             return False
         self._node.wait_board(min(PAUSE_MS, left_ms) / 1000)
@@ -319,7 +339,7 @@
                 "route": job.route.name,
                 "service": job.service.name,
                 "key": job.key,
-                "node": progress.member.node_id if progress.member else "",
+                "owner": progress.member.node_id if progress.member else "",
                 "code": code.name,
                 "status": result.status,
                 "detail": result.detail,
--- /dev/null
+++ b/knapweedrock/operators/story.py
@@ -0,0 +1,204 @@
+"""The story of one request, from the logs of all nodes, and its likely cause."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from knapweedrock.codes import INFO, Code
+
+BEFORE_S = 3.0
+MAX_BELIEFS = 12
+# Lines that say what a process believes, by the part that writes them.
+BELIEF_PARTS = frozenset(
+    {"coordinator", "target", "links", "following", "gateway", "node"}
+)
+REQUEST_PART = "requests"
+
+
+class Line(NamedTuple):
+    """One log line: its time in s, its node and its fields."""
+
+    at_s: float
+    node: str
+    fields: dict[str, Any]
+
+
+class Story(NamedTuple):
+    """What is known of one request."""
+
+    attempt_id: str
+    decisions: list[Line]
+    beliefs: list[Line]
+    cause: str
+
+
+Explainer = Callable[[Line, list[Line]], str]
+EXPLAINERS: dict[Code, Explainer] = {}
+
+
+def explains(*codes: Code) -> Callable[[Explainer], Explainer]:
+    """Register who explains failures with these codes."""
+
+    def register(explainer: Explainer) -> Explainer:
+        for code in codes:
+            EXPLAINERS[code] = explainer
+        return explainer
+
+    return register
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Read log lines, whatever stands before their JSON; skip all others."""
+    lines = []
+    for text in texts:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(text[start:])
+            at_s = parse_time(fields["time"])
+        except (ValueError, KeyError, TypeError):
+            continue
+        lines.append(Line(at_s, fields.get("node", ""), fields))
+    return sorted(lines, key=lambda line: line.at_s)
+
+
+def parse_time(text: str) -> float:
+    """Parse the time of a line into seconds of its day."""
+    hours, minutes, seconds = text.partition("T")[2].split(":")
+    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+
+
+def tell_story(attempt_id: str, lines: list[Line]) -> Story | None:
+    """Collect what bears on a request; None where no line names it."""
+    decisions = [
+        line
+        for line in lines
+        if line.fields.get("part") == REQUEST_PART
+        and line.fields.get("id") == attempt_id
+    ]
+    if not decisions:
+        return None
+    beliefs = find_beliefs(decisions, lines)
+    return Story(attempt_id, decisions, beliefs, find_cause(decisions, beliefs))
+
+
+def find_beliefs(decisions: list[Line], lines: list[Line]) -> list[Line]:
+    """Find what the nodes that decided had come to believe shortly before."""
+    first, last = decisions[0].at_s, decisions[-1].at_s
+    nodes = {line.node for line in decisions}
+    nodes |= {line.fields.get("owner", "") for line in decisions}
+    found = [
+        line
+        for line in lines
+        if line.fields.get("part") in BELIEF_PARTS
+        and first - BEFORE_S <= line.at_s <= last
+        and (line.node in nodes or line.fields.get("about", "") in nodes)
+    ]
+    return found[-MAX_BELIEFS:]
+
+
+def find_cause(decisions: list[Line], beliefs: list[Line]) -> str:
+    """Explain the failure by the decision that was nearest to the target."""
+    failures = [line for line in decisions if "failed" in line.fields["message"]]
+    if not failures:
+        return "The request was served."
+    deciding = next(
+        (f for f in failures if f.fields["message"] == "delivery failed"), failures[-1]
+    )
+    code = Code[deciding.fields["code"]]
+    explain = EXPLAINERS.get(code)
+    if explain is None:
+        return INFO[code].meaning
+    return explain(deciding, beliefs)
+
+
+def find_message(beliefs: list[Line], *messages: str) -> Line | None:
+    """Return the last belief with one of the messages."""
+    found = [line for line in beliefs if line.fields["message"] in messages]
+    return found[-1] if found else None
+
+
+@explains(Code.OVERLOADED, Code.QUEUE_TIMEOUT)
+def explain_overload(line: Line, beliefs: list[Line]) -> str:
+    """Explain a refusal for want of room."""
+    fields = line.fields
+    cold = " while it was cold" if fields.get("cold") else ""
+    return (
+        f"The target beside {line.node} was full{cold}: {fields.get('in_flight')} "
+        f"requests at it and {fields.get('waiting')} waiting, each taking "
+        f"{fields.get('service_ms')} ms; the wait would have been longer than the "
+        f"{fields.get('objective_ms')} ms that were left of the objective."
+    )
+
+
+@explains(
+    Code.NOT_OWNER,
+    Code.NO_OWNER,
+    Code.MOVING,
+    Code.LEAVING,
+    Code.TARGET_FENCED,
+    Code.ZONE_OUT,
+)
+def explain_move(line: Line, beliefs: list[Line]) -> str:
+    """Explain a request that met its key between two owners."""
+    change = find_message(
+        beliefs,
+        "move begins",
+        "keys given",
+        "target is draining",
+        "target is down",
+        "target announced itself",
+        "zones out",
+    )
+    why = f" after '{change.fields['message']}'" if change else ""
+    return (
+        f"Key {line.fields.get('key')} was between two owners{why}: {line.node} saw "
+        f"board {line.fields.get('board')}, and its target might not take the key."
+    )
+
+
+@explains(
+    Code.TARGET_UNREACHABLE,
+    Code.NO_LIVE_TARGET,
+    Code.PEER_UNREACHABLE,
+    Code.PEER_LOST,
+)
+def explain_loss(line: Line, beliefs: list[Line]) -> str:
+    """Explain a request that met a lost target or node."""
+    loss = find_message(beliefs, "target is down", "target is silent", "link lost")
+    if loss is None:
+        return f"{line.node} could not reach the node or target of the request."
+    reason = loss.fields.get("reason") or loss.fields.get("target", "")
+    return f"{loss.node} said '{loss.fields['message']}' ({reason}) shortly before."
+
+
+@explains(Code.ANSWER_LOST, Code.ANSWER_TRUNCATED, Code.DEADLINE_PASSED)
+def explain_late(line: Line, beliefs: list[Line]) -> str:
+    """Explain a request without an answer in time."""
+    fields = line.fields
+    return (
+        f"The target got the request and gave no whole answer in time "
+        f"({fields.get('detail')}): {fields.get('in_flight', '?')} requests were at "
+        f"it, each usually taking {fields.get('service_ms', '?')} ms; its last "
+        f"heartbeat was {fields.get('heartbeat_ms', '?')} ms old."
+    )
+
+
+def format_story(story: Story) -> str:
+    """Format a story for people."""
+    shown = [f"request {story.attempt_id}", "", "decisions"]
+    shown += [format_line(line) for line in story.decisions]
+    shown += ["", f"what these nodes believed in the {BEFORE_S:g} s before"]
+    shown += [format_line(line) for line in story.beliefs] or ["  nothing new"]
+    shown += ["", f"cause: {story.cause}"]
+    return "\n".join(shown)
+
+
+def format_line(line: Line) -> str:
+    """Format one line."""
+    hidden = ("time", "level", "part", "message", "node", "id")
+    fields = line.fields
+    rest = " ".join(f"{k}={v}" for k, v in fields.items() if k not in hidden)
+    clock = fields["time"].partition("T")[2]
+    return f"  {clock} {line.node} {fields['message']} {rest}"
