--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -86,12 +86,12 @@
 
 
 @cli.command(epilog=example("knapweedrock serve --settings-file node.env"))
-@click.option(
+@setting(
     "--settings-file",
+    "File of KNAPWEEDROCK_SERVE_NAME=value lines; read again on SIGHUP.",
+    metavar="PATH",
     type=click.Path(dir_okay=False, path_type=Path),
     required=True,
-    show_envvar=True,
-    help="File of KNAPWEEDROCK_SERVE_NAME=value lines; read again on SIGHUP.",
 )
 def serve(settings_file: Path) -> Any:
     """Run a node of the mesh beside a target that holds its keys."""
@@ -102,13 +102,14 @@
 
 @cli.command(epilog=example("knapweedrock story 9c41d07be2a35f68 logs/*.jsonl"))
 @click.argument("attempt_id")
-@click.argument("files", nargs=-1, required=True, type=click.File("r"))
-def story(attempt_id: str, files: tuple) -> Any:
+@click.argument(
+    "files", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path)
+)
+def story(attempt_id: str, files: tuple[Path, ...]) -> Any:
     """Tell what became of a request, and why, from the logs of all nodes."""
-    from knapweedrock.operators.story import format_story, read_lines, tell_story
+    from knapweedrock.operators.story import format_story, read_files, tell_story
 
-    lines = read_lines(line for file in files for line in file)
-    found = tell_story(attempt_id, lines)
+    found = tell_story(attempt_id, read_files(files))
     if found is None:
         raise KnapweedrockError(Code.REPORT_MALFORMED, f"no line names {attempt_id}")
     click.echo(format_story(found))
--- a/knapweedrock/node.py
+++ b/knapweedrock/node.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 from logbook import Logger
 
+import knapweedrock.platform.http  # noqa: F401
 from knapweedrock.callers.server import create_server as create_caller_server
 from knapweedrock.environment import Environment
 from knapweedrock.errors import SettingError
--- a/knapweedrock/operators/story.py
+++ b/knapweedrock/operators/story.py
@@ -2,9 +2,11 @@
 
 import json
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from knapweedrock.codes import INFO, Code
+from knapweedrock.errors import KnapweedrockError
 
 BEFORE_S = 3.0
 MAX_BELIEFS = 12
@@ -47,6 +49,17 @@
     return register
 
 
+def read_files(paths: Iterable[Path]) -> list[Line]:
+    """Read the lines of log files; raises `REPORT_MALFORMED`."""
+    texts: list[str] = []
+    for path in paths:
+        try:
+            texts += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise KnapweedrockError(Code.REPORT_MALFORMED, str(error)) from error
+    return read_lines(texts)
+
+
 def read_lines(texts: Iterable[str]) -> list[Line]:
     """Read log lines, whatever stands before their JSON; skip all others."""
     lines = []
