--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -47,3 +47,8 @@
   Scenario: Whatever happens, every key has one row and tokens only rise
     When random events happen to tables of some members
     Then every key had one row after each and no token fell
+
+  Scenario: A node that applies all changes has the coordinator's board
+    When random boards are published as changes, and some pushes are lost
+    Then each node that got the last push has the coordinator's board
+    And a change of one row among 500 takes fewer than 500 bytes
--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -64,3 +64,17 @@
     When the zone of a target is taken out
     Then all of its keys are held by others within 4 s
     And a request for any key is done by another target
+
+  Scenario: A node that the store turns away follows the configuration and zones
+    Given a mesh of 3 keyed targets
+    When the store refuses one node and operators write version 4
+    Then that node has version 4 within 2 s
+    When the zone of a target is taken out
+    Then that node knows the zone within 2 s
+
+  Scenario: A node that starts while the store is away serves again
+    Given a mesh of 3 keyed targets
+    When the store is silent for 1 s
+    And a node that does not coordinate is killed and starts again after 300 ms
+    Then a request for one of its keys is done within 3000 ms of the start
+    And no key was held by two targets
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -346,3 +346,29 @@
 def write_version(context, version: int) -> None:
     """Write a configuration."""
     context.mesh.objects.write("config", "main", create_document(version))
+
+
+@when("the store refuses one node and operators write version {version:d}")
+def refuse_node(context, version: int) -> None:
+    """Turn one node away that does not coordinate, and change the configuration."""
+    mesh = context.mesh
+    context.name = choose_other(mesh, mesh.find_coordinator())
+    front = mesh.find_place(context.name).front
+    front.status = 503
+    front.drop_watches()
+    write_version(context, version)
+
+
+@then("that node has version {version:d} within {seconds:d} s")
+def check_node_version(context, version: int, seconds: int) -> None:
+    """Check the version of the node that was turned away."""
+    node = context.mesh.nodes[context.name]
+    context.mesh.wait_until(lambda: node.configuration.version == version, seconds)
+
+
+@then("that node knows the zone within {seconds:d} s")
+def check_node_zone(context, seconds: int) -> None:
+    """Check the zones of the node that was turned away."""
+    node = context.mesh.nodes[context.name]
+    zone = context.place.settings.zone
+    context.mesh.wait_until(lambda: zone in node.zones_out, seconds)
--- a/knapweedrock/emulator/objects.py
+++ b/knapweedrock/emulator/objects.py
@@ -158,6 +158,10 @@
         """Close the listener and all connections."""
         self._server.abort()
 
+    def drop_watches(self) -> None:
+        """Cut all connections that are open now."""
+        self._server.drop_connections()
+
     def _serve(self, request: Request, _address: str) -> Reply:
         self.calls += 1
         if self.silent:
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -78,6 +78,10 @@
     def abort(self) -> None:
         """Close the listener and all connections, whatever is in flight."""
         self._server.close()
+        self.drop_connections()
+
+    def drop_connections(self) -> None:
+        """Close all connections, whatever is in flight."""
         self._connections.kill(block=False)
 
     @property
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -14,7 +14,16 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, LinkError, PlatformError
 from knapweedrock.mesh import ownership
-from knapweedrock.mesh.messages import Board, Member, Publish, Renew, Renewed, Row
+from knapweedrock.mesh.boards import BoardHistory
+from knapweedrock.mesh.messages import (
+    Board,
+    Member,
+    Publish,
+    PublishConfiguration,
+    Renew,
+    Renewed,
+    Row,
+)
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
 from knapweedrock.platform.store import ConflictError, Store, Stored
 
@@ -40,6 +49,8 @@
 REST_MS = 1800
 PUBLISH_TIMEOUT_MS = 500
 STORE_DOUBT_MS = 1500
+# A node that reads the store has a new configuration sooner than this.
+BEHIND_MS = 300
 
 log = Logger("coordinator")
 
@@ -77,7 +88,12 @@
         self._rest: dict[str, int] = {}
         self._balanced_ns = 0
         self._wake = Event()
-        self._publishing: dict[str, Board] = {}
+        self._history = BoardHistory(self.board)
+        self._publishing: set[str] = set()
+        # Since when a member's configuration is older than the coordinator's, in ns.
+        self._behind_ns: dict[str, int] = {}
+        # Version that each member is known to have.
+        self._pushed: dict[str, tuple[int, int]] = {}
 
     def has_authority(self) -> bool:
         """Tell whether the right to coordinate still counts."""
@@ -129,21 +145,17 @@
         name = member.node_id
         self._heard[name] = Heard(now_ns, now_ns + LEASE_MS * NS_PER_MS)
         self._loads[name] = request.loads
+        self._pushed[name] = (request.epoch, request.version)
         rows = self.board.tables.get(member.service, [])
         self._note_unheld(name, rows, request)
         if self.board.members.get(name) != member:
             self._log_member(member)
             self._change(members={**self.board.members, name: member})
-        newer = (self.board.epoch, self.board.version) > (
-            request.epoch,
-            request.version,
-        )
-        return Renewed(
-            self.epoch,
-            LEASE_MS,
-            self.board.coordinator,
-            self.board if newer else None,
-        )
+        self._help_follow(request)
+        change = None
+        if self._get_version() > (request.epoch, request.version):
+            change = self._history.find_change(request.epoch, request.version)
+        return Renewed(self.epoch, LEASE_MS, self.board.coordinator, change)
 
     def run_term(self) -> None:
         """Renew the right to coordinate until it is lost."""
@@ -201,6 +213,8 @@
         self._loads, self._unheld, self._released = {}, {}, {}
         peer = self._node.peer
         self.board = Board(self.epoch, 1, peer, dict(known), tables)
+        self._history = BoardHistory(self.board)
+        self._pushed = {}
         log.info("elected", epoch=self.epoch, members=len(known))
         self._node.take_board(self.board)
         gevent.spawn(self.run_term)
@@ -246,6 +260,28 @@
         if spans:
             self._wake.set()
 
+    def _help_follow(self, request: Renew) -> None:
+        """Push the configuration to a node that does not get it from the store."""
+        name, now_ns = request.member.node_id, self._clock.now_ns()
+        message = self._node.follower.find_news(request)
+        if message is None:
+            self._behind_ns.pop(name, None)
+            return
+        since_ns = self._behind_ns.setdefault(name, now_ns)
+        if now_ns - since_ns > BEHIND_MS * NS_PER_MS:
+            del self._behind_ns[name]
+            gevent.spawn(self._push_configuration, request.member, message)
+
+    def _push_configuration(
+        self, member: Member, message: PublishConfiguration
+    ) -> None:
+        try:
+            self._node.links.request(member.peer, message, PUBLISH_TIMEOUT_MS)
+            log.info("configuration pushed", about=member.node_id)
+        except KnapweedrockError as error:
+            reason = error.detail
+            log.info("configuration not pushed", about=member.node_id, reason=reason)
+
     def _note_silent(self) -> None:
         """Take members that are not heard of as absent, and forget them later."""
         now_ns = self._clock.now_ns()
@@ -383,32 +419,39 @@
     def _change(self, **fields) -> None:
         version = self.board.version + 1
         self.board = self.board._replace(version=version, **fields)
+        self._history.add(self.board)
         self._node.take_board(self.board)
         self._publish()
         self._wake.set()
 
     def _publish(self) -> None:
         for name, member in self.board.members.items():
-            if name == self._node.settings.node_id:
+            if name == self._node.settings.node_id or name in self._publishing:
                 continue
-            if name not in self._publishing:
-                self._publishing[name] = self.board
-                gevent.spawn(self._push, name, member)
+            self._publishing.add(name)
+            gevent.spawn(self._push, name, member)
 
     def _push(self, name: str, member: Member) -> None:
-        """Push boards to a member until it has the newest one."""
+        """Push changes to a member until it has the newest board."""
         try:
-            pushed = None
-            while self.leading and pushed != self.board.version:
-                pushed = self.board.version
-                self._node.links.request(
-                    member.peer, Publish(self.board), PUBLISH_TIMEOUT_MS
+            while self.leading and self._pushed.get(name) != self._get_version():
+                held = self._pushed.get(name, (0, 0))
+                change = self._history.find_change(*held)
+                answer = self._node.links.request(
+                    member.peer, Publish(change), PUBLISH_TIMEOUT_MS
                 )
+                self._pushed[name] = (answer.epoch, answer.version)
+                if answer.epoch > self.epoch:
+                    return
         except KnapweedrockError as error:
             # It gets the board with its next lease.
+            self._pushed.pop(name, None)
             log.debug("board not pushed", about=name, reason=error.detail)
         finally:
-            self._publishing.pop(name, None)
+            self._publishing.discard(name)
+
+    def _get_version(self) -> tuple[int, int]:
+        return self.board.epoch, self.board.version
 
     def _log_member(self, member: Member) -> None:
         log.info(
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -9,7 +9,7 @@
 
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.definitions import Configuration
-from knapweedrock.mesh.messages import PublishConfiguration
+from knapweedrock.mesh.messages import PublishConfiguration, Renew
 from knapweedrock.platform.documents import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -55,6 +55,19 @@
         if message.zones_revision > self.zones_revision:
             self._set_zones(frozenset(message.zones_out), message.zones_revision)
 
+    def find_news(self, request: Renew) -> PublishConfiguration | None:
+        """Find what a node that renews its lease has not heard of yet."""
+        version = self.configuration.version if self.configuration else 0
+        is_new = version > request.config_version
+        if not is_new and self.zones_revision <= request.zones_revision:
+            return None
+        return PublishConfiguration(
+            version,
+            msgspec.json.encode(self.document) if is_new else b"",
+            sorted(self.zones_out),
+            self.zones_revision,
+        )
+
     def _follow(self, kind: str, take: Callable[[Listing], None]) -> None:
         """List a kind, then list it again whenever something of it has changed."""
         pause_s = FIRST_PAUSE_S
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -62,6 +62,22 @@
     tables: dict[str, list[Row]]
 
 
+class BoardChange(NamedTuple):
+    """How a board differs from the one of the same epoch with the version `base`.
+
+    With a base of 0 it holds everything. `gone` names members that are no more;
+    `tables` holds the rows that replace those which they overlap.
+    """
+
+    epoch: int
+    base: int
+    version: int
+    coordinator: str
+    members: list[Member]
+    gone: list[str]
+    tables: dict[str, list[Row]]
+
+
 @message(50)
 class Forward(NamedTuple):
     """A caller's request on its way to the node beside a target.
@@ -125,21 +141,29 @@
 class Renewed(NamedTuple):
     """Lease of a node, counted from when it sent the request.
 
-    `board` is None where the node has the newest one. A `lease_ms` of 0 grants
+    `change` is None where the node has the newest board. A `lease_ms` of 0 grants
     nothing. `coordinator` is the peer address of the coordinator that it knows.
     """
 
     epoch: int
     lease_ms: float
     coordinator: str
-    board: Board | None
+    change: BoardChange | None
 
 
 @message(54)
 class Publish(NamedTuple):
-    """Push of a newer board by the coordinator."""
+    """Push of a newer board by the coordinator; the answer is `Published`."""
+
+    change: BoardChange
+
 
-    board: Board
+@message(57)
+class Published(NamedTuple):
+    """Version of the board that a node holds after a push."""
+
+    epoch: int
+    version: int
 
 
 @message(55)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -14,6 +14,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, PlatformError, RefusalError
 from knapweedrock.mesh.admission import Admission
+from knapweedrock.mesh.boards import apply_change
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.choice import Chooser
 from knapweedrock.mesh.coordinator import LEADER_NAME, TERM_MS, Coordinator
@@ -32,11 +33,13 @@
 from knapweedrock.mesh.loads import INTERVAL_MS
 from knapweedrock.mesh.messages import (
     Board,
+    BoardChange,
     Crashed,
     Forward,
     Member,
     Publish,
     PublishConfiguration,
+    Published,
     Renew,
     Row,
 )
@@ -359,8 +362,8 @@
             return False
         self._renewed_ns = self.clock.now_ns()
         self.holds.extend_lease(sent_ns, answer.lease_ms)
-        if answer.board is not None:
-            self.take_board(answer.board)
+        if answer.change is not None:
+            self._take_change(answer.change)
         reported.set()
         return True
 
@@ -414,10 +417,16 @@
             if target.name and (target.is_late() or target.dead):
                 self.gateway.probe()
 
-    def _take_published(self, _sender: str, message: Publish) -> Done:
-        self._leader = ""
-        self.take_board(message.board)
-        return Done()
+    def _take_published(self, _sender: str, message: Publish) -> Published:
+        if message.change.epoch >= self.board.epoch:
+            self._leader = ""
+        self._take_change(message.change)
+        return Published(self.board.epoch, self.board.version)
+
+    def _take_change(self, change: BoardChange) -> None:
+        board = apply_change(self.board, change)
+        if board is not None:
+            self.take_board(board)
 
     def _take_configuration(self, _sender: str, message: PublishConfiguration) -> Done:
         self.follower.take_pushed(message)
