--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -52,3 +52,10 @@
     When random boards are published as changes, and some pushes are lost
     Then each node that got the last push has the coordinator's board
     And a change of one row among 500 takes fewer than 500 bytes
+
+  Scenario: Of targets that are alike, keys go to the one whose heartbeat comes next
+    Given a table of 9 members under even load
+    And 200 neighbouring keys of one target get 35 requests at once
+    And the heartbeats of the targets come 100 ms after one another
+    When the coordinator balances once
+    Then the keys that move are without a holder for less than 400 ms
--- a/features/steps/mesh_ownership.py
+++ b/features/steps/mesh_ownership.py
@@ -18,6 +18,7 @@
     create_table,
     empty_unfit,
     find_cuts,
+    find_gap_ms,
     find_row,
     list_fit,
     mark_free,
@@ -346,3 +347,30 @@
     frame = encode_frame(Frame(1, False, Publish(change)))
     assert len(frame) < size, len(frame)
     assert decode_frame(frame).message == Publish(change)
+
+
+@given("the heartbeats of the targets come {ms:d} ms after one another")
+def give_beats(context, ms: int) -> None:
+    """Let the heartbeats of the members be spread over their interval."""
+    names = sorted(context.facts.members)
+    beats_ms = {name: ms * index for index, name in enumerate(names)}
+    context.facts = context.facts._replace(
+        beats_ms=beats_ms, interval_ms=ms * len(names)
+    )
+
+
+@when("the coordinator balances once")
+def balance_once(context) -> None:
+    """Begin one move."""
+    facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+    context.rows = balance_rows(context.rows, facts, ())
+
+
+@then("the keys that move are without a holder for less than {ms:d} ms")
+def check_gap(context, ms: int) -> None:
+    """Check the gap between the two targets."""
+    moving = [row for row in context.rows if row.next_node]
+    assert moving
+    for row in moving:
+        gap_ms = find_gap_ms(row.node_id, row.next_node, context.facts)
+        assert gap_ms < ms, gap_ms
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -81,6 +81,7 @@
         self._began_ns = 0
         self._heard: dict[str, Heard] = {}
         self._loads: dict[str, list] = {}
+        self._beats_ms: dict[str, float] = {}
         self._unheld: dict[str, list[Row]] = {}
         # What targets let go, by service.
         self._released: dict[str, list[tuple[int, int, str]]] = {}
@@ -145,6 +146,7 @@
         name = member.node_id
         self._heard[name] = Heard(now_ns, now_ns + LEASE_MS * NS_PER_MS)
         self._loads[name] = request.loads
+        self._beats_ms[name] = now_ns / NS_PER_MS - request.heartbeat_ms
         self._pushed[name] = (request.epoch, request.version)
         rows = self.board.tables.get(member.service, [])
         self._note_unheld(name, rows, request)
@@ -378,6 +380,8 @@
             self._loads,
             unheld,
             self._released.get(service, []),
+            self._beats_ms,
+            self._node.settings.heartbeat_interval_ms,
         )
 
     def _write(self, service: str, rows: list[Row]) -> None:
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -347,6 +347,7 @@
             [(row.start, row.end, row.token) for row in unheld],
             self._measure_loads(rows),
             round(self.gateway.admission.get_busy(), 2),
+            self.target.get_age_ms(),
         )
         try:
             if self.coordinator.has_authority():
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -8,9 +8,14 @@
 
 KEYS = 65536
 # Load of a target's slots above which its keys are moved to others.
-BUSY_SHARE = 0.7
+BUSY_SHARE = 0.55
 # Difference of load, in shares of the slots, that is worth a move.
-WORTH_SHARE = 0.3
+WORTH_SHARE = 0.25
+# Difference of load up to which the receiver with the next heartbeat is preferred.
+ALIKE_SHARE = 0.15
+# Time from a giver's heartbeat until its keys are free: a second heartbeat, the work
+# that is in flight, and the write of the table.
+RELEASE_MS = 280.0
 # Load that stands for all keys of a service where none is measured.
 IDLE_LOAD = 1.0
 MAX_MOVES = 4
@@ -30,6 +35,10 @@
     loads: dict[str, list[RowLoad]]
     unheld: Collection[Row]
     released: Collection[tuple[int, int, str]]
+    # When each member's target sent a heartbeat, in ms of the coordinator's clock, and
+    # the time between two.
+    beats_ms: dict[str, float] = {}
+    interval_ms: float = 1000.0
 
 
 def list_fit(facts: Facts) -> list[Member]:
@@ -215,9 +224,9 @@
         return rows
     owners = {row.next_node or row.node_id for row in rows}
     idle = [node_id for node_id in totals if node_id not in owners]
-    receiver = idle[0] if idle else choose_least(totals, facts)
     shares = {n: totals[n] / max(facts.members[n].slots, 1) for n in totals}
     giver = max(shares, key=lambda node_id: (shares[node_id], node_id))
+    receiver = idle[0] if idle else choose_receiver(giver, shares, facts, resting)
     if giver == receiver or giver in resting or receiver in resting:
         return rows
     is_worth = shares[giver] - shares[receiver] > WORTH_SHARE
@@ -227,6 +236,32 @@
     return move_load(rows, facts, giver, receiver, wanted)
 
 
+def choose_receiver(
+    giver: str, shares: dict[str, float], facts: Facts, resting: Collection[str]
+) -> str:
+    """Choose among the least busy the one that can be granted keys the soonest."""
+    least = min(shares.values())
+    alike = [
+        node_id
+        for node_id, share in shares.items()
+        if share <= least + ALIKE_SHARE and node_id != giver
+    ]
+    rested = [node_id for node_id in alike if node_id not in resting]
+    return min(
+        rested or alike or [giver],
+        key=lambda node_id: (find_gap_ms(giver, node_id, facts), node_id),
+    )
+
+
+def find_gap_ms(giver: str, receiver: str, facts: Facts) -> float:
+    """Find how long keys that move between two targets have no holder."""
+    beats_ms = facts.beats_ms
+    if giver not in beats_ms or receiver not in beats_ms:
+        return facts.interval_ms
+    apart_ms = beats_ms[receiver] - beats_ms[giver] - RELEASE_MS
+    return RELEASE_MS + apart_ms % facts.interval_ms
+
+
 def move_load(
     rows: list[Row], facts: Facts, giver: str, receiver: str, wanted: float
 ) -> list[Row]:
