--- /dev/null
+++ b/features/support/mesh_soak.py
@@ -0,0 +1,188 @@
+"""A randomized soak: node processes under load and faults, checked from outside."""
+
+import random
+import signal
+from collections import Counter
+from typing import NamedTuple
+
+import gevent
+
+from features.support.mesh_harness import Place
+from features.support.mesh_processes import ProcessMesh
+from knapweedrock.mesh.http import AnswerParser, MalformedMessageError
+
+KEYS = 65536
+ORDER_SHARE = 0.4
+PAUSE_S = (0.3, 1.5)
+RECOVERY_S = 15.0
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Sent(NamedTuple):
+    """A request and how it ended; a status of 0 is no whole answer."""
+
+    attempt_id: str
+    is_order: bool
+    status: int
+    body: bytes
+
+
+class Soak:
+    """Load and faults on a mesh of processes, both drawn from one seed."""
+
+    def __init__(self, seed: int, vms: int, rate: float) -> None:
+        self.mesh = ProcessMesh(vms)
+        self.sent: list[Sent] = []
+        self.faults: list[str] = []
+        self._random = random.Random(seed)
+        self._interval_s = 1 / rate
+        self._senders: list[gevent.Greenlet] = []
+
+    def run(self, seconds: float) -> None:
+        """Run load and faults, then let the mesh recover under load."""
+        for place in self.mesh.places:
+            place.holder.lost_share = 0.01
+        self.mesh.start()
+        load = gevent.spawn(self._run_load)
+        with gevent.Timeout(seconds, False):
+            while True:
+                gevent.sleep(self._random.uniform(*PAUSE_S))
+                self._break_something()
+        self._mend_everything()
+        self.mesh.wait_until(self.mesh.is_settled, RECOVERY_S)
+        gevent.sleep(2.0)
+        load.kill()
+        gevent.joinall(self._senders, timeout=4)
+
+    def list_violations(self) -> list[str]:
+        """List the promises that were broken."""
+        runs = Counter(
+            run.attempt_id for place in self.mesh.places for run in place.holder.runs
+        )
+        begun = set(runs)
+        for place in self.mesh.places:
+            begun |= set(place.holder.cut)
+        found = [f"two holders: {item}" for item in self.mesh.double_owners[:3]]
+        for sent in self.sent:
+            if sent.is_order and runs[sent.attempt_id] > 1:
+                found.append(f"ran twice: {sent}")
+            is_refused_order = sent.is_order and sent.status in NOT_RUN_STATUSES
+            if is_refused_order and sent.attempt_id in begun:
+                found.append(f"refused and ran: {sent}")
+            if sent.status == 200 and not sent.body.startswith(
+                sent.attempt_id.encode() + b" "
+            ):
+                found.append(f"another request's answer: {sent}")
+        return found
+
+    def count_good(self) -> int:
+        """Count the requests that were served."""
+        return sum(1 for sent in self.sent if sent.status == 200)
+
+    def _run_load(self) -> None:
+        while True:
+            gevent.sleep(self._random.expovariate(1 / self._interval_s))
+            name = self._random.choice([p.settings.node_id for p in self.mesh.places])
+            key = self._random.randrange(KEYS)
+            is_order = self._random.random() < ORDER_SHARE
+            self._senders.append(gevent.spawn(self._send, name, key, is_order))
+
+    def _send(self, name: str, key: int, is_order: bool) -> None:
+        method, path = ("POST", "/order/1") if is_order else ("GET", "/read/1")
+        data, attempt_id = self.mesh.encode(path, key, method, b"order", 1200)
+        status, body = 0, b""
+        try:
+            connection = self.mesh.open(name)
+            try:
+                connection.send(data, 2)
+                answer = connection.read(AnswerParser(), 3)
+                status, body = answer.status, answer.body
+            finally:
+                connection.close()
+        except (OSError, MalformedMessageError):
+            status = 0
+        self.sent.append(Sent(attempt_id, is_order, status, body))
+
+    def _break_something(self) -> None:
+        place = self._random.choice(self.mesh.places)
+        fault = self._random.choice(
+            (
+                self._kill_node,
+                self._stop_node,
+                self._freeze_node,
+                self._crash_target,
+                self._turn_away,
+                self._silence_store,
+                self._lose_answers,
+                self._drop_history,
+                self._cut_heartbeats,
+            )
+        )
+        self.faults.append(f"{fault.__name__} {place.settings.node_id}")
+        fault(place)
+
+    def _restart_later(self, place: Place) -> None:
+        gevent.sleep(self._random.uniform(0.05, 1.0))
+        self.mesh.start_node(place)
+
+    def _kill_node(self, place: Place) -> None:
+        if place.settings.node_id in self.mesh.nodes:
+            self.mesh.kill_node(place.settings.node_id)
+            self._restart_later(place)
+
+    def _stop_node(self, place: Place) -> None:
+        node = self.mesh.nodes.pop(place.settings.node_id, None)
+        if node is not None:
+            assert node.stop() == 0, "the node did not stop in order"
+            self._restart_later(place)
+
+    def _freeze_node(self, place: Place) -> None:
+        node = self.mesh.nodes.get(place.settings.node_id)
+        if node is None:
+            return
+        node.process.send_signal(signal.SIGSTOP)
+        gevent.sleep(self._random.uniform(0.2, 8.0))
+        node.process.send_signal(signal.SIGCONT)
+
+    def _crash_target(self, place: Place) -> None:
+        place.holder.crash()
+        gevent.sleep(self._random.uniform(0.1, 2.0))
+        place.holder.start()
+
+    def _turn_away(self, place: Place) -> None:
+        place.front.status = self._random.choice((429, 503))
+        gevent.spawn_later(self._random.uniform(0.5, 6.0), self._mend_store, place)
+
+    def _silence_store(self, _place: Place) -> None:
+        for place in self.mesh.places:
+            place.front.silent = True
+            place.front.drop_watches()
+        gevent.sleep(self._random.uniform(0.5, 8.0))
+        for place in self.mesh.places:
+            self._mend_store(place)
+
+    def _lose_answers(self, place: Place) -> None:
+        place.front.lost = self._random.uniform(0.1, 0.6)
+        place.front.late = self._random.uniform(0.0, 0.4)
+        gevent.spawn_later(self._random.uniform(1.0, 5.0), self._mend_store, place)
+
+    def _drop_history(self, _place: Place) -> None:
+        self.mesh.objects.forget_history()
+
+    def _cut_heartbeats(self, place: Place) -> None:
+        place.holder.silent_heartbeats = True
+        gevent.spawn_later(self._random.uniform(0.5, 9.0), self._mend_target, place)
+
+    def _mend_store(self, place: Place) -> None:
+        front = place.front
+        front.status, front.silent, front.lost, front.late = 0, False, 0.0, 0.0
+
+    def _mend_target(self, place: Place) -> None:
+        place.holder.silent_heartbeats = False
+
+    def _mend_everything(self) -> None:
+        for place in self.mesh.places:
+            self._mend_store(place)
+            self._mend_target(place)
+            if place.settings.node_id not in self.mesh.nodes:
+                self.mesh.start_node(place)
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,47 @@
+"""Run the soak of fresh seeds by hand: `tools/soak.py FIRST COUNT SECONDS`."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+import traceback  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from features.support.mesh_soak import Soak  # noqa: E402
+
+VMS = 4
+RATE = 60.0
+
+
+def run_seed(seed: int, seconds: float) -> list[str]:
+    """Run one seed and return what went wrong."""
+    soak = Soak(seed, VMS, RATE)
+    try:
+        soak.run(seconds)
+        found = soak.list_violations()
+    except (AssertionError, OSError):
+        found = [traceback.format_exc()]
+    finally:
+        soak.mesh.stop()
+    statuses = {
+        s: sum(1 for r in soak.sent if r.status == s) for s in (0, 200, 502, 503, 504)
+    }
+    print(f"seed {seed}: {statuses} {soak.faults}", flush=True)
+    for line in found[:5]:
+        print(f"  {line}", flush=True)
+    return found
+
+
+def main() -> int:
+    """Run all seeds; the exit status tells whether one has failed."""
+    first, count, seconds = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
+    failed = [s for s in range(first, first + count) if run_seed(s, seconds)]
+    print(f"{count - len(failed)} seeds passed, {len(failed)} failed: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
