--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -20,7 +20,7 @@
 
 WATCH_S = 20.0
 FIRST_PAUSE_S = 0.2
-LONGEST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 1.5
 
 log = Logger("following")
 
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -191,7 +191,7 @@
             )
         except ConnectionRefusedError as error:
             self._target.note_dead(name)
-            self._node.report_soon()
+            self._node.membership.report_soon()
             raise RefusalError(
                 Code.TARGET_UNREACHABLE, str(error), MOVING_RETRY_MS
             ) from error
@@ -216,7 +216,7 @@
                 self.exchanges.drop_idle()
                 self.suspects.count_crash(present)
                 self._tell_crash(present)
-                self._node.report_soon()
+                self._node.membership.report_soon()
         except OSError as error:
             log.warning("target can't be reached", reason=error)
         else:
@@ -269,13 +269,13 @@
             )
         except ConnectionRefusedError:
             target.note_dead(target.name)
-            node.report_soon()
+            node.membership.report_soon()
             return
         except KnapweedrockError as error:
             if not target.silent and target.name:
                 log.warning("target is silent", reason=error.detail)
                 target.silent = True
-                node.report_soon()
+                node.membership.report_soon()
             return
         if answer.find(INSTANCE) != target.instance:
             return
@@ -284,7 +284,7 @@
         cold_ms = answer.find(COLD)
         target.set_cold(float(cold_ms or 0))
         if not was_usable:
-            node.report_soon()
+            node.membership.report_soon()
 
 
 def find_header(headers: Headers, name: str) -> str:
--- /dev/null
+++ b/knapweedrock/mesh/membership.py
@@ -0,0 +1,171 @@
+"""Membership of a node: its lease, its reports, and who coordinates."""
+
+from typing import TYPE_CHECKING
+
+import gevent
+from gevent.event import Event
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError, PlatformError, RefusalError
+from knapweedrock.mesh.boards import apply_change
+from knapweedrock.mesh.coordinator import LEADER_NAME, TERM_MS
+from knapweedrock.mesh.messages import (
+    BoardChange,
+    Member,
+    Publish,
+    Published,
+    Renew,
+    Row,
+)
+from knapweedrock.mesh.ownership import find_cuts
+from knapweedrock.platform.documents import LEADER_KIND
+from knapweedrock.platform.store import Stored
+
+if TYPE_CHECKING:
+    from knapweedrock.mesh.node import Node
+
+RENEW_S = 0.4
+RENEW_TIMEOUT_MS = 400
+RENEW_RETRY_S = 0.1
+# Time without an answer after which another coordinator is looked for.
+LOST_MS = 600
+READ_LOCK_MS = 700
+# A successor counts a term on its own clock, which may run fast by this factor.
+TERM_DRIFT = 1.03
+TERM_GRACE_MS = 400
+# Nodes that start together don't all claim at once.
+FIRST_READ_SPREAD_S = 0.3
+LOAD_PARTS = 8
+
+log = Logger("node")
+
+
+class Membership:
+    """Keeps a node's lease, and elects it where nobody coordinates."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+        self._report = Event()
+        # Set once the coordinator has answered a report that was made after them.
+        self._waiting: list[Event] = []
+        self._leader = ""
+        self._lock: Stored | None = None
+        self._lock_seen_ns = 0
+        self._lock_read_ns = 0
+        self._renewed_ns = node.clock.now_ns()
+
+    def describe(self) -> Member:
+        """Describe the node and its target to the mesh."""
+        node = self._node
+        return node.target.describe(node.settings.node_id, node.process, node.peer)
+
+    def report_soon(self) -> Event:
+        """Report to the coordinator at once; the event is set when it has answered."""
+        answered = Event()
+        self._waiting.append(answered)
+        self._report.set()
+        return answered
+
+    def run(self) -> None:
+        """Renew the lease for ever."""
+        gevent.sleep(FIRST_READ_SPREAD_S * (int(self._node.process, 16) % 100) / 100)
+        while True:
+            try:
+                is_renewed = self._renew()
+            except PlatformError as error:
+                log.warning("coordinator not found", reason=error.detail)
+                is_renewed = False
+            self._report.wait(RENEW_S if is_renewed else RENEW_RETRY_S)
+            self._report.clear()
+
+    def _renew(self) -> bool:
+        """Renew the lease; where no coordinator answers, look for one."""
+        sent_ns = self._node.clock.now_ns()
+        rows = self._node.find_rows(self._node.settings.service)
+        unheld = self._node.holds.give_up_unheld(rows, self._node.target.dead, sent_ns)
+        released, self._node.holds.released = self._node.holds.released, []
+        waiting, self._waiting = self._waiting, []
+        request = Renew(
+            self.describe(),
+            self._node.board.epoch,
+            self._node.board.version,
+            self._node.configuration.version if self._node.configuration else 0,
+            self._node.follower.zones_revision,
+            [tuple(item) for item in released],
+            [(row.start, row.end, row.token) for row in unheld],
+            self._measure_loads(rows),
+            round(self._node.gateway.admission.get_busy(), 2),
+            self._node.target.get_age_ms(),
+        )
+        try:
+            if self._node.coordinator.has_authority():
+                answer = self._node.coordinator.renew(request)
+            else:
+                leader = self._leader or self._node.board.coordinator
+                if not leader or leader == self._node.peer:
+                    raise RefusalError(Code.NO_MAJORITY, "no coordinator is known")
+                answer = self._node.links.request(leader, request, RENEW_TIMEOUT_MS)
+        except KnapweedrockError as error:
+            self._node.holds.released = released + self._node.holds.released
+            self._waiting = waiting + self._waiting
+            self._look_for_leader(error)
+            return False
+        self._renewed_ns = self._node.clock.now_ns()
+        self._node.holds.extend_lease(sent_ns, answer.lease_ms)
+        if answer.change is not None:
+            self._take_change(answer.change)
+        for answered in waiting:
+            answered.set()
+        return True
+
+    def _look_for_leader(self, error: KnapweedrockError) -> None:
+        """Read who coordinates, and claim the right where nobody renews it."""
+        now_ns = self._node.clock.now_ns()
+        if self._node.closing or now_ns - self._lock_read_ns < READ_LOCK_MS * NS_PER_MS:
+            return
+        is_known = bool(self._leader or self._node.board.coordinator)
+        if is_known and now_ns - self._renewed_ns < LOST_MS * NS_PER_MS:
+            return
+        self._lock_read_ns = now_ns
+        lock = self._node.store.get(LEADER_KIND, LEADER_NAME)
+        if lock is None or self._may_claim(lock):
+            log.info("claims coordination", reason=error.detail)
+            if self._node.coordinator.claim(lock):
+                self._leader = ""
+                return
+            lock = self._node.store.get(LEADER_KIND, LEADER_NAME)
+        if lock is not None:
+            self._leader = lock.value["peer"]
+
+    def _may_claim(self, lock: Stored) -> bool:
+        now_ns = self._node.clock.now_ns()
+        if self._lock is None or lock.revision != self._lock.revision:
+            self._lock = lock
+            self._lock_seen_ns = now_ns
+        if lock.value["released"] or lock.value["node"] == self._node.settings.node_id:
+            return True
+        seen_ms = (now_ns - self._lock_seen_ns) / NS_PER_MS
+        return seen_ms > TERM_MS * TERM_DRIFT + TERM_GRACE_MS
+
+    def _measure_loads(self, rows: list[Row]) -> list:
+        own = self._node.settings.node_id
+        key_ms = self._node.gateway.loads.measure()
+        return [
+            find_cuts(key_ms, row.start, row.end, LOAD_PARTS)
+            for row in rows
+            if row.node_id == own
+        ]
+
+    def take_published(self, _sender: str, message: Publish) -> Published:
+        """Take a push of the coordinator."""
+        if message.change.epoch >= self._node.board.epoch:
+            self._leader = ""
+        self._take_change(message.change)
+        return Published(self._node.board.epoch, self._node.board.version)
+
+    def _take_change(self, change: BoardChange) -> None:
+        board = apply_change(self._node.board, change)
+        if board is not None:
+            self._node.take_board(board)
--- /dev/null
+++ b/knapweedrock/mesh/pages.py
@@ -0,0 +1,109 @@
+"""Pages of a node beside those for callers: heartbeats, readiness, metrics."""
+
+from typing import TYPE_CHECKING
+
+import gevent
+from logbook import Logger
+
+from knapweedrock.codes import Code
+from knapweedrock.errors import RefusalError
+from knapweedrock.mesh.callers import CallerServer, Reply
+from knapweedrock.mesh.definitions import Heartbeat, Limits
+from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.metrics import CONTENT_TYPE, render_metrics
+from knapweedrock.platform.heartbeats import Leave, decode_message, encode_reply
+
+if TYPE_CHECKING:
+    from knapweedrock.mesh.node import Node
+
+# A target that drains is told so once the coordinator knows, or after this long.
+DRAIN_REPORT_S = 0.4
+
+log = Logger("node")
+
+
+class Pages:
+    """Answers the target, the platform's question for readiness, and scrapes."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def answer_ready(self, _request: Request, _address: str) -> Reply:
+        """Answer whether callers may come."""
+        is_ready = (
+            not self._node.closing
+            and self._node.configuration is not None
+            and bool(self._node.board.members)
+        )
+        return Reply(200 if is_ready else 503, [], b"")
+
+    def answer_metrics(self, _request: Request, _address: str) -> Reply:
+        """Answer a scrape."""
+        self._set_gauges()
+        body = render_metrics(self._node.counters, self._node.histograms).encode()
+        return Reply(200, [("Content-Type", CONTENT_TYPE)], body)
+
+    def _set_gauges(self) -> None:
+        admission, counters = self._node.gateway.admission, self._node.counters
+        configuration = self._node.configuration
+        counters.gauge("in_flight", admission.in_flight)
+        counters.gauge("waiting", admission.waiting)
+        counters.gauge("lease_ms", self._node.get_lease_ms())
+        counters.gauge("rows_granted", len(self._node.holds.granted.rows))
+        counters.gauge("board_epoch", self._node.board.epoch)
+        counters.gauge("board_version", self._node.board.version)
+        counters.gauge("coordinating", int(self._node.coordinator.has_authority()))
+        counters.gauge(
+            "configuration_version", configuration.version if configuration else 0
+        )
+
+    def answer_target(self, request: Request, _address: str) -> Reply:
+        """Answer what the target says of itself."""
+        try:
+            message = decode_message(request.target, request.body)
+            if isinstance(message, Leave):
+                self._node.target.leave(message.target)
+                self._node.membership.report_soon().wait(DRAIN_REPORT_S)
+                body = b"{}"
+            else:
+                body = self._take_heartbeat(message)
+        except RefusalError as error:
+            self._node.counters.count("heartbeats_refused")
+            log.warning("heartbeat refused", reason=error.detail)
+            return Reply(error.info.http_status, [], b"")
+        return Reply(200, [("Content-Type", "application/json")], body)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> bytes:
+        """Take a heartbeat and grant its sender what it may hold."""
+        address = self._node.settings.target
+        if heartbeat.service != self._node.settings.service or (
+            address and heartbeat.address != "{}:{}".format(*address)
+        ):
+            raise RefusalError(Code.BAD_ANNOUNCEMENT, "not the target beside this node")
+        before = self._node.membership.describe()
+        is_news = self._node.target.take(heartbeat)
+        if not is_news:
+            return b"{}"
+        if self._node.target.dead:
+            gevent.spawn(self._node.gateway.probe)
+        rows = self._node.find_rows(heartbeat.service)
+        reply = self._node.holds.reply(heartbeat, rows, self._node.clock.now_ns())
+        if (
+            self._node.membership.describe() != before
+            or heartbeat.released
+            or self._node.has_marked(rows)
+        ):
+            reported = self._node.membership.report_soon()
+            if heartbeat.draining and before.state != "draining":
+                reported.wait(DRAIN_REPORT_S)
+        return encode_reply(reply)
+
+
+def create_servers(node: "Node") -> list[CallerServer]:
+    """Create the servers of a node's pages; they listen once started."""
+    pages, settings = Pages(node), node.settings
+    return [
+        CallerServer(settings.heartbeat, pages.answer_target, Limits),
+        CallerServer(settings.ready, pages.answer_ready, Limits),
+        CallerServer(settings.metrics, pages.answer_metrics, Limits),
+    ]
