--- /dev/null
+++ b/features/mesh_store.feature
@@ -0,0 +1,43 @@
+Feature: Writes to the store take effect once, whatever is lost on the way
+  Background:
+    Given a store and a client of it
+
+  Scenario: A write whose answer is lost is known to have taken effect
+    Given 1 of every 1 answers to writes is lost
+    When the client replaces an object and the store answers again after 700 ms
+    Then the write is known to have taken effect
+    And the object was changed once
+
+  Scenario: A write that takes effect late is known to have taken effect
+    Given the first write takes effect 400 ms late, without an answer
+    When the client replaces an object and the store answers again after 200 ms
+    Then the write is known to have taken effect
+    And the object was changed once
+
+  Scenario: A write that lost to another one is known to have lost
+    When another writer changes the object first
+    Then the client's write is refused and shows the other one
+
+  Scenario: Only one of several claims of the same term wins
+    Given 1 of every 3 answers to writes is lost
+    When 5 clients create the same object at once
+    Then one of them has created it
+
+  Scenario: All objects of a kind are listed, page by page
+    Given 1203 objects of a kind
+    When the client lists the kind
+    Then it has 1203 objects
+
+  Scenario: A watch from a forgotten revision says so
+    When the store forgets its history after the client has listed
+    Then the client's watch says that the history is gone
+
+  Scenario Outline: A store that answers <status> says that nothing was done
+    When the store answers every call with <status>
+    Then the client's write fails with code <code>
+    And the object was not changed
+
+    Examples:
+      | status | code |
+      | 503    | 501  |
+      | 429    | 504  |
--- /dev/null
+++ b/features/steps/mesh_store.py
@@ -0,0 +1,182 @@
+"""Steps about the client of the platform's store."""
+
+import gevent
+from behave import given, then, when
+
+from features.support.mesh_builders import create_address
+from knapweedrock.clock import create_clock
+from knapweedrock.counters import Counters
+from knapweedrock.emulator.objects import Objects, create_front
+from knapweedrock.errors import PlatformError
+from knapweedrock.platform.store import ConflictError, HistoryGoneError, Store
+
+KIND, NAME = "things", "one"
+TIMEOUT_S = 4.0
+SHORT_S = 0.5
+
+
+def create_client(context) -> Store:
+    """Create a client of the store."""
+    return Store(context.front.address, create_clock(), Counters())
+
+
+@given("a store and a client of it")
+def give_store(context) -> None:
+    """Start a store that holds one object."""
+    context.objects = Objects()
+    context.front = create_front(context.objects, create_address())
+    context.front.start()
+    context.add_cleanup(context.front.stop)
+    context.client = create_client(context)
+    context.found = context.client.create(KIND, NAME, {"value": 0}, TIMEOUT_S)
+
+
+@given("1 of every {count:d} answers to writes is lost")
+def give_losses(context, count: int) -> None:
+    """Lose a share of the answers."""
+    context.front.lost = 1 / count
+
+
+@given("the first write takes effect {ms:d} ms late, without an answer")
+def give_late(context, ms: int) -> None:
+    """Let writes take effect late."""
+    context.front.late, context.front.late_s = 1.0, ms / 1000
+
+
+@given("{count:d} objects of a kind")
+def give_objects(context, count: int) -> None:
+    """Write objects of another kind."""
+    for number in range(count):
+        context.objects.write("many", f"name-{number:05}", number)
+
+
+@when("the client replaces an object and the store answers again after {ms:d} ms")
+def replace(context, ms: int) -> None:
+    """Replace the object while answers are lost."""
+
+    def mend() -> None:
+        context.front.lost = context.front.late = 0.0
+
+    gevent.spawn_later(ms / 1000, mend)
+    context.written = context.client.replace(
+        KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
+    )
+
+
+@when("another writer changes the object first")
+def lose_race(context) -> None:
+    """Change the object, then write under the old revision."""
+    context.objects.write(KIND, NAME, {"value": 7})
+    context.conflict = None
+    try:
+        context.client.replace(
+            KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
+        )
+    except ConflictError as error:
+        context.conflict = error
+
+
+@when("{count:d} clients create the same object at once")
+def race(context, count: int) -> None:
+    """Let clients race for an object."""
+    context.winners = []
+
+    def claim(number: int) -> None:
+        client = create_client(context)
+        try:
+            client.create(KIND, "term", {"holder": number}, TIMEOUT_S)
+        except PlatformError:
+            return
+        context.winners.append(number)
+
+    tasks = [gevent.spawn(claim, number) for number in range(count)]
+    gevent.joinall(tasks, timeout=TIMEOUT_S + 2, raise_error=True)
+
+
+@when("the client lists the kind")
+def list_kind(context) -> None:
+    """List all objects."""
+    context.listing = context.client.list_kind("many")
+
+
+@when("the store forgets its history after the client has listed")
+def forget(context) -> None:
+    """Drop the history behind a client's back."""
+    listing = context.client.list_kind(KIND)
+    context.objects.write(KIND, NAME, {"value": 2})
+    context.objects.forget_history()
+    context.revision = listing.revision
+
+
+@when("the store answers every call with {status:d}")
+def refuse(context, status: int) -> None:
+    """Refuse every call and try a write."""
+    context.front.status = status
+    context.error = None
+    try:
+        context.client.replace(
+            KIND, NAME, {"value": 1}, context.found.revision, SHORT_S
+        )
+    except PlatformError as error:
+        context.error = error
+
+
+@then("the write is known to have taken effect")
+def check_effect(context) -> None:
+    """Check what the client returned against the store."""
+    current = context.objects.get(KIND, NAME)
+    assert context.written.value == {"value": 1}
+    assert context.written.revision == current["metadata"]["revision"]
+
+
+@then("the object was changed once")
+def check_once(context) -> None:
+    """Count the object's changes after its creation."""
+    changes = [event for _, kind, event in context.objects.history if kind == KIND]
+    assert len(changes) == 2, changes
+
+
+@then("the client's write is refused and shows the other one")
+def check_conflict(context) -> None:
+    """Check the conflict."""
+    assert context.conflict is not None
+    assert context.conflict.current.value == {"value": 7}
+
+
+@then("one of them has created it")
+def check_winner(context) -> None:
+    """Check that the winner is the one whom the store holds."""
+    assert len(context.winners) == 1, context.winners
+    held = context.objects.get(KIND, "term")["specification"]["holder"]
+    assert context.winners == [held]
+
+
+@then("it has {count:d} objects")
+def check_listed(context, count: int) -> None:
+    """Check the listing."""
+    names = {item.name for item in context.listing.items}
+    assert len(names) == len(context.listing.items) == count
+
+
+@then("the client's watch says that the history is gone")
+def check_gone(context) -> None:
+    """Watch from the forgotten revision."""
+    try:
+        context.client.watch(KIND, context.revision, 1)
+    except HistoryGoneError:
+        return
+    raise AssertionError("the watch said nothing")
+
+
+@then("the client's write fails with code {code:d}")
+def check_code(context, code: int) -> None:
+    """Check the code of the failure."""
+    assert context.error is not None
+    assert int(context.error.code) == code, context.error
+
+
+@then("the object was not changed")
+def check_unchanged(context) -> None:
+    """Check that the store holds what it held."""
+    held = context.objects.get(KIND, NAME)
+    assert held["specification"] == {"value": 0}, held
