--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -58,9 +58,13 @@
         context.front.lost = context.front.late = 0.0
 
     gevent.spawn_later(ms / 1000, mend)
-    context.written = context.client.replace(
-        KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
-    )
+    context.written = None
+    try:
+        context.written = context.client.replace(
+            KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
+        )
+    except PlatformError as error:
+        context.error = error
 
 
 @when("another writer changes the object first")
@@ -125,6 +129,7 @@
 def check_effect(context) -> None:
     """Check what the client returned against the store."""
     current = context.objects.get(KIND, NAME)
+    assert context.written is not None, context.error
     assert context.written.value == {"value": 1}
     assert context.written.revision == current["metadata"]["revision"]
 
