--- /dev/null
+++ b/features/mesh_answers.feature
@@ -0,0 +1,71 @@
+Feature: A node takes only the target's whole answer to the request that it sent
+  Scenario Outline: <bytes> is no answer
+    Given a target that answers with <bytes>
+    When a request is sent to it
+    Then it ends with code <code>
+    And the connection is not used again
+
+    Examples:
+      | bytes                           | code |
+      | a body that is cut short        | 207  |
+      | bytes that are not HTTP         | 207  |
+      | a reset after half an answer    | 207  |
+      | a close without an answer       | 206  |
+      | a reset in an answer of no length | 207 |
+      | nothing                         | 206  |
+
+  Scenario: An answer to an earlier request is skipped
+    Given a target that answers with an answer to another request first
+    When a request is sent to it
+    Then its own answer is returned
+    And the connection is not used again
+
+  Scenario: A second answer that nobody asked for ends the connection
+    Given a target that answers with a second answer
+    When a request is sent to it
+    Then its own answer is returned
+    And the connection is not used again
+
+  Scenario: An answer without a length is whole once the connection is closed
+    Given a target that answers with an answer of no length
+    When a request is sent to it
+    Then its own answer is returned
+    And the connection is not used again
+
+  Scenario Outline: <answer> is not the target's own
+    Given a target that answers with <answer>
+    When a request is sent to it
+    Then the answer is not taken for sound
+
+    Examples:
+      | answer                     |
+      | a success without its mark |
+      | an encoded body            |
+
+  Scenario: The connection of a whole answer is used again
+    Given a target that answers with a whole answer
+    When a request is sent to it
+    And a request is sent to it
+    Then both came on one connection
+
+  Scenario: A target learns who called, how long it may take, and nothing else is changed
+    Given a mesh of 2 keyed targets
+    When a request with a query, a body and a forged caller enters the mesh
+    Then its target got method, path, query and body unchanged
+    And it got the service beside which the request entered as caller
+    And it got less time than the caller gave
+
+  Scenario: A node that has no configuration yet says when to come back
+    Given a mesh whose operators have written nothing
+    When a request comes before the configuration
+    Then the answer is 503 with a time to come back
+
+  Scenario: A request that was present at three crashes is refused, and innocents are not
+    Given requests that were present at crashes
+    When one was there three times, and another succeeded in between
+    Then only the first is refused
+
+  Scenario: Each part of a route gets its share, also of few requests
+    Given a route that is shared by 90 and 10
+    When 300 requests choose their part
+    Then each part got its share within 2 percent
--- /dev/null
+++ b/features/steps/mesh_answers.py
@@ -0,0 +1,256 @@
+"""Steps about answers of targets, good and broken."""
+
+import struct
+from types import SimpleNamespace
+
+import gevent
+from behave import given, then, when
+from gevent import socket
+from gevent.server import StreamServer
+
+from features.support.mesh_builders import FakeClock, create_address, create_settings
+from features.support.mesh_harness import Mesh
+from knapweedrock.clock import create_clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.mesh.choice import Chooser
+from knapweedrock.mesh.definitions import Part, Route
+from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges, is_sound
+from knapweedrock.mesh.http import AnswerParser, encode_request
+from knapweedrock.mesh.metrics import Histograms
+from knapweedrock.mesh.routing import Router
+from knapweedrock.mesh.suspects import Suspects
+
+TIMEOUT_S = 0.4
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
+WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
+ANSWERS = {
+    "a whole answer": WHOLE,
+    "a body that is cut short": HEAD + b"Content-Length: 9\r\n\r\nbody",
+    "bytes that are not HTTP": b"\x00\x01garbage\r\n\r\n",
+    "a reset after half an answer": HEAD + b"Content-Length: 9\r\n\r\nbo",
+    "a close without an answer": b"",
+    "a reset in an answer of no length": HEAD + b"\r\nbo",
+    "nothing": b"",
+    "an answer to another request first": WHOLE.replace(b"a1", b"a0") + WHOLE,
+    "a second answer": WHOLE + WHOLE,
+    "an answer of no length": HEAD + b"Connection: close\r\n\r\nbody",
+    "a success without its mark": b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+    b"Content-Length: 4\r\n\r\nbody",
+    "an encoded body": HEAD
+    + b"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+}
+CLOSED = {
+    "a body that is cut short",
+    "a close without an answer",
+    "an answer of no length",
+}
+RESET = {"a reset after half an answer", "a reset in an answer of no length"}
+
+
+class ScriptedTarget:
+    """Answers each request on a connection with the same bytes."""
+
+    def __init__(self, kind: str) -> None:
+        self.connections = 0
+        self._kind = kind
+        self._server = StreamServer(create_address(), self._serve)
+        self._server.start()
+        self.address = self._server.address
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+        self.connections += 1
+        while sock.recv(65536):
+            sock.sendall(ANSWERS[self._kind])
+            if self._kind in RESET:
+                gevent.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            if self._kind in RESET | CLOSED:
+                sock.close()
+                return
+
+
+@given("a target that answers with {kind}")
+def give_target(context, kind: str) -> None:
+    """Start a target with a script."""
+    context.target = ScriptedTarget(kind)
+    context.add_cleanup(context.target.stop)
+    context.exchanges = Exchanges(context.target.address, create_clock(), Counters())
+    context.answer = context.error = None
+
+
+@given("a mesh whose operators have written nothing")
+def give_unconfigured(context) -> None:
+    """Start a node that finds no configuration."""
+    context.mesh = Mesh(1)
+    context.add_cleanup(context.mesh.stop)
+    context.mesh.objects.remove("config", "main")
+    place = context.mesh.places[0]
+    place.front.start()
+    place.holder.start()
+    context.mesh.start_node(place)
+
+
+@given("requests that were present at crashes")
+def give_suspects(context) -> None:
+    """Create the memory of crashes."""
+    context.suspects = Suspects(FakeClock())
+
+
+@given("a route that is shared by {first:d} and {second:d}")
+def give_route(context, first: int, second: int) -> None:
+    """Create a route with two parts."""
+    parts = (Part("one", first), Part("two", second))
+    context.route = Route("r", "h", "/", True, 1000, 300, 1, parts, 2)
+    settings = create_settings(0, create_address(), create_address())
+    clock = FakeClock()
+    node = SimpleNamespace(settings=settings, histograms=Histograms())
+    chooser = Chooser("zone-a", clock, lambda _peer: True)
+    context.router = Router(node, clock, Counters(), chooser)
+
+
+@when("a request is sent to it")
+def send_scripted(context) -> None:
+    """Send a request to the scripted target."""
+    try:
+        context.answer = context.exchanges.run(
+            "GET", "/x", [("host", "t")], b"", "a1", TIMEOUT_S
+        )
+    except BrokenExchangeError as error:
+        context.error = error
+
+
+@when("a request with a query, a body and a forged caller enters the mesh")
+def send_forged(context) -> None:
+    """Send a request whose caller claims to be another service."""
+    mesh = context.mesh
+    context.entry = next(iter(mesh.nodes))
+    headers = [
+        ("Host", "mesh.example"),
+        ("X-Attempt-Id", "forged-1"),
+        ("X-Timeout-Remaining", "1200"),
+        ("X-Caller-Service", "somebody-else"),
+        ("X-Shard-Key", "40000"),
+        ("X-Own", "kept"),
+    ]
+    data = encode_request("POST", "/order/1?a=b%20c", headers, b"the order")
+    connection = mesh.open(context.entry)
+    connection.send(data, 2)
+    assert connection.read(AnswerParser(), 3).status == 200
+    connection.close()
+    context.seen = next(
+        request
+        for place in mesh.places
+        for request in place.holder.requests
+        if request.fields.get("x-attempt-id") == "forged-1"
+    )
+
+
+@when("a request comes before the configuration")
+def send_early(context) -> None:
+    """Send a request to the node without a configuration."""
+    context.answer = context.mesh.call("node-0", "/read/1", 1)
+
+
+@when("one was there three times, and another succeeded in between")
+def count_crashes(context) -> None:
+    """Count crashes of two requests."""
+    for _ in range(2):
+        context.suspects.count_crash(["guilty", "innocent"])
+    context.suspects.clear("innocent")
+    context.suspects.count_crash(["guilty", "innocent"])
+
+
+@when("{count:d} requests choose their part")
+def choose_parts(context, count: int) -> None:
+    """Choose a part for each request."""
+    context.chosen = [
+        context.router._choose_part(context.route).service for _ in range(count)
+    ]
+
+
+@then("it ends with code {code:d}")
+def check_end(context, code: int) -> None:
+    """Check the code of the failure."""
+    assert context.error is not None, context.answer
+    assert context.error.code == Code(code), context.error
+
+
+@then("the connection is not used again")
+def check_not_reused(context) -> None:
+    """Send a second request and count the connections."""
+    send_scripted(context)
+    assert context.target.connections == 2, context.target.connections
+
+
+@then("its own answer is returned")
+def check_own(context) -> None:
+    """Check the answer."""
+    assert context.answer.body == b"body"
+    assert context.answer.find("x-attempt-id") == "a1"
+
+
+@then("the answer is not taken for sound")
+def check_unsound(context) -> None:
+    """Check that the answer would not be passed on."""
+    assert context.answer is not None
+    assert not is_sound(context.answer)
+
+
+@then("both came on one connection")
+def check_reused(context) -> None:
+    """Count the connections."""
+    assert context.answer.body == b"body"
+    assert context.target.connections == 1
+
+
+@then("its target got method, path, query and body unchanged")
+def check_unchanged(context) -> None:
+    """Check what the target got."""
+    seen = context.seen
+    assert (seen.method, seen.target) == ("POST", "/order/1?a=b%20c")
+    assert seen.body == b"the order"
+    assert seen.fields["x-own"] == "kept"
+
+
+@then("it got the service beside which the request entered as caller")
+def check_caller(context) -> None:
+    """Check the caller that the target was told."""
+    entered = context.mesh.find_place(context.entry).settings.service
+    callers = [v for k, v in context.seen.headers if k == "x-caller-service"]
+    assert callers == [entered], callers
+
+
+@then("it got less time than the caller gave")
+def check_time(context) -> None:
+    """Check the time that is left."""
+    left = [v for k, v in context.seen.headers if k == "x-timeout-remaining"]
+    assert len(left) == 1, left
+    assert 800 < int(left[0]) < 1200, left
+
+
+@then("the answer is {status:d} with a time to come back")
+def check_come_back(context, status: int) -> None:
+    """Check the refusal."""
+    assert context.answer.status == status, context.answer
+    assert float(context.answer.find("retry-after")) > 0
+
+
+@then("only the first is refused")
+def check_refused(context) -> None:
+    """Check whom the memory refuses."""
+    assert context.suspects.is_refused("guilty")
+    assert not context.suspects.is_refused("innocent")
+
+
+@then("each part got its share within {percent:d} percent")
+def check_shares(context, percent: int) -> None:
+    """Compare counts with weights."""
+    for part in context.route.parts:
+        share = context.chosen.count(part.service) / len(context.chosen) * 100
+        assert abs(share - part.weight) <= percent, (part, share)
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -73,6 +73,7 @@
         self.silent_heartbeats = False
         self.draining = False
         self.lost_share = 0.0
+        self.requests: list[Request] = []
         self.runs: list[Run] = []
         self.cut: list[str] = []
         self.held: list[Held] = []
@@ -144,6 +145,7 @@
 
     def _run(self, request: Request, attempt_id: str, key: int) -> Reply:
         began_ns = self._clock.now_ns()
+        self.requests.append(request)
         self._working[id(request)] = key
         try:
             gevent.sleep(self.work_ms / 1000)
