--- a/features/support/mesh_builders.py
+++ b/features/support/mesh_builders.py
@@ -75,11 +75,9 @@
         store=store,
         heartbeat_interval_ms=300,
         max_hold_ms=10000,
-        drain_timeout_ms=2000,
         shutdown_ms=6000,
         retry_ratio=0.2,
         retry_slack=60,
-        cold_factor=1.5,
     )
     return settings._replace(**changes)
 
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -132,8 +132,6 @@
     store: tuple[str, int]
     heartbeat_interval_ms: int
     max_hold_ms: int
-    drain_timeout_ms: int
     shutdown_ms: int
     retry_ratio: float
     retry_slack: float
-    cold_factor: float
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -128,7 +128,9 @@
             # The target may have left, or the key moved, while the request waited.
             self._check(request)
             waited_ms = (sent_ns - began_ns) / NS_PER_MS
-            answer = self._exchange(request, request.remaining_ms - waited_ms)
+            answer = self._exchange(
+                request, fingerprint, request.remaining_ms - waited_ms
+            )
             served_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
             self._service_ms.observe(served_ms)
         finally:
@@ -168,7 +170,9 @@
         ):
             raise RefusalError(Code.NOT_OWNER, "", MOVING_RETRY_MS)
 
-    def _exchange(self, request: Forward, remaining_ms: float) -> Answer:
+    def _exchange(
+        self, request: Forward, fingerprint: str, remaining_ms: float
+    ) -> Answer:
         if remaining_ms < RETURN_MS:
             raise RefusalError(Code.DEADLINE_PASSED)
         headers = [pair for pair in request.headers if pair[0] != REMAINING]
@@ -176,9 +180,6 @@
         headers.append((REMAINING, str(int(remaining_ms - RETURN_MS))))
         headers.append((EXPECTED_INSTANCE, self._target.instance))
         name = self._target.name
-        fingerprint = create_fingerprint(
-            request.method, request.path, request.key, request.body
-        )
         self.in_flight[id(request)] = fingerprint
         try:
             return self.exchanges.run(
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -47,11 +47,9 @@
         store=checker.read_address("store"),
         heartbeat_interval_ms=checker.read_integer("heartbeat_interval_ms", 1, MAX_MS),
         max_hold_ms=checker.read_integer("max_hold_ms", 1, MAX_MS),
-        drain_timeout_ms=checker.read_integer("drain_timeout_ms", 0, MAX_MS),
         shutdown_ms=int(checker.read_number("shutdown_s", 0, MAX_MS) * 1000),
         retry_ratio=checker.read_number("retry_ratio", 0, MAX_RATIO),
         retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
-        cold_factor=checker.read_number("cold_factor", 0, MAX_RATIO),
     )
     checker.close()
     return settings
