Go on from writes of one's own term that take effect late

Cause: a renewal without an answer that took effect later changed the revision; the next one was refused and the term given up, and a table could not be written again. Test first: writes that take effect 300 ms late for 3 s; it failed with another epoch.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -78,3 +78,11 @@
     And a node that does not coordinate is killed and starts again after 300 ms
     Then a request for one of its keys is done within 3000 ms of the start
     And no key was held by two targets
+
+  Scenario: Writes that take effect late end neither a term nor the moves
+    Given a mesh of 3 keyed targets
+    When writes of the node that coordinates take effect 300 ms late for 3 s
+    And a target begins to drain
+    Then all of its keys are held by others within 8 s
+    And the same node coordinates in the same epoch
+    And no key was held by two targets
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -372,3 +372,29 @@
     node = context.mesh.nodes[context.name]
     zone = context.place.settings.zone
     context.mesh.wait_until(lambda: zone in node.zones_out, seconds)
+
+
+@when(
+    "writes of the node that coordinates take effect {late_ms:d} ms late "
+    "for {seconds:d} s"
+)
+def delay_writes(context, late_ms: int, seconds: int) -> None:
+    """Let the coordinator's writes take effect late, without an answer."""
+    mesh = context.mesh
+    context.name = mesh.find_coordinator()
+    context.epoch = mesh.nodes[context.name].coordinator.epoch
+    front = mesh.find_place(context.name).front
+    front.late, front.late_s = 1.0, late_ms / 1000
+
+    def mend() -> None:
+        front.late = 0.0
+
+    gevent.spawn_later(seconds, mend)
+
+
+@then("the same node coordinates in the same epoch")
+def check_same_epoch(context) -> None:
+    """Check that there was no election."""
+    mesh = context.mesh
+    assert mesh.find_coordinator() == context.name
+    assert mesh.nodes[context.name].coordinator.epoch == context.epoch
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -173,7 +173,9 @@
                     self._lock.revision,
                     TERM_RENEW_S,
                 )
-            except ConflictError:
+            except ConflictError as error:
+                if self._adopt_own(error.current):
+                    continue
                 log.warning("term lost", epoch=self.epoch)
                 self.leading = False
                 return
@@ -185,6 +187,16 @@
             self._until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
             gevent.sleep(TERM_RENEW_S)
 
+    def _adopt_own(self, current: Stored | None) -> bool:
+        """Go on from an earlier renewal of this term that took effect late."""
+        if current is None or current.value["released"]:
+            return False
+        holder = (current.value["process"], current.value["epoch"])
+        if holder != (self._node.process, self.epoch):
+            return False
+        self._lock = current
+        return True
+
     def run_plans(self) -> None:
         """Decide on ownership whenever something has changed."""
         while self.leading:
@@ -391,12 +403,18 @@
             "rows": [list(row._replace(next_node="")) for row in rows],
         }
         stored = self._stored.get(service)
-        if stored is None:
-            written = self._store.create(TABLE_KIND, service, value, WRITE_TIMEOUT_S)
-        else:
-            written = self._store.replace(
-                TABLE_KIND, service, value, stored.revision, WRITE_TIMEOUT_S
-            )
+        try:
+            if stored is None:
+                written = self._store.create(
+                    TABLE_KIND, service, value, WRITE_TIMEOUT_S
+                )
+            else:
+                written = self._store.replace(
+                    TABLE_KIND, service, value, stored.revision, WRITE_TIMEOUT_S
+                )
+        except ConflictError as error:
+            self._adopt_late_table(service, error.current)
+            raise
         before = self.board.tables.get(service, [])
         for row in rows:
             if row not in before:
@@ -413,6 +431,17 @@
         self._counters.count("table_writes")
         self._change(tables={**self.board.tables, service: rows})
 
+    def _adopt_late_table(self, service: str, current: Stored | None) -> None:
+        """Go on from an earlier write of this term that took effect late.
+
+        What it says was never published, so the next write may replace it.
+        """
+        if current is not None and current.value["epoch"] == self.epoch:
+            self._stored[service] = current
+        else:
+            log.warning("table lost", service=service, epoch=self.epoch)
+            self.leading = False
+
     def _forget_released(self, service: str, row: Row) -> None:
         self._released[service] = [
             item
