--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -371,7 +371,7 @@
                     keys=f"{row.start}-{row.end}",
                     about=row.node_id,
                     receiver=row.next_node,
-                    load=round(ownership.measure_piece(row, facts), 2),
+                    load=round(ownership.measure_row(row, facts), 2),
                 )
 
     def _gather(self, service: str, rows: list[Row]) -> ownership.Facts:
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -3,7 +3,6 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from knapweedrock.mesh.holds import overlaps
 from knapweedrock.mesh.messages import Member, Row, RowLoad
 
 KEYS = 65536
@@ -87,13 +86,21 @@
 
 
 def measure_row(row: Row, facts: Facts) -> float:
-    """Measure the load of a row in requests at the target at once."""
-    width = row.end - row.start + 1
-    load = IDLE_LOAD * width / KEYS
+    """Measure the load of a row, or of a part of it, in requests at the target at once.
+
+    The cuts of a measured row divide its load into equal parts.
+    """
+    load = IDLE_LOAD * (row.end - row.start + 1) / KEYS
     for known in facts.loads.get(row.node_id, ()):
-        if overlaps(row, known):
-            common = min(row.end, known.end) - max(row.start, known.start) + 1
-            load += known.load * common / (known.end - known.start + 1)
+        edges = [known.start, *known.cuts, known.end + 1]
+        part = known.load / (len(edges) - 1)
+        for first, after in zip(edges, edges[1:], strict=False):
+            if after <= first:
+                # Cuts that fall together: one key bears more than a part.
+                load += part if row.start <= first <= row.end else 0
+                continue
+            common = min(row.end, after - 1) - max(row.start, first) + 1
+            load += part * max(common, 0) / (after - first)
     return load
 
 
@@ -274,7 +281,7 @@
         if row.node_id != giver or row.next_node:
             continue
         for piece in list_runs(row, facts):
-            load = measure_piece(piece, facts)
+            load = measure_row(piece, facts)
             width = (piece.end - piece.start + 1) / KEYS
             miss = abs(load - wanted) + MOVE_COST * width
             if load <= wanted * 1.5 and (best is None or miss < best[0]):
@@ -308,22 +315,6 @@
     ]
 
 
-def measure_piece(piece: Row, facts: Facts) -> float:
-    """Measure the load of a piece by the equal parts that the cuts make."""
-    load = IDLE_LOAD * (piece.end - piece.start + 1) / KEYS
-    for known in facts.loads.get(piece.node_id, ()):
-        edges = [known.start, *known.cuts, known.end + 1]
-        part = known.load / (len(edges) - 1)
-        for first, after in zip(edges, edges[1:], strict=False):
-            if after <= first:
-                # Cuts that fall together: one key bears more than a part.
-                load += part if piece.start <= first <= piece.end else 0
-                continue
-            common = min(piece.end, after - 1) - max(piece.start, first) + 1
-            load += part * max(common, 0) / (after - first)
-    return load
-
-
 def merge_rows(rows: list[Row]) -> list[Row]:
     """Join neighbours that one start of a target owns under one token."""
     found = rows[:1]
