Read the change once more: one step for two, and no code that nothing runs

Sharing a row out among the least loaded stood in two functions, creating or replacing an object in two places of the coordinator; the probes' loop of the node was defined twice, and a counter and a flag were never read.

--- a/knapweedrock/mesh/choice.py
+++ b/knapweedrock/mesh/choice.py
@@ -70,7 +70,7 @@
             load *= peer.latency_ms / usual_ms
             load += 0.2
         if member.zone != self._zone:
-            load = max(load, 0) + FAR_PENALTY
+            load += FAR_PENALTY
         elif load < NEAR_LOAD:
             load *= 0.5
         if now_ns - peer.failed_ns < FAILURE_MEMORY_MS * NS_PER_MS and peer.failed_ns:
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -106,14 +106,9 @@
         epoch = int(found.value["epoch"]) + 1 if found else 1
         value = self._describe_term(epoch, 0)
         try:
-            if found is None:
-                lock = self._store.create(
-                    LEADER_KIND, LEADER_NAME, value, WRITE_TIMEOUT_S
-                )
-            else:
-                lock = self._store.replace(
-                    LEADER_KIND, LEADER_NAME, value, found.revision, WRITE_TIMEOUT_S
-                )
+            lock = self._store.put(
+                LEADER_KIND, LEADER_NAME, value, found, WRITE_TIMEOUT_S
+            )
             self._stored = self._load_tables(epoch)
         except PlatformError as error:
             log.info("claim failed", epoch=epoch, reason=error.detail)
@@ -404,14 +399,9 @@
         }
         stored = self._stored.get(service)
         try:
-            if stored is None:
-                written = self._store.create(
-                    TABLE_KIND, service, value, WRITE_TIMEOUT_S
-                )
-            else:
-                written = self._store.replace(
-                    TABLE_KIND, service, value, stored.revision, WRITE_TIMEOUT_S
-                )
+            written = self._store.put(
+                TABLE_KIND, service, value, stored, WRITE_TIMEOUT_S
+            )
         except ConflictError as error:
             self._adopt_late_table(service, error.current)
             raise
--- a/knapweedrock/mesh/exchanges.py
+++ b/knapweedrock/mesh/exchanges.py
@@ -1,7 +1,5 @@
 """Exchanges with the target: pooled connections and answers that are checked."""
 
-import itertools
-
 from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
@@ -44,7 +42,6 @@
         self._counters = counters
         self._idle: list[Connection] = []
         self._open = 0
-        self._numbers = itertools.count(1)
 
     def drop_idle(self) -> None:
         """Close all idle connections."""
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -220,7 +220,6 @@
         self.sock = sock
         self.idle_since_ns = 0
         self.idle_limit_ns = 0
-        self.used = False
 
     def send(self, data: bytes, timeout_s: float) -> None:
         """Send the bytes of a request; raises `OSError`."""
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -217,13 +217,6 @@
             gevent.spawn(self.gateway.probe)
         self._was_out = is_out
 
-    def _run_probes(self) -> None:
-        while True:
-            gevent.sleep(PROBE_S)
-            target = self.target
-            if target.name and (target.is_late() or target.dead):
-                self.gateway.probe()
-
     def _run_loads(self) -> None:
         while True:
             gevent.sleep(INTERVAL_MS / 1000)
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -153,13 +153,20 @@
         if stays or owner is None or owner.state == "absent":
             found.append(row)
             continue
-        for piece in cut_row(row, facts):
-            next_node = choose_least(totals, facts)
-            totals[next_node] += measure_row(piece, facts)
-            found.append(piece._replace(next_node=next_node))
+        found += share_out(row, totals, facts)
     return found
 
 
+def share_out(row: Row, totals: dict[str, float], facts: Facts) -> list[Row]:
+    """Mark the parts of a row for the least loaded members, and count them there."""
+    marked = []
+    for piece in cut_row(row, facts):
+        next_node = choose_least(totals, facts)
+        totals[next_node] += measure_row(piece, facts)
+        marked.append(piece._replace(next_node=next_node))
+    return marked
+
+
 def mark_free(rows: list[Row], facts: Facts) -> list[Row]:
     """Name the next owners of rows that nobody holds any more.
 
@@ -177,10 +184,7 @@
         if row.node_id in totals:
             found.append(row._replace(next_node=row.node_id))
             continue
-        for piece in cut_row(row, facts):
-            next_node = choose_least(totals, facts)
-            totals[next_node] += measure_row(piece, facts)
-            found.append(piece._replace(next_node=next_node))
+        found += share_out(row, totals, facts)
     return found
 
 
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -132,6 +132,19 @@
         }
         return self._write("PUT", f"/objects/{kind}/{name}", body, timeout_s)
 
+    def put(
+        self,
+        kind: str,
+        name: str,
+        value: Any,
+        known: Stored | None,
+        timeout_s: float,
+    ) -> Stored:
+        """Replace an object as it is known, or create it where none is known."""
+        if known is None:
+            return self.create(kind, name, value, timeout_s)
+        return self.replace(kind, name, value, known.revision, timeout_s)
+
     def _write(self, method: str, path: str, body: Any, timeout_s: float) -> Stored:
         """Write until it is known whether the write took effect.
 
