Split the coordinator: the term and its tables, publishing, and what is decided

The term (the lock in the store and the tables under its epoch) and the publisher are modules of their own now. `Renew.busy`, which nobody read, is gone.

--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -382,7 +382,7 @@
     """Let the coordinator's writes take effect late, without an answer."""
     mesh = context.mesh
     context.name = mesh.find_coordinator()
-    context.epoch = mesh.nodes[context.name].coordinator.epoch
+    context.epoch = mesh.nodes[context.name].coordinator.term.epoch
     front = mesh.find_place(context.name).front
     front.late, front.late_s = 1.0, late_ms / 1000
 
@@ -397,4 +397,4 @@
     """Check that there was no election."""
     mesh = context.mesh
     assert mesh.find_coordinator() == context.name
-    assert mesh.nodes[context.name].coordinator.epoch == context.epoch
+    assert mesh.nodes[context.name].coordinator.term.epoch == context.epoch
--- a/features/support/mesh_harness.py
+++ b/features/support/mesh_harness.py
@@ -87,7 +87,7 @@
     def find_coordinator(self) -> str:
         """Return the name of the node that coordinates, or nothing."""
         for name, node in self.nodes.items():
-            if node.coordinator.has_authority():
+            if node.coordinator.term.has_authority():
                 return name
         return ""
 
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -10,7 +10,6 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, PlatformError, RefusalError
 from knapweedrock.mesh.boards import apply_change
-from knapweedrock.mesh.coordinator import LEADER_NAME, TERM_MS
 from knapweedrock.mesh.messages import (
     BoardChange,
     Member,
@@ -20,6 +19,7 @@
     Row,
 )
 from knapweedrock.mesh.ownership import find_cuts
+from knapweedrock.mesh.terms import LEADER_NAME, TERM_MS
 from knapweedrock.platform.documents import LEADER_KIND
 from knapweedrock.platform.store import Stored
 
@@ -96,11 +96,10 @@
             [tuple(item) for item in released],
             [(row.start, row.end, row.token) for row in unheld],
             self._measure_loads(rows),
-            round(self._node.gateway.admission.get_busy(), 2),
             self._node.target.get_age_ms(),
         )
         try:
-            if self._node.coordinator.has_authority():
+            if self._node.coordinator.term.has_authority():
                 answer = self._node.coordinator.renew(request)
             else:
                 leader = self._leader or self._node.board.coordinator
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -122,9 +122,8 @@
 
     `released` lists keys that the target has let go since the last answer, as
     `(start, end, handover)`; `unheld` lists rows that it surely does not hold and
-    never grants again, as `(start, end, token)`. `busy` is the number of requests at
-    the target and in its queue for each slot, `heartbeat_ms` the age of the target's
-    last heartbeat.
+    never grants again, as `(start, end, token)`. `heartbeat_ms` is the age of the
+    target's last heartbeat.
     """
 
     member: Member
@@ -135,7 +134,6 @@
     released: list[tuple[int, int, str]]
     unheld: list[tuple[int, int, int]]
     loads: list[RowLoad]
-    busy: float
     heartbeat_ms: int
 
 
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -167,7 +167,7 @@
     def abort(self) -> None:
         """End at once, as a killed process does."""
         self.closing = True
-        self.coordinator.leading = False
+        self.coordinator.term.leading = False
         gevent.killall(self._tasks, block=False)
         self.follower.stop()
         self.links.abort()
@@ -179,7 +179,7 @@
         began_ns = self.clock.now_ns()
         self.closing = True
         log.info("node stops", in_flight=self.callers.in_flight)
-        gevent.spawn(self.coordinator.resign)
+        gevent.spawn(self.coordinator.term.resign)
         end_ns = began_ns + (
             (self.settings.shutdown_ms - SHUTDOWN_MARGIN_MS) * NS_PER_MS
         )
--- a/knapweedrock/mesh/pages.py
+++ b/knapweedrock/mesh/pages.py
@@ -52,7 +52,7 @@
         counters.gauge("rows_granted", len(self._node.holds.granted.rows))
         counters.gauge("board_epoch", self._node.board.epoch)
         counters.gauge("board_version", self._node.board.version)
-        counters.gauge("coordinating", int(self._node.coordinator.has_authority()))
+        counters.gauge("coordinating", int(self._node.coordinator.term.has_authority()))
         counters.gauge(
             "configuration_version", configuration.version if configuration else 0
         )
--- /dev/null
+++ b/knapweedrock/mesh/publishing.py
@@ -0,0 +1,123 @@
+"""Publishing of the coordinator's boards and configuration to the members."""
+
+from collections.abc import Callable
+
+import gevent
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.mesh.boards import BoardHistory
+from knapweedrock.mesh.following import Follower
+from knapweedrock.mesh.links import Links
+from knapweedrock.mesh.messages import (
+    Board,
+    BoardChange,
+    Member,
+    Publish,
+    PublishConfiguration,
+    Renew,
+)
+
+PUBLISH_TIMEOUT_MS = 500
+# A node that reads the store has a new configuration sooner than this.
+BEHIND_MS = 300
+
+log = Logger("coordinator")
+
+
+class Publisher:
+    """Pushes each new board to every member, as a difference from the one it has."""
+
+    def __init__(
+        self,
+        node_id: str,
+        links: Links,
+        follower: Follower,
+        clock: Clock,
+        is_leading: Callable[[], bool],
+    ) -> None:
+        self._node_id = node_id
+        self._links = links
+        self._follower = follower
+        self._clock = clock
+        self._is_leading = is_leading
+        self._board = Board(0, 0, "", {}, {})
+        self._history = BoardHistory(self._board)
+        # Version that each member is known to have.
+        self._pushed: dict[str, tuple[int, int]] = {}
+        self._publishing: set[str] = set()
+        # Since when a member's configuration is older than the coordinator's, in ns.
+        self._behind_ns: dict[str, int] = {}
+
+    def begin(self, board: Board) -> None:
+        """Publish the first board of a term."""
+        self._history = BoardHistory(board)
+        self._pushed = {}
+        self._board = board
+        self._push_all()
+
+    def publish(self, board: Board) -> None:
+        """Publish a newer board."""
+        self._history.add(board)
+        self._board = board
+        self._push_all()
+
+    def find_change(self, request: Renew) -> BoardChange | None:
+        """Find what a member that renews its lease has not got; None for nothing."""
+        held = (request.epoch, request.version)
+        self._pushed[request.member.node_id] = held
+        if self._get_version() <= held:
+            return None
+        return self._history.find_change(*held)
+
+    def help_follow(self, request: Renew) -> None:
+        """Push the configuration to a node that does not get it from the store."""
+        name, now_ns = request.member.node_id, self._clock.now_ns()
+        message = self._follower.find_news(request)
+        if message is None:
+            self._behind_ns.pop(name, None)
+            return
+        since_ns = self._behind_ns.setdefault(name, now_ns)
+        if now_ns - since_ns > BEHIND_MS * NS_PER_MS:
+            del self._behind_ns[name]
+            gevent.spawn(self._push_configuration, request.member, message)
+
+    def _push_configuration(
+        self, member: Member, message: PublishConfiguration
+    ) -> None:
+        try:
+            self._links.request(member.peer, message, PUBLISH_TIMEOUT_MS)
+            log.info("configuration pushed", about=member.node_id)
+        except KnapweedrockError as error:
+            reason = error.detail
+            log.info("configuration not pushed", about=member.node_id, reason=reason)
+
+    def _push_all(self) -> None:
+        for name, member in self._board.members.items():
+            if name == self._node_id or name in self._publishing:
+                continue
+            self._publishing.add(name)
+            gevent.spawn(self._push, name, member)
+
+    def _push(self, name: str, member: Member) -> None:
+        """Push changes to a member until it has the newest board."""
+        try:
+            while self._is_leading() and self._pushed.get(name) != self._get_version():
+                held = self._pushed.get(name, (0, 0))
+                change = self._history.find_change(*held)
+                answer = self._links.request(
+                    member.peer, Publish(change), PUBLISH_TIMEOUT_MS
+                )
+                self._pushed[name] = (answer.epoch, answer.version)
+                if answer.epoch > self._board.epoch:
+                    return
+        except KnapweedrockError as error:
+            # It gets the board with its next lease.
+            self._pushed.pop(name, None)
+            log.debug("board not pushed", about=name, reason=error.detail)
+        finally:
+            self._publishing.discard(name)
+
+    def _get_version(self) -> tuple[int, int]:
+        return self._board.epoch, self._board.version
--- /dev/null
+++ b/knapweedrock/mesh/terms.py
@@ -0,0 +1,180 @@
+"""The right to coordinate: an object in the platform's store that its holder renews."""
+
+import gevent
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.errors import PlatformError
+from knapweedrock.mesh.messages import Row
+from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
+from knapweedrock.platform.store import ConflictError, Store, Stored
+
+LEADER_NAME = "coordinator"
+# Time for which a renewal of the right to coordinate counts.
+TERM_MS = 4000
+TERM_MARGIN_MS = 300
+RENEW_S = 1.0
+RETRY_S = 0.3
+WRITE_TIMEOUT_S = 1.5
+# Time without a renewal after which the store is taken for away.
+STORE_DOUBT_MS = 1500
+
+log = Logger("coordinator")
+
+
+class Term:
+    """One node's right to coordinate, and the tables as it last wrote them."""
+
+    def __init__(
+        self, node_id: str, process: str, peer: str, store: Store, clock: Clock
+    ) -> None:
+        self.leading = False
+        self.epoch = 0
+        self._node_id = node_id
+        self._process = process
+        self._peer = peer
+        self._store = store
+        self._clock = clock
+        self._lock: Stored | None = None
+        self._until_ns = 0
+        self._renewed_ns = 0
+        self._tables: dict[str, Stored] = {}
+
+    def has_authority(self) -> bool:
+        """Tell whether the right still counts."""
+        return self.leading and self._clock.now_ns() < self._until_ns
+
+    def is_store_away(self) -> bool:
+        """Tell whether the last renewal is too old for the store to be there."""
+        silent_ns = self._clock.now_ns() - self._renewed_ns
+        return silent_ns > STORE_DOUBT_MS * NS_PER_MS
+
+    def claim(self, found: Stored | None) -> bool:
+        """Try to take the right; `found` is the object as last read."""
+        sent_ns = self._clock.now_ns()
+        epoch = int(found.value["epoch"]) + 1 if found else 1
+        value = self._describe(epoch, 0)
+        try:
+            lock = self._store.put(
+                LEADER_KIND, LEADER_NAME, value, found, WRITE_TIMEOUT_S
+            )
+            self._tables = self._take_tables(epoch)
+        except PlatformError as error:
+            log.info("claim failed", epoch=epoch, reason=error.detail)
+            return False
+        self._lock = lock
+        self.epoch = epoch
+        self.leading = True
+        self._note_renewed(sent_ns)
+        return True
+
+    def resign(self) -> None:
+        """Give the right up, so that another node can take it at once."""
+        if not self.leading:
+            return
+        self.leading = False
+        value = {**self._describe(self.epoch, 0), "released": True}
+        try:
+            self._store.replace(
+                LEADER_KIND, LEADER_NAME, value, self._lock.revision, WRITE_TIMEOUT_S
+            )
+            log.info("term given up", epoch=self.epoch)
+        except PlatformError as error:
+            log.warning("term not given up", reason=error.detail)
+
+    def run(self) -> None:
+        """Renew the right until it is lost."""
+        number = 0
+        while self.leading:
+            number += 1
+            sent_ns = self._clock.now_ns()
+            try:
+                self._lock = self._store.replace(
+                    LEADER_KIND,
+                    LEADER_NAME,
+                    self._describe(self.epoch, number),
+                    self._lock.revision,
+                    RENEW_S,
+                )
+            except ConflictError as error:
+                if self._adopt_own(error.current):
+                    continue
+                log.warning("term lost", epoch=self.epoch)
+                self.leading = False
+                return
+            except PlatformError as error:
+                log.warning("term not renewed", reason=error.detail)
+                gevent.sleep(RETRY_S)
+                continue
+            self._note_renewed(sent_ns)
+            gevent.sleep(RENEW_S)
+
+    def list_tables(self) -> dict[str, list[Row]]:
+        """Return the rows of each service as they stand in the store."""
+        return {
+            service: [Row(*row) for row in stored.value["rows"]]
+            for service, stored in self._tables.items()
+        }
+
+    def write_table(self, service: str, rows: list[Row]) -> None:
+        """Write a service's rows; raises `PlatformError`.
+
+        A write that meets a table of another epoch ends the term.
+        """
+        value = {
+            "epoch": self.epoch,
+            "rows": [list(row._replace(next_node="")) for row in rows],
+        }
+        known = self._tables.get(service)
+        try:
+            self._tables[service] = self._store.put(
+                TABLE_KIND, service, value, known, WRITE_TIMEOUT_S
+            )
+        except ConflictError as error:
+            self._adopt_late_table(service, error.current)
+            raise
+
+    def _note_renewed(self, sent_ns: int) -> None:
+        self._renewed_ns = sent_ns
+        self._until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
+
+    def _describe(self, epoch: int, number: int) -> dict:
+        return {
+            "epoch": epoch,
+            "node": self._node_id,
+            "process": self._process,
+            "peer": self._peer,
+            "number": number,
+            "released": False,
+        }
+
+    def _take_tables(self, epoch: int) -> dict[str, Stored]:
+        """Put the epoch into each table, so that a former coordinator's writes fail."""
+        found = {}
+        for item in self._store.list_kind(TABLE_KIND).items:
+            value = {**item.value, "epoch": epoch}
+            found[item.name] = self._store.replace(
+                TABLE_KIND, item.name, value, item.revision, WRITE_TIMEOUT_S
+            )
+        return found
+
+    def _adopt_own(self, current: Stored | None) -> bool:
+        """Go on from an earlier renewal of this term that took effect late."""
+        if current is None or current.value["released"]:
+            return False
+        holder = (current.value["process"], current.value["epoch"])
+        if holder != (self._process, self.epoch):
+            return False
+        self._lock = current
+        return True
+
+    def _adopt_late_table(self, service: str, current: Stored | None) -> None:
+        """Go on from an earlier write of this term that took effect late.
+
+        What it says was never published, so the next write may replace it.
+        """
+        if current is not None and current.value["epoch"] == self.epoch:
+            self._tables[service] = current
+        else:
+            log.warning("table lost", service=service, epoch=self.epoch)
+            self.leading = False
