--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -95,7 +95,7 @@
 )
 def serve(settings_file: Path) -> Any:
     """Run a node of the mesh beside a target that holds its keys."""
-    from knapweedrock.mesh.node import run_node
+    from knapweedrock.mesh.process import run_node
 
     run_node(settings_file)
 
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -17,11 +17,15 @@
 
     def __init__(self, clock: Clock, ratio: float, slack: float) -> None:
         self._clock = clock
-        self._ratio = ratio * USED_SHARE
-        self._slack = slack * USED_SHARE
+        self.change(ratio, slack)
         self._requests: deque[int] = deque()
         self._repeats: deque[int] = deque()
 
+    def change(self, ratio: float, slack: float) -> None:
+        """Allow another share of the requests, and another number beyond it."""
+        self._ratio = ratio * USED_SHARE
+        self._slack = slack * USED_SHARE
+
     def count_request(self) -> None:
         """Count a request for the service."""
         self._requests.append(self._clock.now_ns())
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -29,7 +29,7 @@
         self.granted = Granted("", (), 0)
         self.released: list[Released] = []
         self.lease_until_ns = 0
-        self._max_hold_ms = max_hold_ms
+        self.max_hold_ms = max_hold_ms
         self._heartbeat: Heartbeat | None = None
         self._lapse_ns = 0
         self._given_up: list[Row] = []
@@ -46,7 +46,7 @@
         self._heartbeat = heartbeat
         self.released += heartbeat.released
         left_ms = (self.lease_until_ns - now_ns) / NS_PER_MS
-        hold_ms = int(min(self._max_hold_ms, left_ms * CLOCK_RATE - GRANT_MARGIN_MS))
+        hold_ms = int(min(self.max_hold_ms, left_ms * CLOCK_RATE - GRANT_MARGIN_MS))
         if hold_ms < MIN_HOLD_MS:
             return HeartbeatReply(None, 0)
         own = () if heartbeat.draining else self.find_own(rows, heartbeat.target)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -1,15 +1,12 @@
 """A node of the mesh: its parts, its tasks, and how it starts and stops."""
 
-import signal
 import uuid
-from pathlib import Path
 
 import gevent
 from gevent.event import Event
 from logbook import Logger
-from logbook.concurrency import enable_gevent
 
-from knapweedrock.clock import NS_PER_MS, Clock, create_clock
+from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.admission import Admission
@@ -39,10 +36,9 @@
     Row,
 )
 from knapweedrock.mesh.metrics import Histograms
-from knapweedrock.mesh.output import create_output
 from knapweedrock.mesh.pages import create_servers
 from knapweedrock.mesh.routing import Router
-from knapweedrock.mesh.settings import read_settings
+from knapweedrock.mesh.settings import take_live
 from knapweedrock.mesh.targets import ASSUMED_COLD_MS, Target
 from knapweedrock.nodes.messages import Done
 from knapweedrock.platform.store import Store
@@ -164,6 +160,20 @@
         """Wait for a newer board."""
         self._board_news.wait(timeout_s)
 
+    def change_settings(self, found: NodeSettings) -> None:
+        """Take up changed settings; those that need a restart are named in the log."""
+        settings, kept = take_live(self.settings, found)
+        if kept:
+            log.warning("settings need a restart", names=",".join(kept))
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self.store.move(settings.store)
+        self.target.heartbeat_interval_ms = settings.heartbeat_interval_ms
+        self.holds.max_hold_ms = settings.max_hold_ms
+        self.router.set_budget(settings.retry_ratio, settings.retry_slack)
+        log.info("settings changed", settings=settings._asdict())
+
     def abort(self) -> None:
         """End at once, as a killed process does."""
         self.closing = True
@@ -248,37 +258,3 @@
             self.links.request(peer, message, CRASH_TIMEOUT_MS)
         except KnapweedrockError as error:
             log.info("crash not told", peer=peer, reason=error.detail)
-
-
-def create_node(settings: NodeSettings) -> Node:
-    """Create a node with all its parts, not started yet."""
-    return Node(settings, create_clock())
-
-
-def run_node(path: Path) -> None:
-    """Run a node until SIGTERM or SIGINT, then stop in order."""
-    settings = read_settings(path)
-    enable_gevent()
-    output = create_output(settings.node_id)
-    with output.applicationbound():
-        node = create_node(settings)
-        leave = Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, leave.set)
-        gevent.signal_handler(signal.SIGHUP, reload_settings, node, path)
-        node.start()
-        leave.wait()
-        node.stop()
-    output.flush_now()
-
-
-def reload_settings(node: Node, path: Path) -> None:
-    """Check the settings anew; wrong ones are reported and the old ones kept."""
-    try:
-        found = read_settings(path)
-    except ExceptionGroup as group:
-        for error in group.exceptions:
-            log.error("settings not taken", reason=error)
-        return
-    log.info("settings read anew", changed=found != node.settings)
-    node.settings = found
--- /dev/null
+++ b/knapweedrock/mesh/process.py
@@ -0,0 +1,74 @@
+"""The process of a node: from its settings file to its end, with reloads between."""
+
+import signal
+from pathlib import Path
+
+import gevent
+from gevent.event import Event
+from logbook import Logger
+from logbook.concurrency import enable_gevent
+
+from knapweedrock.clock import create_clock
+from knapweedrock.mesh.definitions import NodeSettings
+from knapweedrock.mesh.node import Node
+from knapweedrock.mesh.output import create_output
+from knapweedrock.mesh.settings import parse_settings, read_file
+
+# The file may change without a signal; it is looked at this often.
+CHECK_S = 2.0
+
+log = Logger("node")
+
+
+class Reloader:
+    """Takes up changes of a settings file while its node runs."""
+
+    def __init__(self, node: Node, path: Path, text: str) -> None:
+        self._node = node
+        self._path = path
+        self._text = text
+
+    def run(self) -> None:
+        """Look for changes again and again."""
+        while True:
+            gevent.sleep(CHECK_S)
+            self.reload()
+
+    def reload(self) -> None:
+        """Read the file; wrong settings are reported and the old ones kept."""
+        try:
+            text = read_file(self._path)
+            if text == self._text:
+                return
+            self._text = text
+            found = parse_settings(text)
+        except ExceptionGroup as group:
+            for error in group.exceptions:
+                log.error("settings not taken", reason=error)
+            return
+        self._node.change_settings(found)
+
+
+def create_node(settings: NodeSettings) -> Node:
+    """Create a node with all its parts, not started yet."""
+    return Node(settings, create_clock())
+
+
+def run_node(path: Path) -> None:
+    """Run a node until SIGTERM or SIGINT, then stop in order."""
+    text = read_file(path)
+    settings = parse_settings(text)
+    enable_gevent()
+    output = create_output(settings.node_id)
+    with output.applicationbound():
+        node = create_node(settings)
+        leave = Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, leave.set)
+        reloader = Reloader(node, path, text)
+        gevent.signal_handler(signal.SIGHUP, reloader.reload)
+        node.start()
+        gevent.spawn(reloader.run)
+        leave.wait()
+        node.stop()
+    output.flush_now()
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -99,6 +99,11 @@
         self._turns: dict[str, int] = {}
         self._latencies = node.histograms.create("request_ms")
 
+    def set_budget(self, ratio: float, slack: float) -> None:
+        """Change the budget of repeats of all services."""
+        for budget in self._budgets.values():
+            budget.change(ratio, slack)
+
     def serve(self, request: Request, address: str) -> Reply:
         """Answer one request of a caller at an address."""
         configuration = self._node.configuration
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -7,17 +7,37 @@
 from knapweedrock.mesh.definitions import NodeSettings
 
 VARIABLES = "KNAPWEEDROCK_SERVE"
+# Settings that a running node takes up; all others need a restart.
+LIVE = frozenset(
+    {
+        "store",
+        "heartbeat_interval_ms",
+        "max_hold_ms",
+        "shutdown_ms",
+        "retry_ratio",
+        "retry_slack",
+    }
+)
 MAX_MS = 3_600_000
 MAX_RATIO = 1000.0
 
 
-def read_settings(path: Path) -> NodeSettings:
-    """Read and check all settings; raise an ExceptionGroup with every error."""
+def read_file(path: Path) -> str:
+    """Read a settings file; raise an ExceptionGroup where it can't be read."""
     try:
-        text = path.read_text()
-    except OSError as error:
+        return path.read_text()
+    except (OSError, UnicodeError) as error:
         wrong = SettingError("--settings-file", str(path), f"a file: {error}")
         raise ExceptionGroup("settings", [wrong]) from error
+
+
+def read_settings(path: Path) -> NodeSettings:
+    """Read and check all settings; raise an ExceptionGroup with every error."""
+    return parse_settings(read_file(path))
+
+
+def parse_settings(text: str) -> NodeSettings:
+    """Check the settings of a text; raise an ExceptionGroup with every error."""
     return create_settings(parse_variables(text))
 
 
@@ -63,3 +83,14 @@
 def read_optional_address(checker: Checker, name: str) -> Address | None:
     """Read an address that may be missing."""
     return checker.read_address(name) if checker.given.get(name) else None
+
+
+def take_live(old: NodeSettings, new: NodeSettings) -> tuple[NodeSettings, list[str]]:
+    """Return the old settings with what may change live, and what needs a restart."""
+    changed = {
+        name: value
+        for name, value in new._asdict().items()
+        if value != getattr(old, name)
+    }
+    live = {name: value for name, value in changed.items() if name in LIVE}
+    return old._replace(**live), sorted(changed.keys() - live.keys())
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -28,6 +28,7 @@
         self.dead = ""
         self.slots = 0
         self.heard_ns = 0
+        self.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self._settings = settings
         self._clock = clock
         self._admission = admission
@@ -55,7 +56,7 @@
 
     def is_late(self) -> bool:
         """Tell whether a heartbeat is overdue."""
-        limit_ms = LATE_INTERVALS * self._settings.heartbeat_interval_ms
+        limit_ms = LATE_INTERVALS * self.heartbeat_interval_ms
         return self.get_age_ms() > limit_ms
 
     def take(self, heartbeat: Heartbeat) -> bool:
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -80,6 +80,14 @@
         self._counters = counters
         self._idle: list[Connection] = []
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Make all later calls at another address."""
+        if address == self._address:
+            return
+        self._address = address
+        while self._idle:
+            self._idle.pop().close()
+
     def get(
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> Stored | None:
