Break connections in the soak: delayed, reset, cut one way, silenced

Proxies on loopback stand before each node's listeners for peers, callers and heartbeats. PEER_LISTEN lets a node listen elsewhere than where its peers dial it.

--- a/features/steps/mesh_soak.py
+++ b/features/steps/mesh_soak.py
@@ -16,7 +16,7 @@
 def run_soak(context, vms: int, rate: int, seed: int, seconds: int) -> None:
     """Run the soak of a seed."""
     context.soak = Soak(seed, vms, rate)
-    context.add_cleanup(context.soak.mesh.stop)
+    context.add_cleanup(context.soak.stop)
     context.soak.run(seconds)
 
 
@@ -24,7 +24,7 @@
 def run_freezes(context, seconds: int) -> None:
     """Run a soak that ends while a node is frozen."""
     context.soak = Soak(3, 2, 20, "freeze_node")
-    context.add_cleanup(context.soak.mesh.stop)
+    context.add_cleanup(context.soak.stop)
     context.soak.run(seconds)
 
 
--- a/features/support/mesh_processes.py
+++ b/features/support/mesh_processes.py
@@ -84,6 +84,8 @@
     fields["shutdown_s"] = fields.pop("shutdown_ms") / 1000
     lines = []
     for name, value in fields.items():
+        if value is None:
+            continue
         shown = "{}:{}".format(*value) if isinstance(value, tuple) else value
         lines.append(f"KNAPWEEDROCK_SERVE_{name.upper()}={shown}")
     return "\n".join(lines) + "\n"
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -8,10 +8,12 @@
 
 import gevent
 
+from features.support.mesh_builders import create_address
 from features.support.mesh_harness import Place
 from features.support.mesh_processes import ProcessMesh
+from features.support.proxies import Proxy
 from knapweedrock.clock import NS_PER_MS, NS_PER_S
-from knapweedrock.mesh.http import AnswerParser, MalformedMessageError
+from knapweedrock.mesh.http import AnswerParser, MalformedMessageError, dial
 
 KEYS = 65536
 ORDER_SHARE = 0.4
@@ -48,6 +50,10 @@
     def __init__(self, seed: int, vms: int, rate: float, kinds: str = "") -> None:
         """Draw from a seed; `kinds` names the faults, all of them where it is empty."""
         self.mesh = ProcessMesh(vms)
+        # Proxies of each node, by what goes through them.
+        self.proxies: dict[str, dict[str, Proxy]] = {}
+        for number, place in enumerate(self.mesh.places):
+            self.mesh.places[number] = self._add_proxies(place)
         self.sent: list[Sent] = []
         self.faults: list[str] = []
         self.unheld_ms = 0.0
@@ -63,6 +69,8 @@
         """Run load and faults, then let the mesh recover under load."""
         for place in self.mesh.places:
             place.holder.lost_share = 0.01
+        for proxy in self._list_proxies():
+            proxy.start()
         self.mesh.start()
         load = gevent.spawn(self._run_load)
         end_ns = self.mesh.clock.now_ns() + int(seconds * NS_PER_S)
@@ -77,6 +85,12 @@
         load.kill()
         gevent.joinall(self._senders, timeout=4)
 
+    def stop(self) -> None:
+        """End all processes, stand-ins and proxies."""
+        self.mesh.stop()
+        for proxy in self._list_proxies():
+            proxy.stop()
+
     def list_violations(self) -> list[str]:
         """List the promises that were broken."""
         runs = Counter(
@@ -110,6 +124,20 @@
         """Count the requests that were served."""
         return sum(1 for sent in self.sent if sent.status == 200)
 
+    def _add_proxies(self, place: Place) -> Place:
+        """Put proxies before a node's listeners for peers, callers and heartbeats."""
+        settings, listen = place.settings, create_address()
+        found = self.proxies[settings.node_id] = {
+            "peers": Proxy(settings.peer, listen),
+            "callers": Proxy(create_address(), settings.caller),
+            "heartbeats": Proxy(create_address(), settings.heartbeat),
+        }
+        place.holder.set_heartbeat(found["heartbeats"].front)
+        return place._replace(settings=settings._replace(peer_listen=listen))
+
+    def _list_proxies(self) -> list[Proxy]:
+        return [proxy for found in self.proxies.values() for proxy in found.values()]
+
     def _watch_holders(self) -> float:
         """Return the longest time in ms in which some key had no holder."""
         clock = self.mesh.clock
@@ -136,7 +164,7 @@
         data, attempt_id = self.mesh.encode(path, key, method, b"order", 1200)
         status, body = 0, b""
         try:
-            connection = self.mesh.open(name)
+            connection = dial(self.proxies[name]["callers"].front, 2)
             try:
                 connection.send(data, 2)
                 answer = connection.read(AnswerParser(), 3)
@@ -223,6 +251,37 @@
         place.holder.silent_heartbeats = True
         gevent.spawn_later(self._random.uniform(0.5, 9.0), self._mend_target, place)
 
+    def _choose_proxy(self, place: Place) -> Proxy:
+        found = self.proxies[place.settings.node_id]
+        return found[self._random.choice(sorted(found))]
+
+    @fault
+    def delay_connections(self, place: Place) -> None:
+        """Delay what goes one way through a proxy."""
+        proxy = self._choose_proxy(place)
+        way = self._random.choice(proxy.ways)
+        way.delay_s = self._random.uniform(0.02, 0.5)
+        gevent.spawn_later(self._random.uniform(0.5, 4.0), proxy.mend)
+
+    @fault
+    def reset_connections(self, place: Place) -> None:
+        """Reset all connections of a node that go through proxies."""
+        for proxy in self.proxies[place.settings.node_id].values():
+            proxy.reset()
+
+    @fault
+    def cut_one_way(self, place: Place) -> None:
+        """Hold back what goes one way through a proxy, and deliver it later."""
+        proxy = self._choose_proxy(place)
+        self._random.choice(proxy.ways).open.clear()
+        gevent.spawn_later(self._random.uniform(0.5, 7.0), proxy.mend)
+
+    @fault
+    def silence_connections(self, place: Place) -> None:
+        """Let the open connections of a node fall silent for good."""
+        for proxy in self.proxies[place.settings.node_id].values():
+            proxy.silence()
+
     def _mend_store(self, place: Place) -> None:
         front = place.front
         front.status, front.silent, front.lost, front.late = 0, False, 0.0, 0.0
@@ -231,6 +290,8 @@
         place.holder.silent_heartbeats = False
 
     def _mend_everything(self) -> None:
+        for proxy in self._list_proxies():
+            proxy.mend()
         for place in self.mesh.places:
             self._mend_store(place)
             self._mend_target(place)
--- /dev/null
+++ b/features/support/proxies.py
@@ -0,0 +1,97 @@
+"""TCP proxies on loopback that delay, reset, cut or silence what goes through them."""
+
+from contextlib import suppress
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from knapweedrock.sockets import disable_delay
+
+CHUNK_BYTES = 65536
+DIAL_TIMEOUT_S = 2.0
+
+
+class Way:
+    """One direction of a proxy: bytes pass, late or once it is open again."""
+
+    def __init__(self) -> None:
+        self.delay_s = 0.0
+        self.open = Event()
+        self.open.set()
+
+
+class Proxy:
+    """Stands before one address; it breaks the connections through it on request."""
+
+    def __init__(self, front: tuple[str, int], back: tuple[str, int]) -> None:
+        self.front = front
+        self.ways = (Way(), Way())
+        self._address = back
+        self._server = StreamServer(front, self._serve)
+        self._sockets: set[socket.socket] = set()
+        self._silenced: set[socket.socket] = set()
+
+    def start(self) -> None:
+        """Open the listener."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self.mend()
+        self._server.close()
+        self.reset()
+
+    def mend(self) -> None:
+        """Let bytes pass at once again, those that were held back first."""
+        for way in self.ways:
+            way.delay_s = 0.0
+            way.open.set()
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for sock in list(self._sockets):
+            with suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                )
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def silence(self) -> None:
+        """Let every open connection fall silent for good; new ones work."""
+        self._silenced |= self._sockets
+
+    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+        try:
+            other = socket.create_connection(self._address, DIAL_TIMEOUT_S)
+        except OSError:
+            sock.close()
+            return
+        other.settimeout(None)
+        pair = (sock, other)
+        for item in pair:
+            disable_delay(item)
+            self._sockets.add(item)
+        tasks = [
+            gevent.spawn(self._pump, sock, other, self.ways[0]),
+            gevent.spawn(self._pump, other, sock, self.ways[1]),
+        ]
+        gevent.joinall(tasks)
+        for item in pair:
+            self._sockets.discard(item)
+            self._silenced.discard(item)
+            item.close()
+
+    def _pump(self, source: socket.socket, sink: socket.socket, way: Way) -> None:
+        """Carry bytes one way until either end closes."""
+        with suppress(OSError):
+            while data := source.recv(CHUNK_BYTES):
+                if way.delay_s:
+                    gevent.sleep(way.delay_s)
+                way.open.wait()
+                if source not in self._silenced:
+                    sink.sendall(data)
+        with suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -118,6 +118,7 @@
     """Checked settings of a node of the mesh.
 
     `target` is the address of the target beside it, `service` the target's service.
+    Peers dial `peer`; the node listens there, or on `peer_listen` where that is set.
     """
 
     node_id: str
@@ -135,3 +136,4 @@
     shutdown_ms: int
     retry_ratio: float
     retry_slack: float
+    peer_listen: tuple[str, int] | None = None
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -72,7 +72,8 @@
         admission = Admission(clock)
         self.target = Target(settings, clock, admission)
         self.holds = Holds(settings.node_id, settings.max_hold_ms)
-        self.links = Links(settings.node_id, settings.peer, clock, self.counters)
+        listen = settings.peer_listen or settings.peer
+        self.links = Links(settings.node_id, listen, clock, self.counters)
         self.store = Store(settings.store, clock, self.counters)
         self.follower = Follower(self.store, self._note_configuration)
         self.gateway = Gateway(self, clock, self.counters, admission, self._tell_crash)
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -70,6 +70,7 @@
         shutdown_ms=int(checker.read_number("shutdown_s", 0, MAX_MS) * 1000),
         retry_ratio=checker.read_number("retry_ratio", 0, MAX_RATIO),
         retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
+        peer_listen=read_optional_address(checker, "peer_listen"),
     )
     checker.close()
     return settings
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,7 +25,7 @@
     except (AssertionError, OSError):
         found = [traceback.format_exc()]
     finally:
-        soak.mesh.stop()
+        soak.stop()
     statuses = {
         s: sum(1 for r in soak.sent if r.status == s) for s in (0, 200, 502, 503, 504)
     }
