Mend what a request's head can break; split the job of a request from its attempts

A time left of 'nan' or a key of a digit outside of ASCII ended the connection without an answer; a HEAD request waited for a body until its deadline (504); headers that Connection names went on to the target. Each has a scenario in mesh_input that failed before (4 failed, 1 with the wrong header list) and passes now. HEAD answers tell the length that the target told; Expect ends at the node, which has the whole body.

Routing read requests and ran their attempts: reading is mesh/jobs now.

--- a/features/mesh_input.feature
+++ b/features/mesh_input.feature
@@ -66,3 +66,28 @@
       | a length and chunks           |
       | two lengths                   |
       | a length that is no number    |
+
+  Scenario Outline: A number that is none is refused: <header>
+    Given a mesh of 1 keyed targets
+    When a request has the header "<header>"
+    Then the answer is 400
+    And the target ran nothing
+
+    Examples:
+      | header                       |
+      | X-Timeout-Remaining: nan     |
+      | X-Timeout-Remaining: soon    |
+      | X-Shard-Key: 65536           |
+      | X-Shard-Key: \xb2           |
+
+  Scenario: Headers that concern one connection only do not reach the target
+    Given a mesh of 1 keyed targets
+    When a request names a header of its own in Connection
+    Then its target got neither Connection nor that header
+    And it got the other headers
+
+  Scenario: The answer to HEAD has the length that its body would have
+    Given a mesh of 1 keyed targets
+    When a HEAD request comes
+    Then the answer is 200 within 500 ms
+    And it tells a length and has no body
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -1,24 +1,21 @@
 """Steps about answers of targets, good and broken."""
 
 import struct
-from types import SimpleNamespace
 
 import gevent
 from behave import given, then, when
 from gevent import socket
 from gevent.server import StreamServer
 
-from features.support.mesh_builders import FakeClock, create_address, create_settings
+from features.support.mesh_builders import FakeClock, create_address
 from features.support.mesh_harness import Mesh
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
-from knapweedrock.mesh.choice import Chooser
 from knapweedrock.mesh.definitions import Part, Route
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges, is_sound
 from knapweedrock.mesh.http import AnswerParser, encode_request
-from knapweedrock.mesh.metrics import Histograms
-from knapweedrock.mesh.routing import Router
+from knapweedrock.mesh.jobs import Jobs
 from knapweedrock.mesh.suspects import Suspects
 
 TIMEOUT_S = 0.4
@@ -107,11 +104,7 @@
     """Create a route with two parts."""
     parts = (Part("one", first), Part("two", second))
     context.route = Route("r", "h", "/", True, 1000, 300, 1, parts, 2)
-    settings = create_settings(0, create_address(), create_address())
-    clock = FakeClock()
-    node = SimpleNamespace(settings=settings, histograms=Histograms())
-    chooser = Chooser("zone-a", clock, lambda _peer: True)
-    context.router = Router(node, clock, Counters(), chooser)
+    context.jobs = Jobs("orders", "127.0.0.1", FakeClock())
 
 
 @when("a request is sent to it")
@@ -170,7 +163,7 @@
 def choose_parts(context, count: int) -> None:
     """Choose a part for each request."""
     context.chosen = [
-        context.router._choose_part(context.route).service for _ in range(count)
+        context.jobs._choose_part(context.route).service for _ in range(count)
     ]
 
 
--- a/features/steps/mesh_input.py
+++ b/features/steps/mesh_input.py
@@ -7,6 +7,7 @@
 
 import gevent
 from behave import given, then, when
+from gevent import socket
 
 from features.support.mesh_builders import (
     FakeClock,
@@ -223,3 +224,77 @@
     """Check that no part of the request reached the target."""
     gevent.sleep(0.2)
     assert context.mesh.places[0].holder.runs == []
+
+
+@when('a request has the header "{header}"')
+def send_header(context, header: str) -> None:
+    """Send a request with one header, in which hexadecimal escapes are bytes."""
+    line = header.encode().decode("unicode_escape")
+    lines = ["GET /read/1 HTTP/1.1", "Host: mesh.example", "X-Attempt-Id: h1", line]
+    send_lines(context, lines)
+
+
+@when("a request names a header of its own in Connection")
+def send_connection_header(context) -> None:
+    """Send a request with a header for this connection alone, and one for all."""
+    lines = ["GET /read/1 HTTP/1.1", "Host: mesh.example", "X-Attempt-Id: h2"]
+    lines += ["Connection: keep-alive, X-Own", "X-Own: 1", "X-Other: 2"]
+    send_lines(context, [*lines, "X-Shard-Key: 1"])
+    assert context.status == 200, context.status
+
+
+@when("a HEAD request comes")
+def send_head(context) -> None:
+    """Send a request whose answer has no body."""
+    sock = socket.create_connection(context.mesh.places[0].settings.caller, 2)
+    lines = ["HEAD /read/1 HTTP/1.1", "Host: mesh.example", "X-Attempt-Id: h3"]
+    lines += ["X-Shard-Key: 1", "Connection: close"]
+    began_ns = context.mesh.clock.now_ns()
+    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+    context.received = b""
+    with gevent.Timeout(2, False):
+        while data := sock.recv(65536):
+            context.received += data
+    context.took_ms = (context.mesh.clock.now_ns() - began_ns) / 1e6
+    sock.close()
+
+
+@then("its target got neither Connection nor that header")
+def check_connection_headers(context) -> None:
+    """Check the headers that the target got."""
+    fields = context.mesh.places[0].holder.requests[-1].fields
+    assert "connection" not in fields, fields
+    assert "x-own" not in fields, fields
+
+
+@then("it got the other headers")
+def check_other_headers(context) -> None:
+    """Check that nothing else was left out."""
+    fields = context.mesh.places[0].holder.requests[-1].fields
+    assert fields["x-other"] == "2", fields
+
+
+@then("the answer is {status:d} within {limit_ms:d} ms")
+def check_status_in_time(context, status: int, limit_ms: int) -> None:
+    """Check the status line and the time it took."""
+    assert context.received.startswith(b"HTTP/1.1 %d " % status), context.received
+    assert context.took_ms < limit_ms, context.took_ms
+
+
+@then("it tells a length and has no body")
+def check_head_answer(context) -> None:
+    """Check the length that a GET would have had."""
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert not body, context.received
+    assert f"content-length: {len('h3 1')}".encode() in head.lower(), head
+
+
+def send_lines(context, lines: list[str]) -> None:
+    """Send the head of a request and keep the status of its answer."""
+    connection = dial(context.mesh.places[0].settings.caller, 2)
+    connection.send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"), 2)
+    try:
+        context.status = connection.read(AnswerParser(), 2).status
+    except OSError as error:
+        context.status = repr(error)
+    connection.close()
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -19,6 +19,7 @@
     Request,
     RequestParser,
     encode_answer,
+    encode_head_answer,
 )
 from knapweedrock.sockets import disable_delay, receive_within, send_whole
 
@@ -111,8 +112,7 @@
                 with watch:
                     reply = self._serve(request, address)
                 closes = reply.closes or not request.keep_alive or self.closing
-                body = b"" if request.method == "HEAD" else reply.body
-                data = encode_answer(reply.status, reply.headers, body, closes)
+                data = encode_reply(request, reply, closes)
                 send_whole(sock, data, SEND_TIMEOUT_S)
             finally:
                 self.in_flight -= 1
@@ -166,6 +166,14 @@
         finish_sending(sock)
 
 
+def encode_reply(request: Request, reply: Reply, closes: bool) -> bytes:
+    """Encode the answer to a request."""
+    status, headers, body = reply.status, reply.headers, reply.body
+    if request.method == "HEAD":
+        return encode_head_answer(status, headers, len(body), closes)
+    return encode_answer(status, headers, body, closes)
+
+
 def has_unread(sock: socket.socket) -> bool:
     """Tell whether bytes have come that were not read yet."""
     try:
--- a/knapweedrock/mesh/exchanges.py
+++ b/knapweedrock/mesh/exchanges.py
@@ -67,7 +67,8 @@
         done = False
         try:
             data = encode_request(method, path, headers, body)
-            answer = self._exchange(connection, data, attempt_id, end_ns)
+            parser = AnswerParser(bodiless=method == "HEAD")
+            answer = self._exchange(connection, parser, data, attempt_id, end_ns)
             done = answer.reusable
         finally:
             if done:
@@ -77,9 +78,13 @@
         return answer
 
     def _exchange(
-        self, connection: Connection, data: bytes, attempt_id: str, end_ns: int
+        self,
+        connection: Connection,
+        parser: AnswerParser,
+        data: bytes,
+        attempt_id: str,
+        end_ns: int,
     ) -> Answer:
-        parser = AnswerParser()
         try:
             connection.send(data, self._find_left_s(end_ns))
             for _ in range(MAX_SKIPPED_ANSWERS):
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -18,6 +18,7 @@
     is_sound,
 )
 from knapweedrock.mesh.http import Answer, Headers, dial
+from knapweedrock.mesh.jobs import HOP_HEADERS
 from knapweedrock.mesh.loads import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
@@ -35,21 +36,9 @@
 
 # Left for the way back, so that the target's own answer comes first.
 RETURN_MS = 5.0
+LENGTH = "content-length"
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 log = Logger("gateway")
 
 
@@ -228,7 +217,7 @@
         if answer.find(NOT_EXECUTED) or answer.status == 421:
             self._counters.count("target_refusals", status=str(answer.status))
             if answer.status == 400:
-                return self._create_done(answer)
+                return self._create_done(request, answer)
             if answer.status == 421:
                 raise RefusalError(Code.TARGET_FENCED, "", MOVING_RETRY_MS)
             retry_after_ms = int(self.admission.get_retry_after_ms())
@@ -236,10 +225,11 @@
         if not is_sound(answer):
             raise KnapweedrockError(Code.ANSWER_TRUNCATED, "not the target's answer")
         self.suspects.clear(fingerprint)
-        return self._create_done(answer)
+        return self._create_done(request, answer)
 
-    def _create_done(self, answer: Answer) -> Forwarded:
-        headers = [p for p in answer.headers if p[0].lower() not in HOP_HEADERS]
+    def _create_done(self, request: Forward, answer: Answer) -> Forwarded:
+        dropped = HOP_HEADERS - {LENGTH} if request.method == "HEAD" else HOP_HEADERS
+        headers = [p for p in answer.headers if p[0].lower() not in dropped]
         return Forwarded(
             int(Code.DONE),
             answer.status,
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -68,9 +68,13 @@
 
 
 class AnswerParser:
-    """Collects the answers that come on one connection."""
+    """Collects the answers that come on one connection.
 
-    def __init__(self) -> None:
+    A `bodiless` answer ends with its head, whatever length it tells.
+    """
+
+    def __init__(self, bodiless: bool = False) -> None:
+        self._bodiless = bodiless
         self.answers: list[Answer] = []
         self.began = False
         self.extra = False
@@ -116,6 +120,10 @@
         for name, _ in self._headers:
             if name.lower() in ("content-length", "transfer-encoding"):
                 self._is_framed = True
+        final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
+        if self._bodiless and final:
+            # The parser waits for a body: the connection can't be used again.
+            self._add(reusable=False)
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body."""
@@ -130,6 +138,8 @@
         if status < FIRST_FINAL_STATUS:
             self._reset()
             return
+        if self._bodiless:
+            return
         self._add(reusable=bool(self._parser.should_keep_alive()))
 
     def _add(self, reusable: bool) -> None:
@@ -290,3 +300,16 @@
     if closes:
         lines.append("Connection: close")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def encode_head_answer(
+    status: int, headers: Headers, length: int, closes: bool
+) -> bytes:
+    """Encode an answer to HEAD; the length is used where the headers tell none."""
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if not any(name.lower() == "content-length" for name, _ in headers):
+        lines.append(f"Content-Length: {length}")
+    if closes:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- /dev/null
+++ b/knapweedrock/mesh/jobs.py
@@ -0,0 +1,147 @@
+"""Requests with all that the configuration says of them."""
+
+import math
+import random
+from typing import NamedTuple
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.mesh.definitions import Configuration, Part, Route, Service
+from knapweedrock.mesh.http import Headers, Request
+from knapweedrock.mesh.ownership import KEYS
+from knapweedrock.platform.headers import CALLER, KEY, REMAINING
+from knapweedrock.platform.headers import SET_BY_NODES as NODE_HEADERS
+
+# Headers that end at one connection.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Multiples of the golden ratio, taken modulo 1, lie evenly from the first few on.
+TURN_STEP = 0.618033988749895
+FIRST_TURNS = 1000
+
+
+class Job(NamedTuple):
+    """A request on its route; the key is -1 where the service has none.
+
+    `inner` marks a call that a target made for a request it runs. `objective_ns` is
+    when its answer is due, `end_ns` when nobody waits for it any more.
+    """
+
+    request: Request
+    route: Route
+    service: Service
+    key: int
+    headers: Headers
+    inner: bool
+    end_ns: int
+    objective_ns: int
+
+
+class Jobs:
+    """Makes jobs of the requests that enter at one node."""
+
+    def __init__(self, service: str, own_ip: str, clock: Clock) -> None:
+        """Name the service and the IP of the node's own target."""
+        self._service = service
+        self._own_ip = own_ip
+        self._clock = clock
+        self._turns: dict[str, int] = {}
+
+    def create(
+        self,
+        configuration: Configuration,
+        route: Route,
+        request: Request,
+        address: str,
+    ) -> Job:
+        """Create the job of a request; raises `BAD_REQUEST` or `UNKNOWN_SERVICE`."""
+        now_ns = self._clock.now_ns()
+        remaining_ms = read_remaining_ms(request, route)
+        # What a caller's earlier attempts have used is gone for this one as well.
+        used_ms = max(route.timeout_ms - remaining_ms, 0)
+        service = configuration.services.get(self._choose_part(route).service)
+        if service is None:
+            raise KnapweedrockError(Code.UNKNOWN_SERVICE)
+        return Job(
+            request,
+            route,
+            service,
+            read_key(request) if service.keyed else -1,
+            [*pass_headers(request), (CALLER, self._service)],
+            address == self._own_ip,
+            now_ns + int(min(remaining_ms, route.timeout_ms) * NS_PER_MS),
+            now_ns + int((route.objective_ms - used_ms) * NS_PER_MS),
+        )
+
+    def _choose_part(self, route: Route) -> Part:
+        """Choose a service so that each gets its share of every few requests."""
+        if len(route.parts) == 1:
+            return route.parts[0]
+        turn = self._turns.get(route.name, random.randrange(FIRST_TURNS)) + 1
+        self._turns[route.name] = turn
+        total = sum(part.weight for part in route.parts)
+        point = (turn * TURN_STEP) % 1.0 * total
+        for part in route.parts:
+            point -= part.weight
+            if point < 0:
+                return part
+        return route.parts[-1]
+
+
+def find_route(configuration: Configuration, request: Request) -> Route | None:
+    """Find the route with the longest prefix for a request."""
+    host = request.fields.get("host", "").lower().partition(":")[0]
+    path = request.target.partition("?")[0]
+    for route in configuration.routes:
+        if route.host == host and path.startswith(route.prefix):
+            return route
+    return None
+
+
+def pass_headers(request: Request) -> Headers:
+    """List the headers that a caller's request takes to the target."""
+    named = request.fields.get("connection", "").lower()
+    own = {name.strip() for name in named.split(",")} if named else ()
+    return [
+        pair
+        for pair in request.headers
+        if pair[0] not in HOP_HEADERS
+        and pair[0] not in NODE_HEADERS
+        and pair[0] not in own
+    ]
+
+
+def read_remaining_ms(request: Request, route: Route) -> float:
+    """Read how long the caller still waits; raises `BAD_REQUEST`."""
+    text = request.fields.get(REMAINING, "")
+    if not text:
+        return route.timeout_ms
+    try:
+        found = float(text)
+    except ValueError as error:
+        raise KnapweedrockError(Code.BAD_REQUEST, str(error)) from error
+    if not math.isfinite(found):
+        raise KnapweedrockError(Code.BAD_REQUEST, f"expected a time, found {text!r}")
+    return found
+
+
+def read_key(request: Request) -> int:
+    """Read the key of a request; -1 where it has none. Raises `BAD_REQUEST`."""
+    text = request.fields.get(KEY, "")
+    if not text:
+        return -1
+    if not (text.isascii() and text.isdigit()) or int(text) >= KEYS:
+        raise KnapweedrockError(Code.BAD_REQUEST, f"expected a key, found {text!r}")
+    return int(text)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -1,7 +1,7 @@
 """Routing of callers' requests to a target that may serve them, until it is settled."""
 
 import random
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import INFO, Code, Outcome
@@ -10,13 +10,11 @@
 from knapweedrock.mesh.budgets import RUN_COST, RetryBudget
 from knapweedrock.mesh.callers import Reply
 from knapweedrock.mesh.choice import Chooser
-from knapweedrock.mesh.definitions import Configuration, Part, Route, Service
-from knapweedrock.mesh.gateway import HOP_HEADERS
-from knapweedrock.mesh.http import Headers, Request
+from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.jobs import Job, Jobs, find_route
 from knapweedrock.mesh.messages import Forward, Forwarded, Member
-from knapweedrock.mesh.ownership import KEYS, find_row
-from knapweedrock.platform.headers import ATTEMPT_ID, CALLER, KEY, REMAINING
-from knapweedrock.platform.headers import SET_BY_NODES as NODE_HEADERS
+from knapweedrock.mesh.ownership import find_row
+from knapweedrock.platform.headers import ATTEMPT_ID
 
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
@@ -58,19 +56,6 @@
 ROOM = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT})
 
 
-class Job(NamedTuple):
-    """A request with all that its configuration says of it."""
-
-    request: Request
-    route: Route
-    service: Service
-    key: int
-    headers: Headers
-    inner: bool
-    end_ns: int
-    objective_ns: int
-
-
 class Progress:
     """What has become of a request so far."""
 
@@ -96,7 +81,8 @@
         self._clock = clock
         self._counters = counters
         self._budgets: dict[str, RetryBudget] = {}
-        self._turns: dict[str, int] = {}
+        settings = node.settings
+        self._jobs = Jobs(settings.service, settings.caller[0], clock)
         self._latencies = node.histograms.create("request_ms")
 
     def set_budget(self, ratio: float, slack: float) -> None:
@@ -114,7 +100,7 @@
             self._counters.count("requests_unrouted")
             return create_refusal(Code.NO_RULE, 0)
         try:
-            job = self._create_job(configuration, route, request, address)
+            job = self._jobs.create(configuration, route, request, address)
         except KnapweedrockError as error:
             return create_refusal(error.code, 0)
         began_ns = self._clock.now_ns()
@@ -124,51 +110,6 @@
         self._note(job, progress, result, latency_ms)
         return self._create_reply(job, result)
 
-    def _create_job(
-        self,
-        configuration: Configuration,
-        route: Route,
-        request: Request,
-        address: str,
-    ) -> Job:
-        now_ns = self._clock.now_ns()
-        remaining_ms = read_remaining_ms(request, route)
-        # What a caller's earlier attempts have used is gone for this one as well.
-        used_ms = max(route.timeout_ms - remaining_ms, 0)
-        service = configuration.services.get(self._choose_part(route).service)
-        if service is None:
-            raise KnapweedrockError(Code.UNKNOWN_SERVICE)
-        headers = [
-            pair
-            for pair in request.headers
-            if pair[0] not in HOP_HEADERS and pair[0] not in NODE_HEADERS
-        ]
-        headers.append((CALLER, self._node.settings.service))
-        return Job(
-            request,
-            route,
-            service,
-            read_key(request) if service.keyed else -1,
-            headers,
-            address == self._node.settings.caller[0],
-            now_ns + int(min(remaining_ms, route.timeout_ms) * NS_PER_MS),
-            now_ns + int((route.objective_ms - used_ms) * NS_PER_MS),
-        )
-
-    def _choose_part(self, route: Route) -> Part:
-        """Choose a service so that each gets its share of every few requests."""
-        if len(route.parts) == 1:
-            return route.parts[0]
-        turn = self._turns.get(route.name, random.randrange(1000)) + 1
-        self._turns[route.name] = turn
-        total = sum(part.weight for part in route.parts)
-        point = (turn * 0.618033988749895) % 1.0 * total
-        for part in route.parts:
-            point -= part.weight
-            if point < 0:
-                return part
-        return route.parts[-1]
-
     def _create_progress(self, job: Job) -> Progress:
         now_ns, left_ms = self._clock.now_ns(), self._find_left_ms(job)
         away_ms = min(AWAY_MS, AWAY_SHARE * left_ms)
@@ -368,37 +309,6 @@
             node.decisions.note_failure("request failed", attempt_id, describe)
 
 
-def find_route(configuration: Configuration, request: Request) -> Route | None:
-    """Find the route with the longest prefix for a request."""
-    host = request.fields.get("host", "").lower().partition(":")[0]
-    path = request.target.partition("?")[0]
-    for route in configuration.routes:
-        if route.host == host and path.startswith(route.prefix):
-            return route
-    return None
-
-
-def read_remaining_ms(request: Request, route: Route) -> float:
-    """Read how long the caller still waits; raises `BAD_REQUEST`."""
-    text = request.fields.get(REMAINING, "")
-    if not text:
-        return route.timeout_ms
-    try:
-        return float(text)
-    except ValueError as error:
-        raise KnapweedrockError(Code.BAD_REQUEST, str(error)) from error
-
-
-def read_key(request: Request) -> int:
-    """Read the key of a request; -1 where it has none."""
-    text = request.fields.get(KEY, "")
-    if not text:
-        return -1
-    if not text.isdigit() or int(text) >= KEYS:
-        raise KnapweedrockError(Code.BAD_REQUEST, f"expected a key, found {text!r}")
-    return int(text)
-
-
 def create_failed(code: Code, detail: str = "") -> Forwarded:
     """Create the result of an attempt that failed on this side."""
     return Forwarded(int(code), 0, [], b"", detail, 0, 0.0)
