Let more keys move at once where there are more targets

Cause: at most 4 moves were under way and 3 began together, whatever the number of targets.

Each target takes part in one move at a time, so moves may grow with targets: one for each 6, at least 4 under way and 3 begun; sites of up to 23 targets keep their limits. begin_moves is a function of what is known, beside balance_rows. The scenario of a rush at 8 of 46 targets failed with the old limits (12.7 requests at once after 4 s, at most 12 allowed) and passes with the new ones.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -65,3 +65,10 @@
     When 16 members drain in turn and half as many join
     Then the table has fewer than 150 rows
     And no decision took longer than 60 ms
+
+  Scenario: A morning rush at many targets is taken apart at all of them together
+    Given a table of 46 members under even load
+    And 8 targets get 14 requests at once on 40 neighbouring keys each
+    When the coordinator balances for 4 s, each move taking 1 s
+    Then no target bears more than 12 requests at once
+    And no decision took longer than 60 ms
--- a/features/steps/mesh_ownership.py
+++ b/features/steps/mesh_ownership.py
@@ -12,11 +12,13 @@
     create_member,
     create_members,
 )
+from knapweedrock.clock import NS_PER_MS
 from knapweedrock.mesh.boards import BoardHistory, apply_change, diff_boards
 from knapweedrock.mesh.messages import Board, Publish, Row
 from knapweedrock.mesh.ownership import (
     KEYS,
     balance_rows,
+    begin_moves,
     create_table,
     empty_unfit,
     find_cuts,
@@ -410,3 +412,33 @@
 def check_decisions(context, ms: int) -> None:
     """Check the processor time of the slowest decision."""
     assert context.slowest_ms < ms, context.slowest_ms
+
+
+@given(
+    "{busy:d} targets get {load:d} requests at once on {count:d} neighbouring keys each"
+)
+def give_many_hot_keys(context, busy: int, load: int, count: int) -> None:
+    """Add load to neighbouring keys of the first targets."""
+    for row in context.rows[:busy]:
+        for key in range(row.start, row.start + count):
+            context.key_ms[key] = context.key_ms.get(key, 0) + load * 1000 / count
+
+
+@when("the coordinator balances for {seconds:d} s, each move taking 1 s")
+def balance_in_time(context, seconds: int) -> None:
+    """Balance every half second; moves end, and both sides rest, a second later."""
+    context.slowest_ms = 0.0
+    resting: set[str] = set()
+    for step in range(seconds * 2):
+        facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+        began_ns = time.perf_counter_ns()
+        marked = begin_moves(context.rows, facts, resting)
+        took_ms = (time.perf_counter_ns() - began_ns) / NS_PER_MS
+        context.slowest_ms = max(context.slowest_ms, took_ms)
+        resting |= {row.node_id for row in marked if row.next_node}
+        resting |= {row.next_node for row in marked if row.next_node}
+        context.rows = marked
+        if step % 2:
+            context.rows = complete_moves(marked, facts)
+            resting = set()
+        check_partition(context.rows)
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -28,7 +28,6 @@
 GATHER_MS = 2500
 TICK_S = 0.1
 BALANCE_MS = 500
-MOVES_AT_ONCE = 3
 # Both sides of a move take part in no other one for so long.
 REST_MS = 1800
 
@@ -192,14 +191,10 @@
         if now_ns - self._balanced_ns < BALANCE_MS * NS_PER_MS:
             return rows
         self._balanced_ns = now_ns
-        for _ in range(MOVES_AT_ONCE):
-            resting = {n for n, until_ns in self._rest.items() if until_ns > now_ns}
-            marked = ownership.balance_rows(rows, facts, resting)
-            if marked == rows:
-                break
-            self._note_moves(rows, marked, facts, now_ns)
-            rows = marked
-        return rows
+        resting = {n for n, until_ns in self._rest.items() if until_ns > now_ns}
+        marked = ownership.begin_moves(rows, facts, resting)
+        self._note_moves(rows, marked, facts, now_ns)
+        return marked
 
     def _note_moves(
         self,
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -20,7 +20,11 @@
 CUT_LOAD = 1.5
 # Load that stands for all keys of a service where none is measured.
 IDLE_LOAD = 1.0
-MAX_MOVES = 4
+# Moves that may be under way, and that may begin together, whatever the number of
+# targets; more of them where there are more targets, as each takes part in one only.
+LEAST_MOVES = 4
+LEAST_BEGUN = 3
+TARGETS_A_MOVE = 6
 # Share of the wanted load that a row must have for its runs to be looked at.
 WORTH_RUN_SHARE = 0.25
 # Load that a move of all keys would have to be worth.
@@ -238,13 +242,29 @@
     return pieces
 
 
+def begin_moves(rows: list[Row], facts: Facts, resting: Collection[str]) -> list[Row]:
+    """Begin all moves that are worth it and may go on together."""
+    busy = set(resting)
+    for _ in range(max(LEAST_BEGUN, len(list_fit(facts)) // TARGETS_A_MOVE)):
+        known = set(rows)
+        marked = balance_rows(rows, facts, busy)
+        if marked == rows:
+            break
+        for row in marked:
+            if row.next_node and row not in known:
+                busy |= {row.node_id, row.next_node}
+        rows = marked
+    return rows
+
+
 def balance_rows(rows: list[Row], facts: Facts, resting: Collection[str]) -> list[Row]:
     """Begin one move from the busiest target to the least busy one, if worth it.
 
     Members that are `resting` took part in a move a moment ago.
     """
     totals = measure_loads(rows, facts)
-    if len(totals) < 2 or sum(1 for row in rows if row.next_node) >= MAX_MOVES:
+    under_way = sum(1 for row in rows if row.next_node)
+    if len(totals) < 2 or under_way >= max(LEAST_MOVES, len(totals) // TARGETS_A_MOVE):
         return rows
     owners = {row.next_node or row.node_id for row in rows}
     idle = [node_id for node_id in totals if node_id not in owners]
