Count a crash though a repeat of the request found the target down first

Cause: its repeat was sent to the same target at once, was refused and noted the target as down; the look into the broken exchange, which came after it, then counted no crash. The crash is counted once for each start of a target now, whoever noted it as down.

Ruled out: crashes not told to the other nodes (traced: each count reached all three within 15 ms).

Also shown now: a former coordinator can write no table; a target without keys that drains gets nothing new.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -69,3 +69,8 @@
     Given a route that is shared by 90 and 10
     When 300 requests choose their part
     Then each part got its share within 2 percent
+
+  Scenario: A crash counts though a repeat found the target down first
+    Given a mesh of 1 keyed targets
+    When a target crashes, a repeat finds it down, and then the crash is looked into twice
+    Then the request that was there counts for one crash
--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -97,3 +97,15 @@
     When a target says only to its node that it leaves, and the node is killed at once
     And the node starts again and requests come for its keys for 1500 ms
     Then the target ran none of them
+
+  Scenario: A request that crashes its targets stops at the third crash, at all nodes
+    Given a mesh of 3 keyed targets
+    When a request that crashes its target is sent to each node in turn for 6 s
+    Then the targets crashed 3 times
+    And it was refused as not run since, and requests for its key are done
+
+  Scenario: A target without keys that drains gets nothing new
+    Given a mesh of 2 keyed and 2 other targets
+    When one of the other targets begins to drain under requests
+    Then it ran nothing later than 700 ms after it was told that this is known
+    And every request for the other service was done
--- a/features/mesh_store.feature
+++ b/features/mesh_store.feature
@@ -23,6 +23,12 @@
     When 5 clients create the same object at once
     Then one of them has created it
 
+  Scenario: A former coordinator can write no table once its successor has begun
+    Given a coordinator that has written a table
+    When another node takes the right and the former one writes the table
+    Then the former one's write fails and ends its term
+    And the table is as the successor found it, under its epoch
+
   Scenario: All objects of a kind are listed, page by page
     Given 1203 objects of a kind
     When the client lists the kind
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -247,3 +247,24 @@
     for part in context.route.parts:
         share = context.chosen.count(part.service) / len(context.chosen) * 100
         assert abs(share - part.weight) <= percent, (part, share)
+
+
+@when(
+    "a target crashes, a repeat finds it down, and then the crash is looked into twice"
+)
+def crash_beside_repeat(context) -> None:
+    """Let a repeat be refused before the broken exchange is looked into."""
+    place = context.mesh.places[0]
+    context.gateway = next(iter(context.mesh.nodes.values())).gateway
+    name = place.holder.target
+    place.holder.crash()
+    answer = context.mesh.call("node-0", "/read/1", 1, remaining_ms=200)
+    assert answer.status in (503, 504), answer
+    for _ in range(2):
+        context.gateway._classify(name, ["guilty"])
+
+
+@then("the request that was there counts for one crash")
+def check_counted(context) -> None:
+    """Check the crashes that count against the request."""
+    assert len(context.gateway.suspects._seen.get("guilty", [])) == 1
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -1,13 +1,17 @@
 """Steps about requests through a whole mesh."""
 
+import itertools
+
 import gevent
 from behave import given, then, when
 
 from features.support.mesh_builders import create_document
 from features.support.mesh_harness import Mesh
-from knapweedrock.clock import NS_PER_MS
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
+from knapweedrock.emulator.holder import CRASH_PATH
 from knapweedrock.mesh.http import AnswerParser
 
+CRASH_KEY = 777
 KEYS = tuple(range(0, 65536, 2048))
 
 
@@ -450,3 +454,66 @@
     """Check that no request reached the target, and each was answered."""
     assert len(context.place.holder.runs) == context.runs, context.statuses
     assert set(context.statuses) <= {503, 504}, context.statuses
+
+
+@when(
+    "a request that crashes its target is sent to each node in turn for {seconds:d} s"
+)
+def send_crashing(context, seconds: int) -> None:
+    """Send the same request again and again."""
+    mesh = context.mesh
+    context.statuses = []
+    end_ns = mesh.clock.now_ns() + seconds * NS_PER_S
+    names = itertools.cycle(mesh.nodes)
+    while mesh.clock.now_ns() < end_ns:
+        answer = mesh.call(next(names), CRASH_PATH, CRASH_KEY, remaining_ms=800)
+        context.statuses.append(answer.status)
+        gevent.sleep(0.05)
+
+
+@then("the targets crashed {count:d} times")
+def check_crashes(context, count: int) -> None:
+    """Check the crashes of all targets together."""
+    crashes = [place.holder.crashes for place in context.mesh.places]
+    assert sum(crashes) == count, (crashes, context.statuses)
+
+
+@then("it was refused as not run since, and requests for its key are done")
+def check_quarantine(context) -> None:
+    """Check the last answers, and another request for the same key."""
+    assert set(context.statuses[-3:]) == {503}, context.statuses
+    for name in context.mesh.nodes:
+        answer = context.mesh.call(name, "/read/1", CRASH_KEY)
+        assert answer.status == 200, answer
+
+
+@when("one of the other targets begins to drain under requests")
+def drain_other(context) -> None:
+    """Drain a target without keys while each node gets requests for its service."""
+    mesh = context.mesh
+    context.place = mesh.places[-1]
+    context.statuses = []
+    for step in range(60):
+        if step == 10:
+            context.place.holder.draining = True
+            context.drained_ns = mesh.clock.now_ns()
+        for name in mesh.nodes:
+            context.statuses.append(mesh.call(name, "/list/1").status)
+        gevent.sleep(0.02)
+
+
+@then("it ran nothing later than {ms:d} ms after it was told that this is known")
+def check_drained(context, ms: int) -> None:
+    """Check the runs of the target; a heartbeat tells that it drains within 300 ms."""
+    limit_ns = context.drained_ns + ms * NS_PER_MS
+    runs = context.place.holder.runs
+    assert [run for run in runs if run.began_ns < context.drained_ns], "it ran nothing"
+    late = [run for run in runs if run.began_ns > limit_ns]
+    assert not late, [(run.began_ns - context.drained_ns) / NS_PER_MS for run in late]
+    assert context.mesh.clock.now_ns() > limit_ns, "the requests ended too early"
+
+
+@then("every request for the other service was done")
+def check_others_done(context) -> None:
+    """Check that no request was refused or lost."""
+    assert set(context.statuses) == {200}, context.statuses
--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -3,11 +3,13 @@
 import gevent
 from behave import given, then, when
 
-from features.support.mesh_builders import create_address
+from features.support.mesh_builders import create_address, create_row
 from knapweedrock.clock import create_clock
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.objects import Objects, create_front
 from knapweedrock.errors import PlatformError
+from knapweedrock.mesh.terms import LEADER_NAME, Term
+from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
 from knapweedrock.platform.store import ConflictError, HistoryGoneError, Store
 
 KIND, NAME = "things", "one"
@@ -185,3 +187,47 @@
     """Check that the store holds what it held."""
     held = context.objects.get(KIND, NAME)
     assert held["specification"] == {"value": 0}, held
+
+
+def create_term(context, name: str) -> Term:
+    """Create a node's right to coordinate, not claimed yet."""
+    client = create_client(context)
+    return Term(name, f"process-{name}", f"{name}:1", client, create_clock())
+
+
+@given("a coordinator that has written a table")
+def give_coordinator(context) -> None:
+    """Claim the right and write a table of one row."""
+    context.former = create_term(context, "n0")
+    assert context.former.claim(None)
+    context.rows = [create_row(0, 65535, "n0")]
+    context.former.write_table("orders", context.rows)
+
+
+@when("another node takes the right and the former one writes the table")
+def take_right(context) -> None:
+    """Claim the right as a successor does, then write as the predecessor."""
+    context.successor = create_term(context, "n1")
+    assert context.successor.claim(context.client.get(LEADER_KIND, LEADER_NAME))
+    context.error = None
+    try:
+        context.former.write_table("orders", [create_row(0, 65535, "n2", 2)])
+    except ConflictError as error:
+        context.error = error
+
+
+@then("the former one's write fails and ends its term")
+def check_former(context) -> None:
+    """Check that the write was refused."""
+    assert context.error is not None, "the write took effect"
+    assert not context.former.leading
+    assert not context.former.has_authority()
+
+
+@then("the table is as the successor found it, under its epoch")
+def check_table(context) -> None:
+    """Check the table in the store."""
+    stored = context.client.get(TABLE_KIND, "orders")
+    assert stored.value["epoch"] == context.successor.epoch == 2, stored
+    assert context.successor.list_tables() == {"orders": context.rows}
+    assert [tuple(row) for row in stored.value["rows"]] == context.rows
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -26,6 +26,9 @@
     SIGNATURE,
 )
 
+# A request for this path crashes the target that begins to run it.
+CRASH_PATH = "/read/crash"
+CRASHED_S = 0.4
 BEAT_S = 0.3
 FREED_BEAT_S = 0.05
 BEAT_TIMEOUT_S = 1.0
@@ -76,6 +79,7 @@
         self.requests: list[Request] = []
         self.runs: list[Run] = []
         self.cut: list[str] = []
+        self.crashes = 0
         self.held: list[Held] = []
         self.target = ""
         self.instance = ""
@@ -115,6 +119,11 @@
         self._server.abort()
         self.held = []
 
+    def _restart(self) -> None:
+        self.crash()
+        gevent.sleep(CRASHED_S)
+        self.start()
+
     def set_heartbeat(self, address: tuple[str, int]) -> None:
         """Point the heartbeats at a node."""
         self._heartbeat = address
@@ -146,6 +155,10 @@
     def _run(self, request: Request, attempt_id: str, key: int) -> Reply:
         began_ns = self._clock.now_ns()
         self.requests.append(request)
+        if request.target == CRASH_PATH:
+            self.crashes += 1
+            gevent.spawn(self._restart)
+            raise ConnectionResetError("the target crashes")
         self._working[id(request)] = key
         try:
             gevent.sleep(self.work_ms / 1000)
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -59,6 +59,8 @@
         self.in_flight: dict[int, str] = {}
         self.loads = LoadMeter(clock)
         self.closing = False
+        # The start of the target whose crash was counted last.
+        self._crashed = ""
         self._node = node
         self._clock = clock
         self._counters = counters
@@ -197,25 +199,32 @@
 
     def _note_broken(self, name: str) -> None:
         """Find out whether the target has crashed, and who was there."""
-        present = list(self.in_flight.values())
-        if not self._target.dead:
-            gevent.spawn(self._classify, name, present)
+        gevent.spawn(self._classify, name, list(self.in_flight.values()))
 
     def _classify(self, name: str, present: list[str]) -> None:
         try:
             connection = dial(self.exchanges.address, PROBE_TIMEOUT_S)
         except ConnectionRefusedError:
-            if self._target.name == name and not self._target.dead:
-                self._target.note_dead(name)
-                self.exchanges.drop_idle()
-                self.suspects.count_crash(present)
-                self._tell_crash(present)
-                self._node.membership.report_soon()
+            self._note_crash(name, present)
         except OSError as error:
             log.warning("target can't be reached", reason=error)
         else:
             connection.close()
 
+    def _note_crash(self, name: str, present: list[str]) -> None:
+        """Count a crash once for each start of the target.
+
+        A repeat of a request may have found the target down before.
+        """
+        if name == self._crashed:
+            return
+        self._crashed = name
+        self._target.note_dead(name)
+        self.exchanges.drop_idle()
+        self.suspects.count_crash(present)
+        self._tell_crash(present)
+        self._node.membership.report_soon()
+
     def _judge(self, request: Forward, answer: Answer, fingerprint: str) -> Forwarded:
         """Tell a refusal of the target from its final answer."""
         if answer.find(NOT_EXECUTED) or answer.status == 421:
