Give a target nothing before its node knows what the target bears

From the log: its node was restarted while the store was slow, its target announced itself, cold, at once; without a configuration the node knew no cold rate and took the target for warm, while peers sent on to it.

Ruled out: a heartbeat without its cold time (it said cold), and the assumed cold time after a restart (it was set; without a rate it bounds nothing).

A node now refuses what peers send until it knows a configuration and the zones that are out; the coordinator pushes both at once to a node that has none, and an ingress goes on to another target or waits for it as for one that is away. The new scenario of mesh_answers ran a request before, and refuses it now.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -60,6 +60,12 @@
     When a request comes before the configuration
     Then the answer is 503 with a time to come back
 
+  Scenario: A node that does not know what its target bears gives it nothing
+    Given a mesh whose operators have written nothing
+    When a peer sends its node a request before the configuration
+    Then the request is refused as not run
+    And no target ran anything
+
   Scenario: A request that was present at three crashes is refused, and innocents are not
     Given requests that were present at crashes
     When one was there three times, and another succeeded in between
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -7,10 +7,14 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from features.support.mesh_builders import FakeClock, create_address
+from features.support.mesh_builders import (
+    FakeClock,
+    create_address,
+    create_forward,
+)
 from features.support.mesh_harness import Mesh
 from knapweedrock.clock import create_clock
-from knapweedrock.codes import Code
+from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.counters import Counters
 from knapweedrock.mesh.definitions import Part, Route
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges, is_sound
@@ -268,3 +272,26 @@
 def check_counted(context) -> None:
     """Check the crashes that count against the request."""
     assert len(context.gateway.suspects._seen.get("guilty", [])) == 1
+
+
+@when("a peer sends its node a request before the configuration")
+def deliver_early(context) -> None:
+    """Hand a request to the node whose target has announced itself, cold."""
+    mesh = context.mesh
+    node = next(iter(mesh.nodes.values()))
+    mesh.wait_until(lambda: node.target.name)
+    context.result = node.gateway.deliver(create_forward(key=-1))
+
+
+@then("the request is refused as not run")
+def check_refused_early(context) -> None:
+    """Check the outcome of the refusal."""
+    code = Code(context.result.code)
+    assert INFO[code].outcome is Outcome.NOT_RUN, context.result
+
+
+@then("no target ran anything")
+def check_ran_nothing_early(context) -> None:
+    """Check the runs of all targets."""
+    gevent.sleep(0.1)
+    assert not [run for place in context.mesh.places for run in place.holder.runs]
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -33,6 +33,7 @@
         self.document: Any = None
         self.zones_out: frozenset[str] = frozenset()
         self.zones_revision = 0
+        self._has_zones = False
         self._store = store
         self._note = note
         self._tasks: list[gevent.Greenlet] = []
@@ -48,6 +49,10 @@
         """Follow no longer."""
         gevent.killall(self._tasks, block=False)
 
+    def is_known(self) -> bool:
+        """Tell whether a configuration and the zones out are known."""
+        return self.configuration is not None and self._has_zones
+
     def take_pushed(self, message: PublishConfiguration) -> None:
         """Take what the coordinator pushes to a node that can't read the store."""
         if message.document:
@@ -125,6 +130,7 @@
 
     def _set_zones(self, zones: frozenset[str], revision: int) -> None:
         self.zones_revision = revision
+        self._has_zones = True
         if zones != self.zones_out:
             log.info("zones out", zones=sorted(zones), revision=revision)
             self.zones_out = zones
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -148,6 +148,9 @@
         node, target = self._node, self._target
         if self.closing:
             raise RefusalError(Code.LEAVING)
+        if not node.follower.is_known():
+            # What a cold target bears, and which zones are out, is not known yet.
+            raise RefusalError(Code.CONFIG_STALE, "no configuration yet")
         if request.service != node.settings.service or not target.name:
             raise RefusalError(Code.NO_LIVE_TARGET)
         if target.draining:
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -20,7 +20,8 @@
 )
 
 PUBLISH_TIMEOUT_MS = 500
-# A node that reads the store has a new configuration sooner than this.
+# A node that reads the store has a new configuration sooner than this. One that has
+# none at all serves nothing, and gets it at once.
 BEHIND_MS = 300
 
 log = Logger("coordinator")
@@ -79,7 +80,8 @@
             self._behind_ns.pop(name, None)
             return
         since_ns = self._behind_ns.setdefault(name, now_ns)
-        if now_ns - since_ns > BEHIND_MS * NS_PER_MS:
+        has_none = request.config_version == 0
+        if has_none or now_ns - since_ns > BEHIND_MS * NS_PER_MS:
             del self._behind_ns[name]
             gevent.spawn(self._push_configuration, request.member, message)
 
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -38,6 +38,7 @@
 # Refusals that end once the key has its next owner.
 FOLLOWED = frozenset(
     {
+        Code.CONFIG_STALE,
         Code.NOT_OWNER,
         Code.NO_OWNER,
         Code.MOVING,
