Send a target only what it holds as far as its node can know

A node now takes a key as held while its own grant runs; one that was restarted and has granted nothing goes by what its target says it holds. A request for a key that is not held waits for its owner as while a key moves, without an arrival at the target. Two scenarios of mesh_holds failed before and pass now.

Ruled out: that the coordinator could have kept the leases (it had no store to hand its right over to; a successor claimed within 1.5 s of the store's return).

--- a/features/mesh_holds.feature
+++ b/features/mesh_holds.feature
@@ -47,3 +47,17 @@
     When the node starts again
     Then nothing is reported as unheld
     And the answer renews nothing until it has a lease
+
+  Scenario: A request for keys whose hold has run out is not sent to the target
+    When its target sends a heartbeat
+    Then a request for the row may be sent
+    When 6000 ms pass for the node
+    Then no request for the row may be sent
+
+  Scenario: A restarted node goes by what its target says it holds
+    When the node starts again
+    Then a request for the row may be sent
+    When its target, which holds nothing, sends a heartbeat
+    Then no request for the row may be sent
+    When its target, which still works on the row, sends a heartbeat
+    Then a request for the row may be sent
--- a/features/steps/mesh_holds.py
+++ b/features/steps/mesh_holds.py
@@ -144,3 +144,23 @@
     context.holds.extend_lease(context.clock.ns, context.lease_ms)
     beat(context, held=(create_span(context.rows[0]),))
     assert [grant.token for grant in context.reply.grants] == [1]
+
+
+@when("its target, which holds nothing, sends a heartbeat")
+def send_empty(context) -> None:
+    """Send a heartbeat without holds."""
+    beat(context, held=())
+
+
+@then("a request for the row may be sent")
+def check_may_serve(context) -> None:
+    """Check that the node takes the row as held."""
+    now_ns = context.clock.ns
+    assert context.holds.may_serve(50, "n0@1", context.rows, now_ns)
+
+
+@then("no request for the row may be sent")
+def check_may_not_serve(context) -> None:
+    """Check that the node takes the row as not held."""
+    now_ns = context.clock.ns
+    assert not context.holds.may_serve(50, "n0@1", context.rows, now_ns)
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -164,7 +164,7 @@
             raise RefusalError(Code.ZONE_OUT)
         rows = node.find_rows(request.service)
         if request.key >= 0 and not node.holds.may_serve(
-            request.key, target.name, rows
+            request.key, target.name, rows, self._clock.now_ns()
         ):
             raise RefusalError(Code.NOT_OWNER, "", MOVING_RETRY_MS)
 
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -68,11 +68,21 @@
             and not self._is_given_up(row)
         )
 
-    def may_serve(self, key: int, target: str, rows: list[Row]) -> bool:
-        """Tell whether the target holds a key, as far as this node knows."""
-        granted = self.granted
-        own = granted.rows if granted.target == target else rows
-        for row in own:
+    def may_serve(self, key: int, target: str, rows: list[Row], now_ns: int) -> bool:
+        """Tell whether the target holds a key, as far as this node knows.
+
+        What this process granted counts until it has run out. A process that has
+        granted nothing yet goes by what the target says it holds, or by the table
+        where it has not heard the target.
+        """
+        granted, known = self.granted, self._heartbeat
+        if granted.target == target:
+            if now_ns > granted.until_ns:
+                return False
+            rows = granted.rows
+        elif known is not None and known.target == target:
+            return any(span.start <= key <= span.end for span in known.held)
+        for row in rows:
             if row.start <= key <= row.end:
                 return row.node_id == self.node_id and row.target == target
         return False
