--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -109,3 +109,16 @@
     When one of the other targets begins to drain under requests
     Then it ran nothing later than 700 ms after it was told that this is known
     And every request for the other service was done
+
+  Scenario: A mesh that was lost as a whole serves every key again
+    Given a mesh of 3 keyed targets
+    When all nodes and targets end at once and start again 700 ms later
+    Then every key is held again within 13 s
+    And no key was held by two targets
+    And every node still serves every key
+
+  Scenario: One request reaches no more targets than its route allows
+    Given a mesh of 2 keyed and 4 other targets
+    When every answer of the other targets is lost and 10 requests come
+    Then no request ran more than 2 times
+    And at least one ran 2 times, and none was said to be not run
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -1,6 +1,7 @@
 """Steps about requests through a whole mesh."""
 
 import itertools
+from collections import Counter
 
 import gevent
 from behave import given, then, when
@@ -517,3 +518,48 @@
 def check_others_done(context) -> None:
     """Check that no request was refused or lost."""
     assert set(context.statuses) == {200}, context.statuses
+
+
+@when("all nodes and targets end at once and start again {ms:d} ms later")
+def lose_all(context, ms: int) -> None:
+    """End every process; the store alone lives on."""
+    mesh = context.mesh
+    for place in mesh.places:
+        mesh.kill_node(place.settings.node_id)
+        place.holder.crash()
+    gevent.sleep(ms / 1000)
+    for place in mesh.places:
+        place.holder.start()
+        mesh.start_node(place)
+
+
+@then("every key is held again within {seconds:d} s")
+def check_held_again(context, seconds: int) -> None:
+    """Wait until every key has a holder."""
+    context.mesh.wait_until(context.mesh.is_settled, seconds)
+
+
+@when("every answer of the other targets is lost and {count:d} requests come")
+def lose_answers(context, count: int) -> None:
+    """Send reads whose answers never come back."""
+    mesh = context.mesh
+    others = [place.holder for place in mesh.places if not place.holder.keyed]
+    for holder in others:
+        holder.lost_share = 1.0
+    name = next(iter(mesh.nodes))
+    context.statuses = [mesh.call(name, f"/list/{n}").status for n in range(count)]
+    runs = (run.attempt_id for holder in others for run in holder.runs)
+    context.run_counts = Counter(runs)
+
+
+@then("no request ran more than {most:d} times")
+def check_run_counts(context, most: int) -> None:
+    """Check the runs of each attempt."""
+    assert max(context.run_counts.values()) <= most, context.run_counts
+
+
+@then("at least one ran {count:d} times, and none was said to be not run")
+def check_repeated(context, count: int) -> None:
+    """Check that repeats were made at all, and what their callers were told."""
+    assert count in context.run_counts.values(), context.run_counts
+    assert set(context.statuses) <= {502, 504}, context.statuses
