--- a/features/mesh_story.feature
+++ b/features/mesh_story.feature
@@ -39,3 +39,15 @@
     When the settings of a node are broken and it gets SIGHUP
     Then its log says that the settings were not taken
     And it still serves requests
+
+  Scenario Outline: The lines of a run explain <request>
+    Given the log lines that a run left of <request>
+    When its story is told
+    Then its cause says "<text>"
+
+    Examples:
+      | request                                    | text                            |
+      | a request past its objective               | the objective had passed        |
+      | a request while no coordinator was found   | 'coordinator not found'         |
+      | a request beside a move of its key         | after 'keys given'              |
+      | a request that its target gave up          | sent 18 times before a target   |
--- a/features/steps/mesh_story.py
+++ b/features/steps/mesh_story.py
@@ -9,10 +9,12 @@
 
 from features.support.mesh_builders import FakeClock
 from features.support.mesh_processes import ProcessMesh
+from features.support.story_builders import ATTEMPT_ID, LINES
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
 from knapweedrock.mesh.decisions import Decisions
 from knapweedrock.mesh.http import AnswerParser
+from knapweedrock.operators.story import read_lines, tell_story
 
 KEY = 100
 LOG_S = 0.3
@@ -203,3 +205,22 @@
     """Send a request to the node."""
     send(context, context.name, "/read/1", KEY)
     assert context.results[-1][1] == 200, context.results
+
+
+@given("the log lines that a run left of {request}")
+def give_lines(context, request: str) -> None:
+    """Create the lines of a request."""
+    context.lines = LINES[request]()
+
+
+@when("its story is told")
+def tell(context) -> None:
+    """Tell the story from the lines alone."""
+    context.story = tell_story(ATTEMPT_ID, read_lines(context.lines))
+
+
+@then('its cause says "{text}"')
+def check_cause(context, text: str) -> None:
+    """Check the cause."""
+    assert context.story is not None
+    assert text in context.story.cause, context.story.cause
--- /dev/null
+++ b/features/support/story_builders.py
@@ -0,0 +1,101 @@
+"""Builders of log lines, as runs on the users' platform left them."""
+
+import json
+
+ATTEMPT_ID = "dedcda27ba6fdd68"
+KEY = 57840
+
+
+def create_line(clock: str, node: str, part: str, message: str, **fields) -> str:
+    """Create one line of a node's log."""
+    time = f"2026-07-22T{clock}"
+    found = {"time": time, "node": node, "part": part, "message": message, **fields}
+    return json.dumps(found)
+
+
+def create_failure(clock: str, code: str, **fields) -> str:
+    """Create the line of a failed request for a key."""
+    return create_line(
+        clock,
+        "node-4",
+        "requests",
+        "request failed",
+        id=ATTEMPT_ID,
+        key=KEY,
+        owner="node-8",
+        code=code,
+        board="2.43",
+        **fields,
+    )
+
+
+def create_overload() -> list[str]:
+    """Create the lines of a request that waited past its objective."""
+    delivery = create_line(
+        "13:37:13.236",
+        "node-8",
+        "requests",
+        "delivery failed",
+        id=ATTEMPT_ID,
+        key=KEY,
+        code="QUEUE_TIMEOUT",
+        in_flight=18,
+        waiting=17,
+        service_ms=129.6,
+        remaining_ms=378.0,
+        objective_ms=-422.0,
+    )
+    return [delivery, create_failure("13:37:13.237", "QUEUE_TIMEOUT")]
+
+
+def create_outage() -> list[str]:
+    """Create the lines of a request while the store was away."""
+    return [
+        create_line(
+            "13:37:22.206", "node-8", "target", "target announced itself", target="i"
+        ),
+        create_line(
+            "13:37:22.631",
+            "node-4",
+            "node",
+            "coordinator not found",
+            reason="timed out",
+        ),
+        create_failure("13:37:23.379", "NOT_OWNER"),
+    ]
+
+
+def create_move() -> list[str]:
+    """Create the lines of a request whose key was given to another target."""
+    return [
+        create_line(
+            "13:37:20.631",
+            "node-4",
+            "node",
+            "coordinator not found",
+            reason="timed out",
+        ),
+        create_line(
+            "13:37:22.206",
+            "node-1",
+            "coordinator",
+            "keys given",
+            about="node-8",
+            keys="57723-57900",
+        ),
+        create_failure("13:37:22.379", "NOT_OWNER"),
+    ]
+
+
+def create_late() -> list[str]:
+    """Create the line of a request that its target answered at its deadline."""
+    found = {"status": 504, "ms": 1196.6, "left_ms": 3.4, "sent": 18}
+    return [create_failure("13:37:02.069", "DONE", **found)]
+
+
+LINES = {
+    "a request past its objective": create_overload,
+    "a request while no coordinator was found": create_outage,
+    "a request beside a move of its key": create_move,
+    "a request that its target gave up": create_late,
+}
--- a/knapweedrock/operators/story.py
+++ b/knapweedrock/operators/story.py
@@ -15,6 +15,9 @@
     {"coordinator", "target", "links", "following", "gateway", "node"}
 )
 REQUEST_PART = "requests"
+# A request that is sent more often waited for an owner of its key.
+MANY_SENT = 2
+MOVE_MESSAGES = frozenset({"move begins", "keys given"})
 
 
 class Line(NamedTuple):
@@ -137,11 +140,17 @@
     """Explain a refusal for want of room."""
     fields = line.fields
     cold = " while it was cold" if fields.get("cold") else ""
+    objective_ms = fields.get("objective_ms", 0)
+    limit = f"the {objective_ms} ms that were left of the objective"
+    if objective_ms <= 0:
+        limit = (
+            f"its share of the {fields.get('remaining_ms')} ms that were left of the "
+            "deadline; the objective had passed"
+        )
     return (
         f"The target beside {line.node} was full{cold}: {fields.get('in_flight')} "
         f"requests at it and {fields.get('waiting')} waiting, each taking "
-        f"{fields.get('service_ms')} ms; the wait would have been longer than the "
-        f"{fields.get('objective_ms')} ms that were left of the objective."
+        f"{fields.get('service_ms')} ms; the wait would have been longer than {limit}."
     )
 
 
@@ -164,6 +173,14 @@
         "target announced itself",
         "zones out",
     )
+    outage = find_message(beliefs, "coordinator not found", "term not renewed")
+    is_moving = change is not None and change.fields["message"] in MOVE_MESSAGES
+    if outage is not None and not is_moving:
+        return (
+            f"Key {line.fields.get('key')} had no holder: {outage.node} said "
+            f"'{outage.fields['message']}' ({outage.fields.get('reason')}), so that "
+            "leases, and the holds under them, were not renewed."
+        )
     why = f" after '{change.fields['message']}'" if change else ""
     return (
         f"Key {line.fields.get('key')} was between two owners{why}: {line.node} saw "
@@ -198,6 +215,20 @@
     )
 
 
+@explains(Code.DONE)
+def explain_answer(line: Line, beliefs: list[Line]) -> str:
+    """Explain a failure that the target answered itself."""
+    fields = line.fields
+    waited = ""
+    if fields.get("sent", 1) > MANY_SENT:
+        waited = f" It was sent {fields['sent']} times before a target took it."
+    return (
+        f"The target beside {fields.get('owner')} answered {fields.get('status')} "
+        f"itself, {fields.get('ms')} ms after the request had come and "
+        f"{fields.get('left_ms')} ms before its deadline.{waited}"
+    )
+
+
 def format_story(story: Story) -> str:
     """Format a story for people."""
     shown = [f"request {story.attempt_id}", "", "decisions"]
