Keep the tree's order by tests: no import circles, no platform names outside of the adapter

Both hold today and nothing kept them so; the first also finds a circle that is put in, the second also looks for the names in the adapter itself.

--- /dev/null
+++ b/features/steps/tree.py
@@ -0,0 +1,89 @@
+"""Steps about the order of the source tree."""
+
+import ast
+
+from behave import then, when
+
+from features.support.imports import find_circle, list_modules, read_graph
+
+ADAPTER = "knapweedrock.platform"
+STAND_INS = "knapweedrock.emulator"
+# Names of headers, paths, kinds and fields of the users' platform.
+PLATFORM_NAMES = frozenset(
+    {
+        "x-attempt-id",
+        "x-timeout-remaining",
+        "x-shard-key",
+        "x-response-signature",
+        "x-expected-instance",
+        "x-not-executed",
+        "x-caller-service",
+        "x-server-load",
+        "x-cold-milliseconds",
+        "x-instance-id",
+        "coldremainingms",
+        "trafficsplit",
+        "targetlatencyms",
+        "pathprefix",
+        "sharded",
+        "holdms",
+        "atrevision",
+        "hasmore",
+        "specification",
+        "evacuations",
+        "deregister",
+    }
+)
+
+
+def list_strings(prefixes: tuple[str, ...], inside: bool) -> set[tuple[str, str]]:
+    """List the strings, in lower case, of modules inside or outside of packages."""
+    found = set()
+    for name, path in list_modules().items():
+        if name.startswith(prefixes) != inside:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                found.add((name, node.value.lower()))
+    return found
+
+
+@when("the imports of all modules are read")
+def read_imports(context) -> None:
+    """Read which module imports which."""
+    context.graph = read_graph()
+    assert len(context.graph) > 100, len(context.graph)
+
+
+@when("the strings of all modules outside of the adapter and the stand-ins are read")
+def read_strings(context) -> None:
+    """Read the strings of the product."""
+    context.strings = list_strings((ADAPTER, STAND_INS), inside=False)
+
+
+@then("there is no circle")
+def check_no_circle(context) -> None:
+    """Check the graph."""
+    assert not find_circle(context.graph), find_circle(context.graph)
+
+
+@then("a circle that is put in is found")
+def check_circle_found(context) -> None:
+    """Check that the check can fail."""
+    graph = {**context.graph, "a": {"b"}, "b": {"c"}, "c": {"a"}}
+    assert find_circle(graph) == ["a", "b", "c", "a"]
+
+
+@then("none is a name of the platform's messages")
+def check_names(context) -> None:
+    """Check that the product speaks its own words."""
+    wrong = [item for item in context.strings if item[1] in PLATFORM_NAMES]
+    assert not wrong, wrong
+
+
+@then("the adapter itself has such names")
+def check_adapter(context) -> None:
+    """Check that the names are those that the adapter uses."""
+    strings = {text for _, text in list_strings((ADAPTER,), inside=True)}
+    missing = PLATFORM_NAMES - strings
+    assert len(missing) < len(PLATFORM_NAMES) / 2, missing
