--- a/knapweedrock/headers.py
+++ b/knapweedrock/headers.py
@@ -4,28 +4,31 @@
 
 CACHED_NAMES = 4096
 
-# Headers that end at one connection, and those that only a node may set.
-DROPPED_HEADERS = frozenset(
+# Headers that end at one connection.
+HOP_HEADERS = frozenset(
     {
         "connection",
         "content-length",
         "expect",
-        "fencing-token",
-        "idempotency-key",
         "keep-alive",
-        "lease-until",
-        "proxy-authenticate",
-        "proxy-authorization",
         "proxy-connection",
-        "request-deadline-ms",
-        "request-id",
-        "service-key",
         "te",
         "trailer",
         "transfer-encoding",
         "upgrade",
     }
 )
+# Those, and the headers that only a node may set.
+DROPPED_HEADERS = HOP_HEADERS | {
+    "fencing-token",
+    "idempotency-key",
+    "lease-until",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "request-deadline-ms",
+    "request-id",
+    "service-key",
+}
 
 
 @lru_cache(CACHED_NAMES)
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -10,6 +10,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
+from knapweedrock.headers import HOP_HEADERS
 from knapweedrock.mesh.admission import INNER_RANK, Admission
 from knapweedrock.mesh.exchanges import (
     BrokenExchangeError,
@@ -18,7 +19,6 @@
     is_sound,
 )
 from knapweedrock.mesh.http import Answer, Headers, dial
-from knapweedrock.mesh.jobs import HOP_HEADERS
 from knapweedrock.mesh.loads import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
--- a/knapweedrock/mesh/jobs.py
+++ b/knapweedrock/mesh/jobs.py
@@ -7,26 +7,13 @@
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
+from knapweedrock.headers import HOP_HEADERS
 from knapweedrock.mesh.definitions import Configuration, Part, Route, Service
 from knapweedrock.mesh.http import Headers, Request
 from knapweedrock.mesh.ownership import KEYS
 from knapweedrock.platform.headers import CALLER, KEY, REMAINING
 from knapweedrock.platform.headers import SET_BY_NODES as NODE_HEADERS
 
-# Headers that end at one connection.
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 # Multiples of the golden ratio, taken modulo 1, lie evenly from the first few on.
 TURN_STEP = 0.618033988749895
 FIRST_TURNS = 1000
