Succeed a coordinator at once where its term has surely ended

The coordinator's answers now tell the revision of its lock and what is left of its term. A node that finds the same revision in the store after that time knows that the right was not renewed, and claims it. A renewal that takes effect late changes the revision: then the old wait holds.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -28,6 +28,13 @@
     And no key changed hands among the targets that live
     And no key was held by two targets
 
+  Scenario: A coordinator that is lost while the store is away is succeeded at its return
+    Given a mesh of 3 keyed targets
+    When the store is silent, the node that coordinates is killed, and 6 s pass
+    And the store answers again
+    Then another node coordinates within 2 s
+    And no key was held by two targets
+
   Scenario: An outage of the store takes no key away
     Given a mesh of 3 keyed targets
     When the store is silent for 6 s
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -116,6 +116,28 @@
     mesh.kill_node(context.killed)
 
 
+@when(
+    "the store is silent, the node that coordinates is killed, and {seconds:d} s pass"
+)
+def lose_store_and_coordinator(context, seconds: int) -> None:
+    """Lose the coordinator for good while nobody reaches the store."""
+    mesh = context.mesh
+    for place in mesh.places:
+        place.front.silent = True
+        place.front.drop_watches()
+    gevent.sleep(0.5)
+    context.killed = mesh.find_coordinator()
+    mesh.kill_node(context.killed)
+    gevent.sleep(seconds)
+
+
+@when("the store answers again")
+def return_store(context) -> None:
+    """Let the store answer everybody."""
+    for place in context.mesh.places:
+        place.front.silent = False
+
+
 @when("the store is silent for {seconds:d} s")
 def silence_store(context, seconds: int) -> None:
     """Silence the store and watch who holds what."""
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -90,8 +90,15 @@
             self._log_member(member)
             self._change(members={**self.board.members, name: member})
         self._publisher.help_follow(request)
-        change = self._publisher.find_change(request)
-        return Renewed(self.term.epoch, LEASE_MS, self.board.coordinator, change)
+        term = self.term
+        return Renewed(
+            term.epoch,
+            LEASE_MS,
+            self.board.coordinator,
+            self._publisher.find_change(request),
+            term.get_revision(),
+            term.get_left_ms(),
+        )
 
     def run_plans(self) -> None:
         """Decide on ownership whenever something has changed."""
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -16,6 +16,7 @@
     Publish,
     Published,
     Renew,
+    Renewed,
     Row,
 )
 from knapweedrock.mesh.ownership import find_cuts
@@ -54,6 +55,9 @@
         self._lock: Stored | None = None
         self._lock_seen_ns = 0
         self._lock_read_ns = 0
+        # Revision under which the coordinator last answered, and when that term ends.
+        self._term_revision = 0
+        self._term_end_ns = 0
         self._renewed_ns = node.clock.now_ns()
 
     def describe(self) -> Member:
@@ -112,6 +116,7 @@
             self._look_for_leader(error)
             return False
         self._renewed_ns = self._node.clock.now_ns()
+        self._note_term(answer)
         self._node.holds.extend_lease(sent_ns, answer.lease_ms)
         if answer.change is not None:
             self._take_change(answer.change)
@@ -119,6 +124,12 @@
             answered.set()
         return True
 
+    def _note_term(self, answer: Renewed) -> None:
+        """Note until when the coordinator coordinates unless it renews its right."""
+        left_ms = answer.term_ms * TERM_DRIFT + TERM_GRACE_MS
+        self._term_revision = answer.lock_revision
+        self._term_end_ns = self._node.clock.now_ns() + int(left_ms * NS_PER_MS)
+
     def _look_for_leader(self, error: KnapweedrockError) -> None:
         """Read who coordinates, and claim the right where nobody renews it."""
         now_ns = self._node.clock.now_ns()
@@ -145,6 +156,9 @@
             self._lock_seen_ns = now_ns
         if lock.value["released"] or lock.value["node"] == self._node.settings.node_id:
             return True
+        if lock.revision == self._term_revision and now_ns > self._term_end_ns:
+            # Not renewed since its holder told when this term ends.
+            return True
         seen_ms = (now_ns - self._lock_seen_ns) / NS_PER_MS
         return seen_ms > TERM_MS * TERM_DRIFT + TERM_GRACE_MS
 
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -149,6 +149,8 @@
     lease_ms: float
     coordinator: str
     change: BoardChange | None
+    lock_revision: int
+    term_ms: float
 
 
 @message(54)
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -44,6 +44,14 @@
         """Tell whether the right still counts."""
         return self.leading and self._clock.now_ns() < self._until_ns
 
+    def get_revision(self) -> int:
+        """Return the revision of the store's object that gives the right."""
+        return self._lock.revision
+
+    def get_left_ms(self) -> float:
+        """Return how long the right still counts."""
+        return (self._until_ns - self._clock.now_ns()) / NS_PER_MS
+
     def is_store_away(self) -> bool:
         """Tell whether the last renewal is too old for the store to be there."""
         silent_ns = self._clock.now_ns() - self._renewed_ns
