Keep a coordinator whose right lapsed from claiming it beside itself

Ruled out: the hold had not run out, and the target's heartbeat listed the keys it worked on.

A node whose term goes on does not claim; loops end with the epoch that they began in; a table that was on its way when another term began is not taken for written. Three checks in mesh_store and mesh_path: two failed before (the table was taken, the node would claim), all pass now.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -35,6 +35,11 @@
     Then another node coordinates within 2 s
     And no key was held by two targets
 
+  Scenario: A coordinator whose right lapsed does not claim it beside its own renewals
+    Given a mesh of 3 keyed targets
+    When the store is silent for the coordinator until its right has lapsed
+    Then it may not claim the right while it still renews it
+
   Scenario: An outage of the store takes no key away
     Given a mesh of 3 keyed targets
     When the store is silent for 6 s
--- a/features/mesh_store.feature
+++ b/features/mesh_store.feature
@@ -34,6 +34,12 @@
     When its writes take effect 300 ms late, without an answer, for 7 s
     Then it had authority all the while, in the same epoch
 
+  Scenario: A node that takes the right again renews it once
+    Given a coordinator that has written a table
+    When it takes the right again while its renewals go on
+    Then the right was renewed at most 4 times in 3 s
+    And a table that it computed for the former term is not written
+
   Scenario: All objects of a kind are listed, page by page
     Given 1203 objects of a kind
     When the client lists the kind
--- a/features/steps/mesh_path.py
+++ b/features/steps/mesh_path.py
@@ -11,6 +11,8 @@
 from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.emulator.holder import CRASH_PATH
 from knapweedrock.mesh.http import AnswerParser
+from knapweedrock.mesh.terms import LEADER_NAME
+from knapweedrock.platform.documents import LEADER_KIND
 
 CRASH_KEY = 777
 KEYS = tuple(range(0, 65536, 2048))
@@ -585,3 +587,21 @@
     """Check that repeats were made at all, and what their callers were told."""
     assert count in context.run_counts.values(), context.run_counts
     assert set(context.statuses) <= {502, 504}, context.statuses
+
+
+@when("the store is silent for the coordinator until its right has lapsed")
+def lapse_right(context) -> None:
+    """Keep the store from the coordinator alone."""
+    mesh = context.mesh
+    context.name = mesh.find_coordinator()
+    context.node = mesh.nodes[context.name]
+    context.lock = context.node.store.get(LEADER_KIND, LEADER_NAME)
+    mesh.find_place(context.name).front.silent = True
+    mesh.wait_until(lambda: not context.node.coordinator.term.has_authority())
+
+
+@then("it may not claim the right while it still renews it")
+def check_no_claim(context) -> None:
+    """Ask the node whether it would claim what it holds."""
+    assert context.node.coordinator.term.leading, "the term has ended"
+    assert not context.node.membership._may_claim(context.lock)
--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -254,3 +254,42 @@
     assert context.former.leading, "the term was given up"
     assert not context.lapses, f"no authority for {context.lapses * 10} ms"
     assert context.former.epoch == context.epoch
+
+
+@when("it takes the right again while its renewals go on")
+def take_again(context) -> None:
+    """Claim the right a second time and renew it, beside the first renewals."""
+    term = context.former
+    for _ in range(2):
+        renewing = gevent.spawn(term.run)
+        context.add_cleanup(renewing.kill)
+        gevent.sleep(0.1)
+        lock = context.client.get(LEADER_KIND, LEADER_NAME)
+        context.before = lock.revision
+        if term.epoch == 1:
+            assert term.claim(lock)
+
+
+@then("the right was renewed at most {most:d} times in {seconds:d} s")
+def check_renewals(context, most: int, seconds: int) -> None:
+    """Count the changes of the lock, which nothing else changes."""
+    before = context.client.get(LEADER_KIND, LEADER_NAME)
+    gevent.sleep(seconds)
+    after = context.client.get(LEADER_KIND, LEADER_NAME)
+    renewed = after.revision - before.revision
+    assert 0 < renewed <= most, renewed
+    assert context.former.has_authority()
+
+
+@then("a table that it computed for the former term is not written")
+def check_former_table(context) -> None:
+    """Begin a write, and a new term while it is on its way."""
+    term = context.former
+    context.front.late, context.front.late_s = 1.0, 0.5
+    writing = gevent.spawn(term.write_table, "orders", [create_row(0, 65535, "n9", 9)])
+    gevent.sleep(0.1)
+    term.epoch += 1
+    context.front.late = 0.0
+    writing.join(5)
+    assert isinstance(writing.exception, PlatformError), writing.value
+    assert term.list_tables() == {"orders": context.rows}
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -101,8 +101,9 @@
         )
 
     def run_plans(self) -> None:
-        """Decide on ownership whenever something has changed."""
-        while self.term.leading:
+        """Decide on ownership whenever something has changed, for one term."""
+        epoch = self.term.epoch
+        while self.term.leads(epoch):
             self._wake.wait(TICK_S)
             self._wake.clear()
             if not self.term.has_authority():
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -150,6 +150,9 @@
             self._leader = lock.value["peer"]
 
     def _may_claim(self, lock: Stored) -> bool:
+        if self._node.coordinator.term.leading:
+            # Its own renewals go on, and find out whether the right is lost.
+            return False
         now_ns = self._node.clock.now_ns()
         if self._lock is None or lock.revision != self._lock.revision:
             self._lock = lock
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -4,6 +4,7 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.messages import Row
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
@@ -75,6 +76,8 @@
             return False
         self._lock = lock
         self.epoch = epoch
+        self._sent_ns.clear()
+        self._until_ns = 0
         self.leading = True
         self._note_renewed(sent_ns)
         return True
@@ -93,10 +96,14 @@
         except PlatformError as error:
             log.warning("term not given up", reason=error.detail)
 
+    def leads(self, epoch: int) -> bool:
+        """Tell whether the term of an epoch goes on."""
+        return self.leading and self.epoch == epoch
+
     def run(self) -> None:
-        """Renew the right until it is lost."""
-        number = 0
-        while self.leading:
+        """Renew the right until it is lost, or taken anew under another epoch."""
+        number, epoch = 0, self.epoch
+        while self.leads(epoch):
             number += 1
             sent_ns = self._sent_ns[number] = self._clock.now_ns()
             try:
@@ -108,9 +115,11 @@
                     RENEW_S,
                 )
             except ConflictError as error:
+                if not self.leads(epoch):
+                    return
                 if self._adopt_own(error.current):
                     continue
-                log.warning("term lost", epoch=self.epoch)
+                log.warning("term lost", epoch=epoch)
                 self.leading = False
                 return
             except PlatformError as error:
@@ -134,18 +143,23 @@
 
         A write that meets a table of another epoch ends the term.
         """
+        epoch = self.epoch
         value = {
-            "epoch": self.epoch,
+            "epoch": epoch,
             "rows": [list(row._replace(next_node="")) for row in rows],
         }
         known = self._tables.get(service)
         try:
-            self._tables[service] = self._store.put(
+            written = self._store.put(
                 TABLE_KIND, service, value, known, WRITE_TIMEOUT_S
             )
         except ConflictError as error:
-            self._adopt_late_table(service, error.current)
+            if self.epoch == epoch:
+                self._adopt_late_table(service, error.current)
             raise
+        if self.epoch != epoch:
+            raise PlatformError(Code.PLATFORM_CONFLICT, "another term has begun")
+        self._tables[service] = written
 
     def _note_renewed(self, sent_ns: int) -> None:
         until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
