Report a row as let go only once all of it is, not a part

Cause: a node let a part of a row go under the marks of one coordinator; its successor knew the row from the store, whole and without marks; the node then took the whole row for given up, since a part of it was, and reported it as unheld while its target still held the rest. Ruled out: two coordinators at once (the former one refused renewals 50 ms before the claim).

A part that was given up keeps the whole row from being granted, as before, but the row is reported only once the target's heartbeat lists none of it. The scenario of mesh_holds failed before at 'nothing is reported as unheld' and passes now.

--- a/features/mesh_holds.feature
+++ b/features/mesh_holds.feature
@@ -61,3 +61,15 @@
     Then no request for the row may be sent
     When its target, which still works on the row, sends a heartbeat
     Then a request for the row may be sent
+
+  Scenario: A row of which a part was given up is reported only once all of it is let go
+    When its target holds the row and is to let its second half go
+    And its target, which let the second half go, sends a heartbeat
+    Then the second half is reported as unheld
+    When a new coordinator knows the row as a whole, without a mark
+    Then nothing is reported as unheld
+    When its target, which still holds the first half, sends a heartbeat
+    Then nothing is granted
+    And nothing is reported as unheld
+    When its target, which holds nothing, sends a heartbeat
+    Then the row is reported as unheld
--- a/features/steps/mesh_holds.py
+++ b/features/steps/mesh_holds.py
@@ -164,3 +164,44 @@
     """Check that the node takes the row as not held."""
     now_ns = context.clock.ns
     assert not context.holds.may_serve(50, "n0@1", context.rows, now_ns)
+
+
+@when("its target holds the row and is to let its second half go")
+def mark_half(context) -> None:
+    """Grant the row, then mark one half of it."""
+    context.whole = context.rows[0]
+    beat(context, held=(create_span(context.whole),))
+    first = context.whole._replace(end=49)
+    second = context.whole._replace(start=50, next_node="n1")
+    context.rows[:1] = [first, second]
+    beat(context, held=(create_span(first), create_span(second)))
+    assert [grant.end for grant in context.reply.grants] == [49]
+
+
+@when("its target, which let the second half go, sends a heartbeat")
+def send_half(context) -> None:
+    """Send a heartbeat that lists the first half alone."""
+    first, second = context.rows[:2]
+    beat(
+        context,
+        held=(create_span(first),),
+        released=(create_released(second, "mark"),),
+    )
+
+
+@then("the second half is reported as unheld")
+def check_half(context) -> None:
+    """Check the report."""
+    assert list_unheld(context) == context.rows[1:2]
+
+
+@when("a new coordinator knows the row as a whole, without a mark")
+def lose_marks(context) -> None:
+    """Put the table in force as the store has it."""
+    context.rows[:2] = [context.whole]
+
+
+@when("its target, which still holds the first half, sends a heartbeat")
+def send_first_half(context) -> None:
+    """Send a heartbeat that lists the first half alone."""
+    beat(context, held=(create_span(context.whole._replace(end=49)),))
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -98,12 +98,26 @@
             for known in self._given_up
             if any(row.token == known.token and overlaps(row, known) for row in own)
         ]
+        unheld = []
         for row in own:
-            if not self._is_given_up(row) and self._is_unheld(row, dead, now_ns):
+            if self._is_given_up_whole(row):
+                unheld.append(row)
+            elif self._is_unheld(row, dead, now_ns):
                 self._given_up.append(row)
-        return [row for row in own if self._is_given_up(row)]
+                unheld.append(row)
+        return unheld
+
+    def _is_given_up_whole(self, row: Row) -> bool:
+        """Tell whether all of a row was given up, not just a part of it."""
+        return any(
+            row.token == known.token
+            and known.start <= row.start
+            and row.end <= known.end
+            for known in self._given_up
+        )
 
     def _is_given_up(self, row: Row) -> bool:
+        """Tell whether a part of a row was given up, so that it is granted no more."""
         return any(
             row.token == known.token and overlaps(row, known)
             for known in self._given_up
@@ -119,7 +133,8 @@
             return True
         if self._lapse_ns and now_ns > self._lapse_ns:
             return True
-        if not row.next_node and not known.draining:
+        is_let_go = row.next_node or known.draining or self._is_given_up(row)
+        if not is_let_go:
             return False
         kept = self.granted.rows if self.granted.target == known.target else None
         if kept is None or any(overlaps(row, other) for other in kept):
