Encode the head of an answer in one place

encode_head_answer wrote the status line and headers again beside encode_answer; both call encode_head now. Same bytes: mesh_input (HEAD among them), mesh_answers and mesh_holds pass, 51 scenarios.

--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -293,22 +293,25 @@
 
 def encode_answer(status: int, headers: Headers, body: bytes, closes: bool) -> bytes:
     """Encode an answer with a body of known length."""
-    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    if status not in BODILESS:
-        lines.append(f"Content-Length: {len(body)}")
-    if closes:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+    length = None if status in BODILESS else len(body)
+    return encode_head(status, headers, length, closes) + body
 
 
 def encode_head_answer(
     status: int, headers: Headers, length: int, closes: bool
 ) -> bytes:
     """Encode an answer to HEAD; the length is used where the headers tell none."""
+    is_told = any(name.lower() == "content-length" for name, _ in headers)
+    return encode_head(status, headers, None if is_told else length, closes)
+
+
+def encode_head(
+    status: int, headers: Headers, length: int | None, closes: bool
+) -> bytes:
+    """Encode all of an answer that stands before its body."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    if not any(name.lower() == "content-length" for name, _ in headers):
+    if length is not None:
         lines.append(f"Content-Length: {length}")
     if closes:
         lines.append("Connection: close")
