Answer what has come when a node stops, before it ends

Idle connections are closed then, and this one was rightly left open, but the node looked only at requests being served, found none, and ended about 100 ms later, with the request at its target.

Ruled out: the grace of the platform (2.4 s of 6 had passed) and the target (it was cut by the node's end).

Now the node waits for every connection that is still open, which ends with its answer; and connections that wait to be accepted are, before the listener closes. Three scenarios (not accepted, not read, half read) failed without it: reset by the peer twice, closed before the answer once.

Also: a code that only a later version knows counts as a lost answer (it raised in the middle of a request), and a renewal that comes back after its term does not set the lock of the next one.

--- a/features/frames.feature
+++ b/features/frames.feature
@@ -19,6 +19,12 @@
     When all frames from the second node are dropped
     Then a request to it fails as possibly handled within 1 s
 
+  Scenario: A refusal that only a later version knows counts as a lost answer
+    Given the links of two nodes
+    When the second node refuses with code 999
+    Then a request to it fails with code 208
+    And the router takes an answer with code 999 for one that may have run
+
   Scenario: A connection that is dropped stays open until its reader has ended
     Given the links of two nodes
     When the first node's connection to the second is closed
--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -80,3 +80,14 @@
     Given a mesh of 1 keyed targets
     When a target crashes, a repeat finds it down, and then the crash is looked into twice
     Then the request that was there counts for one crash
+
+  Scenario Outline: A request that a stopping node has <state> is answered
+    Given a mesh of 2 keyed targets
+    When a node stops while it has <state> a request
+    Then the request is answered before the node has ended
+
+    Examples:
+      | state        |
+      | not accepted |
+      | not read     |
+      | half read    |
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -33,6 +33,7 @@
     get_kind,
     list_types,
 )
+from knapweedrock.mesh.routing import Progress, settle
 
 TEXT = st.text(max_size=20)
 HEADERS = st.lists(st.tuples(TEXT, TEXT), max_size=3)
@@ -215,6 +216,31 @@
     assert elapsed_ms < 1000, elapsed_ms
 
 
+@when("the second node refuses with code {code:d}")
+def refuse_all(context, code):
+    """Answer every request with a refusal."""
+    context.second.handlers[Crashed] = lambda _sender, _message: Failed(code, "new")
+
+
+@then("a request to it fails with code {code:d}")
+def check_refusal(context, code):
+    """Check the code of the failure."""
+    try:
+        context.first.request(str(context.second.address), Crashed([]), 1000)
+        raise AssertionError("the request was answered")
+    except LinkError as error:
+        assert error.code == code, error
+
+
+@then("the router takes an answer with code {code:d} for one that may have run")
+def check_settled(context, code):
+    """Settle a refusal beside an earlier lost answer."""
+    progress = Progress(0, 0)
+    progress.lost = Forwarded(Code.ANSWER_LOST, 0, [], b"", "", 0, 0.0)
+    final = Forwarded(code, 0, [], b"", "", 0, 0.0)
+    assert settle(final, progress) is final
+
+
 @when("the first node's connection to the second is closed")
 def close_connection(context):
     """Close it while its reader waits, and note its descriptor right after."""
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -1,6 +1,7 @@
 """Steps about answers of targets, good and broken."""
 
 import struct
+from unittest import mock
 
 import gevent
 from behave import given, then, when
@@ -23,6 +24,9 @@
 from knapweedrock.mesh.suspects import Suspects
 
 TIMEOUT_S = 0.4
+# Time after which the rest of a request is sent.
+LATE_S = 0.2
+ANSWER_S = 5.0
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
 ANSWERS = {
@@ -295,3 +299,50 @@
     """Check the runs of all targets."""
     gevent.sleep(0.1)
     assert not [run for place in context.mesh.places for run in place.holder.runs]
+
+
+@when("a node stops while it has {state} a request")
+def stop_beside_request(context, state) -> None:
+    """Send a request, or half of it, right before the node stops listening."""
+    mesh = context.mesh
+    node = mesh.nodes.pop("node-0")
+    data, context.attempt_id = mesh.encode("/order/1", 1, "POST", b"body", 3000)
+    first = len(data) if state != "half read" else len(data) - 2
+    if state == "not accepted":
+        spot, name = node.callers, "stop"
+    else:
+        spot, name = node.callers._server, "close"
+        context.connection = mesh.open("node-0")
+        used, _ = mesh.encode("/read/1", 1, "GET", b"", 1000)
+        context.connection.send(used, TIMEOUT_S)
+        assert context.connection.read(AnswerParser(), ANSWER_S).status == 200
+    stop = getattr(spot, name)
+
+    def stop_with_request() -> None:
+        if state == "not accepted":
+            context.connection = mesh.open("node-0")
+        context.connection.send(data[:first], TIMEOUT_S)
+        if first < len(data):
+            gevent.spawn_later(LATE_S, context.connection.send, data[first:], TIMEOUT_S)
+            gevent.sleep(LATE_S / 2)
+        stop()
+
+    setattr(spot, name, stop_with_request)
+    context.end = gevent.spawn(end_process, node)
+
+
+def end_process(node) -> None:
+    """Stop a node in order, and then all that it runs, as the end of a process does."""
+    with mock.patch("knapweedrock.mesh.node.LEAVE_MS", 1):
+        node.stop()
+    node.abort()
+
+
+@then("the request is answered before the node has ended")
+def check_answered(context) -> None:
+    """Read the answer; a connection that ends without one raises."""
+    gevent.sleep(TIMEOUT_S)
+    answer = context.connection.read(AnswerParser(), ANSWER_S)
+    context.connection.close()
+    assert answer.status == 200, answer
+    assert answer.body.decode().startswith(context.attempt_id), answer
--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -158,3 +158,15 @@
         400, _NOT_RUN, False, "A listen address can't be bound."
     ),
 }
+
+
+def find_code(number: int) -> Code:
+    """Find the code of a number that a peer gave.
+
+    One that only a later version knows may say anything of the request, so it counts as
+    a lost answer.
+    """
+    try:
+        return Code(number)
+    except ValueError:
+        return Code.PEER_LOST
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -25,6 +25,8 @@
 
 BACKLOG = 2048
 SEND_TIMEOUT_S = 10.0
+# Time in which connections that wait are accepted.
+ACCEPT_S = 0.01
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = Logger("callers")
@@ -69,13 +71,21 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Close the listener and the connections on which no request has come."""
+        """Close the listener and the connections on which no request has come.
+
+        Those that callers have opened by now are accepted first.
+        """
+        gevent.sleep(ACCEPT_S)
         self._server.close()
         for sock in list(self._idle):
             if not has_unread(sock):
                 with suppress(OSError):
                     sock.shutdown(system_socket.SHUT_RDWR)
 
+    def has_requests(self) -> bool:
+        """Tell whether requests are being read or served, once it has stopped."""
+        return len(self._connections) > 0
+
     def abort(self) -> None:
         """Close the listener and all connections, whatever is in flight."""
         self._server.close()
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -18,7 +18,7 @@
 from websockets.server import ServerProtocol
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.codes import Code
+from knapweedrock.codes import Code, find_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, LinkError
 from knapweedrock.mesh.connections import Connection, accept, dial
@@ -85,7 +85,7 @@
             if not answered and cancels and not self.closed:
                 gevent.spawn(self._cancel, number)
         if isinstance(answer, Failed):
-            raise LinkError(Code(answer.code), answer.detail)
+            raise LinkError(find_code(answer.code), answer.detail)
         return answer
 
     def send(self, frame: Frame) -> None:
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -197,7 +197,7 @@
         self.callers.closing = True
         gevent.sleep(LEAVE_MS / 1000)
         self.callers.stop()
-        while self.clock.now_ns() < end_ns and self._is_busy():
+        while self.clock.now_ns() < end_ns and self.callers.has_requests():
             gevent.sleep(STOP_POLL_S)
         self.gateway.closing = True
         while self.clock.now_ns() < end_ns and self.gateway.in_flight:
@@ -205,9 +205,6 @@
         self.links.stop()
         log.info("node stopped", id=self.settings.node_id)
 
-    def _is_busy(self) -> bool:
-        return self.callers.in_flight > 0
-
     def _find_limits(self) -> Limits:
         return self.configuration.limits if self.configuration else Limits()
 
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.codes import INFO, Code, Outcome
+from knapweedrock.codes import INFO, Code, Outcome, find_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.budgets import RUN_COST, RetryBudget
@@ -141,7 +141,7 @@
         self, job: Job, progress: Progress, member: Member | None, result: Forwarded
     ) -> bool:
         """Note a result; tell whether the request is to be sent once more."""
-        code = Code(result.code)
+        code = find_code(result.code)
         if code is Code.DONE:
             if result.status < SERVER_ERROR or not job.route.idempotent:
                 return False
@@ -250,7 +250,7 @@
     def _note_result(self, member: Member, result: Forwarded) -> None:
         if result.code == Code.DONE and result.status < SERVER_ERROR:
             return
-        if Code(result.code) not in ROOM:
+        if find_code(result.code) not in ROOM:
             self.chooser.note_failure(member)
 
     def _find_left_ms(self, job: Job) -> float:
@@ -266,7 +266,7 @@
         return found
 
     def _create_reply(self, job: Job, result: Forwarded) -> Reply:
-        code = Code(result.code)
+        code = find_code(result.code)
         if code is Code.DONE:
             return Reply(result.status, result.headers, result.body)
         left_ms = self._find_left_ms(job)
@@ -277,7 +277,7 @@
     def _note(
         self, job: Job, progress: Progress, result: Forwarded, latency_ms: float
     ) -> None:
-        code = Code(result.code)
+        code = find_code(result.code)
         is_good = code is Code.DONE and result.status < SERVER_ERROR
         self._counters.count("requests", code=code.name, service=job.service.name)
         self._latencies.observe(
@@ -324,7 +324,10 @@
         return final
     if progress.failed is not None:
         return progress.failed
-    if progress.lost is None or INFO[Code(final.code)].outcome is Outcome.MAY_HAVE_RUN:
+    if (
+        progress.lost is None
+        or INFO[find_code(final.code)].outcome is Outcome.MAY_HAVE_RUN
+    ):
         return final
     return progress.lost
 
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -107,10 +107,10 @@
             number += 1
             sent_ns = self._sent_ns[number] = self._clock.now_ns()
             try:
-                self._lock = self._store.replace(
+                lock = self._store.replace(
                     LEADER_KIND,
                     LEADER_NAME,
-                    self._describe(self.epoch, number),
+                    self._describe(epoch, number),
                     self._lock.revision,
                     RENEW_S,
                 )
@@ -127,6 +127,9 @@
                 self._read_back()
                 gevent.sleep(RETRY_S)
                 continue
+            if not self.leads(epoch):
+                return
+            self._lock = lock
             self._note_renewed(sent_ns)
             self._sent_ns.clear()
             gevent.sleep(RENEW_S)
