Let targets take rows of a first table in turn

Busy keys lie close together, and a first table gave each target one long row, so one or two targets held all of them until load had been measured and moved: a tenth and more of the requests were refused in the first seconds.

Now a first table has about 128 rows that targets take in turn, so neighbours have several owners before any load is known. Since no single row bears what a new target should get, a move takes whole rows where no run of one row fits (without it "A new target gets keys even while nobody is busy" failed); moves under way are counted by giver and receiver, not by row.

The step "the target of the first member has ended" names all of its rows now.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -5,6 +5,21 @@
     Then every key has one owner
     And no member owns more than 7282 keys
 
+  Scenario Outline: Busy keys that lie together have several owners from the start
+    Given <members> members without keys
+    When the first table is made
+    Then every key has one owner
+    And any 2000 neighbouring keys have at least <owners> owners
+    And the table has fewer than 150 rows
+
+    Examples:
+      | members | owners |
+      | 2       | 2      |
+      | 3       | 3      |
+      | 9       | 4      |
+      | 46      | 3      |
+      | 140     | 4      |
+
   Scenario: A row that nobody holds is marked before it is given away
     Given a table of 3 members
     And the target of the first member has ended
--- a/features/steps/mesh_ownership.py
+++ b/features/steps/mesh_ownership.py
@@ -103,10 +103,11 @@
 
 @given("the target of the first member has ended")
 def end_first(context) -> None:
-    """Let the first member's row be unheld."""
+    """Let the first member's rows be unheld."""
     members = dict(context.facts.members)
     members["n0"] = members["n0"]._replace(state="absent")
-    context.facts = create_facts(members, unheld=(context.rows[0],))
+    unheld = tuple(row for row in context.rows if row.node_id == "n0")
+    context.facts = create_facts(members, unheld=unheld)
 
 
 @given("the first member is silent but its lease runs")
@@ -148,6 +149,21 @@
     context.rows = create_table(list_fit(context.facts))
 
 
+@then("any {count:d} neighbouring keys have at least {owners:d} owners")
+def check_neighbours(context, count: int, owners: int) -> None:
+    """Look at the neighbours that begin where a row does, or end where one does."""
+    for row in context.rows:
+        for start in (row.start, row.end - count + 1):
+            if start < 0 or start + count > KEYS:
+                continue
+            found = {
+                other.node_id
+                for other in context.rows
+                if other.start < start + count and start <= other.end
+            }
+            assert len(found) >= owners, (start, found)
+
+
 @when("the coordinator plans once")
 @when("the coordinator plans once more")
 def plan_once(context) -> None:
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -110,10 +110,7 @@
     def _is_given_up_whole(self, row: Row) -> bool:
         """Tell whether all of a row was given up, not just a part of it."""
         return any(
-            row.token == known.token
-            and known.start <= row.start
-            and row.end <= known.end
-            for known in self._given_up
+            row.token == known.token and covers(known, row) for known in self._given_up
         )
 
     def _is_given_up(self, row: Row) -> bool:
@@ -145,3 +142,8 @@
 def overlaps(row, other) -> bool:
     """Tell whether two ranges of keys share a key."""
     return row.start <= other.end and other.start <= row.end
+
+
+def covers(row, other) -> bool:
+    """Tell whether a range holds all keys of another one."""
+    return row.start <= other.start and other.end <= row.end
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from typing import NamedTuple
 
-from knapweedrock.mesh.holds import overlaps
+from knapweedrock.mesh.holds import covers, overlaps
 from knapweedrock.mesh.messages import Member, Row, RowLoad
 
 KEYS = 65536
@@ -25,8 +25,13 @@
 LEAST_MOVES = 4
 LEAST_BEGUN = 3
 TARGETS_A_MOVE = 6
+# Rows of a first table, about: more of them spread neighbours better, and cost the
+# coordinator more at each decision.
+FIRST_ROWS = 128
 # Share of the wanted load that a row must have for its runs to be looked at.
 WORTH_RUN_SHARE = 0.25
+# Share of it that a whole row must have to be moved beside others.
+WORTH_ROW_SHARE = 0.03
 # Load that a move of all keys would have to be worth.
 MOVE_COST = 30.0
 
@@ -59,11 +64,16 @@
 
 
 def create_table(members: list[Member]) -> list[Row]:
-    """Divide all keys evenly among some members."""
+    """Divide all keys evenly among some members.
+
+    Members take many small rows in turn: busy keys lie close together, and so have
+    several owners before any load is known.
+    """
     ordered = sorted(members, key=lambda member: member.node_id)
-    count = len(ordered)
+    count = len(ordered) * max(1, FIRST_ROWS // len(ordered))
     rows = []
-    for index, member in enumerate(ordered):
+    for index in range(count):
+        member = ordered[index % len(ordered)]
         start = index * KEYS // count
         end = (index + 1) * KEYS // count - 1
         rows.append(Row(start, end, member.node_id, member.target, 1, "", ""))
@@ -218,8 +228,7 @@
         row.node_id == known.node_id
         and row.target == known.target
         and row.token == known.token
-        and known.start <= row.start
-        and row.end <= known.end
+        and covers(known, row)
         for known in facts.unheld
     )
 
@@ -263,7 +272,7 @@
     Members that are `resting` took part in a move a moment ago.
     """
     totals = measure_loads(rows, facts)
-    under_way = sum(1 for row in rows if row.next_node)
+    under_way = len({(row.node_id, row.next_node) for row in rows if row.next_node})
     if len(totals) < 2 or under_way >= max(LEAST_MOVES, len(totals) // TARGETS_A_MOVE):
         return rows
     owners = {row.next_node or row.node_id for row in rows}
@@ -309,11 +318,30 @@
 def move_load(
     rows: list[Row], facts: Facts, giver: str, receiver: str, wanted: float
 ) -> list[Row]:
-    """Mark the run of a giver's keys whose load is closest to what is wanted.
+    """Mark keys of a giver that bear about the load that is wanted.
 
-    Of runs that are about as good, the one with the fewest keys is moved.
+    Whole rows move only where no run of one row bears enough: keys on their way are not
+    served for a moment, so the fewer the better.
     """
-    best: tuple[float, Row, Row] | None = None
+    run = choose_run(rows, facts, giver, wanted)
+    moved = set() if run else choose_rows(rows, facts, giver, wanted)
+    found = []
+    for row in rows:
+        if row in moved:
+            found.append(row._replace(next_node=receiver))
+        elif run and overlaps(row, run):
+            found += cut_out(row, run, receiver)
+        else:
+            found.append(row)
+    return found
+
+
+def choose_run(rows: list[Row], facts: Facts, giver: str, wanted: float) -> Row | None:
+    """Choose the run of a row's keys whose load is closest to what is wanted.
+
+    Of runs that are about as good, the one with the fewest keys is chosen.
+    """
+    best: tuple[float, Row] | None = None
     for row in rows:
         if row.node_id != giver or row.next_node:
             continue
@@ -324,20 +352,34 @@
             width = (piece.end - piece.start + 1) / KEYS
             miss = abs(load - wanted) + MOVE_COST * width
             if load <= wanted * 1.5 and (best is None or miss < best[0]):
-                best = (miss, row, piece)
-    if best is None:
-        return rows
-    _, row, piece = best
+                best = (miss, piece)
+    return best[1] if best else None
+
+
+def choose_rows(rows: list[Row], facts: Facts, giver: str, wanted: float) -> set[Row]:
+    """Choose whole rows of a giver, the ones with the most load first."""
+    loads = {
+        row: measure_row(row, facts)
+        for row in rows
+        if row.node_id == giver and not row.next_node
+    }
+    least = wanted * WORTH_ROW_SHARE
+    chosen = set()
+    for row in sorted(loads, key=lambda row: (-loads[row], row.start)):
+        if least <= loads[row] <= wanted:
+            chosen.add(row)
+            wanted -= loads[row]
+    return chosen
+
+
+def cut_out(row: Row, run: Row, receiver: str) -> list[Row]:
+    """Cut a run out of its row and mark it for a receiver."""
     found = []
-    for item in rows:
-        if item != row:
-            found.append(item)
-            continue
-        if row.start < piece.start:
-            found.append(row._replace(end=piece.start - 1))
-        found.append(piece._replace(next_node=receiver))
-        if piece.end < row.end:
-            found.append(row._replace(start=piece.end + 1))
+    if row.start < run.start:
+        found.append(row._replace(end=run.start - 1))
+    found.append(run._replace(next_node=receiver))
+    if run.end < row.end:
+        found.append(row._replace(start=run.end + 1))
     return found
 
 
