--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -21,6 +21,14 @@
 COMMAND_TIMEOUT_S = 30
 
 
+def serve(context, answer):
+    """Serve a WSGI application until the scenario ends."""
+    context.address = Ports(create_loopback_host()).take()
+    server = create_http_server(parse_address(context.address), answer)
+    server.start()
+    context.add_cleanup(server.stop, 0)
+
+
 @given("a plain server that stalls once for {stall_ms:d} ms")
 def start_server(context, stall_ms):
     """Start a server in this process; all wait for the end of its stall."""
@@ -33,10 +41,7 @@
         start_response("200 OK", [("Content-Length", "2")])
         return [b"ok"]
 
-    context.address = Ports(create_loopback_host()).take()
-    server = create_http_server(parse_address(context.address), answer)
-    server.start()
-    context.add_cleanup(server.stop, 0)
+    serve(context, answer)
 
 
 @given("a server that answers with status {status:d}")
@@ -47,10 +52,7 @@
         start_response(f"{status} Status", [("Content-Length", "0")])
         return [b""]
 
-    context.address = Ports(create_loopback_host()).take()
-    server = create_http_server(parse_address(context.address), answer)
-    server.start()
-    context.add_cleanup(server.stop, 0)
+    serve(context, answer)
 
 
 @given("an address where nobody listens")
--- a/knapweedrock/operators/__init__.py
+++ b/knapweedrock/operators/__init__.py
@@ -1,1 +1,1 @@
-"""Serve operators: tickets, status, dumps and metrics."""
+"""Commands of operators: what they ask nodes, and how it is shown."""
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -17,6 +17,7 @@
 import gevent  # noqa: E402
 from logbook import NullHandler  # noqa: E402
 
+from knapweedrock.demo.checks import create_call  # noqa: E402
 from knapweedrock.demo.deployments import (  # noqa: E402
     DEPLOYMENTS,
     HOST,
@@ -24,7 +25,7 @@
 )
 from knapweedrock.emulator.documents import READ_PREFIX, create_document  # noqa: E402
 from knapweedrock.emulator.local import LocalMesh, Place, Spot  # noqa: E402
-from knapweedrock.history import Call, measure_key_gap  # noqa: E402
+from knapweedrock.history import measure_key_gap  # noqa: E402
 from knapweedrock.load.program import LoadOptions, LoadRun  # noqa: E402
 from knapweedrock.load.samples import Sample  # noqa: E402
 from knapweedrock.operators.formatters import format_table  # noqa: E402
@@ -141,7 +142,9 @@
         run = create_run(entry, LOSS_RATE, LOSS_S, samples.append)
         gevent.spawn_later(LOSS_AT_S, lose, mesh, owner)
         report = run.run()
-    gap = measure_key_gap("1", [create_call(sample) for sample in samples])
+    gap = measure_key_gap(
+        "1", [create_call(sample, DEPLOYMENT.keyed, True) for sample in samples]
+    )
     return (
         round(gap.longest_ms),
         report.done,
@@ -150,26 +153,6 @@
     )
 
 
-def create_call(sample: Sample) -> Call:
-    """Create the history's record of a sample."""
-    return Call(
-        sample.tag,
-        sample.order_id,
-        DEPLOYMENT.keyed,
-        sample.key,
-        "GET",
-        sample.address,
-        sample.intended_ns,
-        sample.intended_ns,
-        sample.end_ns,
-        sample.status,
-        sample.code,
-        sample.outcome,
-        sample.status > 0,
-        sample.own_answer,
-    )
-
-
 @experiment
 def measure_control() -> list[Row]:
     """Measure what control takes of an idle mesh, by its size."""
