Soak: hot keys, configurations, zones, proxies before targets and stores, slow clocks

Cause: the soak had little load, rarely cut rows and changed nothing that operators change, so it could not find a fault like keys given while held. Faults added: 40 neighbouring keys with more than half of the load on targets of 3 slots, newer configurations, zones out for a while; proxies stand before each node's target and store too; targets measure holds by a clock 2 % slow. Checked after the faults: every node has the newest configuration and knows that no zone is out.

--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -8,12 +8,16 @@
 
 import gevent
 
+from features.support.mesh_builders import create_document
 from features.support.mesh_harness import Place
 from features.support.mesh_processes import ProcessMesh
 from features.support.proxies import Proxy
-from knapweedrock.clock import NS_PER_MS, NS_PER_S
+from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
 from knapweedrock.emulator.addresses import create_address
+from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.http import AnswerParser, MalformedMessageError, dial
+from knapweedrock.operators.client import fetch_json
+from knapweedrock.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 
 KEYS = 65536
 ORDER_SHARE = 0.4
@@ -22,6 +26,14 @@
 # Load goes on for this long after the recovery, while holders are watched.
 CALM_S = 3.0
 WATCH_S = 0.01
+# Few slots and long work let hot keys fill a target.
+SLOTS = 3
+WORK_MS = 5.0
+HOT_WORK_MS = 60.0
+HOT_KEYS = 40
+HOT_SHARE = 0.6
+# A target's clock may run this much slow.
+SLOWEST_CLOCK = 0.98
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -44,6 +56,18 @@
     body: bytes
 
 
+class SlowClock:
+    """Clock of a target that runs slow."""
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self._clock = clock
+        self._rate = rate
+
+    def now_ns(self) -> int:
+        """Return the time that it shows."""
+        return int(self._clock.now_ns() * self._rate)
+
+
 class Soak:
     """Load and faults on a mesh of processes, both drawn from one seed."""
 
@@ -63,12 +87,15 @@
         self._load_random = random.Random(seed + 1)
         self._kinds = [name for name in FAULTS if not kinds or name in kinds.split()]
         self._interval_s = 1 / rate
+        self._hot_start = -1
+        self._version = 1
         self._senders: list[gevent.Greenlet] = []
 
     def run(self, seconds: float) -> None:
         """Run load and faults, then let the mesh recover under load."""
         for place in self.mesh.places:
             place.holder.lost_share = 0.01
+            place.holder.slots = SLOTS
         for proxy in self._list_proxies():
             proxy.start()
         self.mesh.start()
@@ -81,6 +108,7 @@
             self._break_something()
         self._mend_everything()
         self.mesh.wait_until(self.mesh.is_settled, RECOVERY_S)
+        self.mesh.wait_until(self._is_in_force, RECOVERY_S)
         self.unheld_ms = self._watch_holders()
         load.kill()
         gevent.joinall(self._senders, timeout=4)
@@ -125,15 +153,37 @@
         return sum(1 for sent in self.sent if sent.status == 200)
 
     def _add_proxies(self, place: Place) -> Place:
-        """Put proxies before a node's listeners for peers, callers and heartbeats."""
+        """Put proxies before a node's listeners, its target and its store."""
         settings, listen = place.settings, create_address()
         found = self.proxies[settings.node_id] = {
             "peers": Proxy(settings.peer, listen),
             "callers": Proxy(create_address(), settings.caller),
             "heartbeats": Proxy(create_address(), settings.heartbeat),
+            "target": Proxy(create_address(), settings.target),
+            "store": Proxy(create_address(), settings.store),
         }
         place.holder.set_heartbeat(found["heartbeats"].front)
-        return place._replace(settings=settings._replace(peer_listen=listen))
+        place.holder.announce(found["target"].front)
+        place.holder.set_clock(SlowClock(self.mesh.clock, SLOWEST_CLOCK))
+        changed = settings._replace(
+            peer_listen=listen,
+            target=found["target"].front,
+            store=found["store"].front,
+        )
+        return place._replace(settings=changed)
+
+    def _is_in_force(self) -> bool:
+        """Tell whether all nodes know the newest configuration and no zone is out."""
+        for place in self.mesh.places:
+            try:
+                overview = fetch_json(place.settings.metrics, "/status")
+            except KnapweedrockError:
+                return False
+            if overview["configuration_version"] != self._version:
+                return False
+            if overview["zones_out"]:
+                return False
+        return True
 
     def _list_proxies(self) -> list[Proxy]:
         return [proxy for found in self.proxies.values() for proxy in found.values()]
@@ -155,10 +205,17 @@
         while True:
             gevent.sleep(chance.expovariate(1 / self._interval_s))
             name = chance.choice([p.settings.node_id for p in self.mesh.places])
-            key = chance.randrange(KEYS)
+            key = self._choose_key()
             is_order = chance.random() < ORDER_SHARE
             self._senders.append(gevent.spawn(self._send, name, key, is_order))
 
+    def _choose_key(self) -> int:
+        """Choose a key; half of them are neighbours while some keys are hot."""
+        chance = self._load_random
+        if self._hot_start >= 0 and chance.random() < HOT_SHARE:
+            return self._hot_start + chance.randrange(HOT_KEYS)
+        return chance.randrange(KEYS)
+
     def _send(self, name: str, key: int, is_order: bool) -> None:
         method, path = ("POST", "/order/1") if is_order else ("GET", "/read/1")
         data, attempt_id = self.mesh.encode(path, key, method, b"order", 1200)
@@ -282,6 +339,35 @@
         for proxy in self.proxies[place.settings.node_id].values():
             proxy.silence()
 
+    @fault
+    def heat_keys(self, _place: Place) -> None:
+        """Let neighbouring keys get much of the load while work takes longer."""
+        self._hot_start = self._random.randrange(KEYS - HOT_KEYS)
+        for place in self.mesh.places:
+            place.holder.work_ms = HOT_WORK_MS
+        gevent.spawn_later(self._random.uniform(2.0, 8.0), self._cool_keys)
+
+    @fault
+    def write_configuration(self, _place: Place) -> None:
+        """Write a newer configuration, now and then two at once."""
+        for _ in range(self._random.choice((1, 1, 2))):
+            self._version += self._random.randint(1, 5)
+            document = create_document(self._version)
+            self.mesh.objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+
+    @fault
+    def take_zone_out(self, place: Place) -> None:
+        """Take an availability zone out for a while."""
+        zone = place.settings.zone
+        self.mesh.take_out(zone)
+        gevent.sleep(self._random.uniform(0.5, 6.0))
+        self.mesh.bring_back(zone)
+
+    def _cool_keys(self) -> None:
+        self._hot_start = -1
+        for place in self.mesh.places:
+            place.holder.work_ms = WORK_MS
+
     def _mend_store(self, place: Place) -> None:
         front = place.front
         front.status, front.silent, front.lost, front.late = 0, False, 0.0, 0.0
@@ -292,6 +378,7 @@
     def _mend_everything(self) -> None:
         for proxy in self._list_proxies():
             proxy.mend()
+        self._cool_keys()
         for place in self.mesh.places:
             self._mend_store(place)
             self._mend_target(place)
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -108,6 +108,7 @@
         self._given = 0
         self._heartbeat = heartbeat
         self._address = address
+        self._announced: tuple[str, int] | None = None
         self._server: CallerServer | None = None
         self._slots = BoundedSemaphore(self.slots)
         self._beating: gevent.Greenlet | None = None
@@ -145,6 +146,14 @@
         """Stop being cold."""
         self.cold_ms = 0.0
 
+    def announce(self, address: tuple[str, int]) -> None:
+        """Announce another address than the one that it listens on."""
+        self._announced = address
+
+    def set_clock(self, clock: Clock) -> None:
+        """Measure its holds by another clock."""
+        self._clock = clock
+
     def set_heartbeat(self, address: tuple[str, int]) -> None:
         """Point the heartbeats at a node."""
         self._heartbeat = address
@@ -242,7 +251,7 @@
         self._sequence += 1
         instance, _, born = self.target.rpartition("@")
         body = {
-            "address": "{}:{}".format(*self._address),
+            "address": "{}:{}".format(*(self._announced or self._address)),
             "born": int(born),
             "information": {
                 "service": self.service,
