--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(RUN) tools/verdict.py
 
 demo: $(VENV)/installed
-	$(RUN) -m knapweedrock --log-level error demo --for 20
+	$(RUN) -m knapweedrock demo --for 20
 
 measure: $(VENV)/installed
 	$(RUN) tools/measure.py $(EXPERIMENTS)
--- a/knapweedrock/definition.py
+++ b/knapweedrock/definition.py
@@ -33,7 +33,7 @@
 @click.option(
     "--log-level",
     type=click.Choice(LEVELS),
-    default="info",
+    default="warning",
     show_default=True,
     show_envvar=True,
     help="Least severe log lines to write.",
