Take the outcome of a refusal from its code in the load program

A status of 400, 404, 413 or 431 counted as not run, though a target's own 404 is an answer to a request that ran. Now the code of a refusal tells, and without one only 408, 421, 429 and 503 say so.

--- a/features/load.feature
+++ b/features/load.feature
@@ -50,19 +50,23 @@
       | --path       | /x/{key}?k={key} |
     Then each request carries its key in its header, path and query
 
-  Scenario Outline: A status of <status> counts as <outcome>
-    Given a server that answers with status <status>
+  Scenario Outline: A status of <status> with code <code> counts as <outcome>
+    Given a server that answers with status <status> and code <code>
     When load is offered at 50 a second for 1 s
     Then every request counts as <outcome>
 
     Examples:
-      | status | outcome      |
-      | 204    | done         |
-      | 421    | not run      |
-      | 429    | not run      |
-      | 503    | not run      |
-      | 500    | may have run |
-      | 504    | may have run |
+      | status | code | outcome      |
+      | 204    | none | done         |
+      | 421    | none | not run      |
+      | 429    | none | not run      |
+      | 503    | none | not run      |
+      | 404    | none | may have run |
+      | 404    | 109  | not run      |
+      | 503    | 208  | may have run |
+      | 503    | 999  | may have run |
+      | 500    | none | may have run |
+      | 504    | none | may have run |
 
   Scenario: The command reports as JSON and exits with 6 when nobody serves
     Given an address where nobody listens
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -44,12 +44,15 @@
     serve(context, answer)
 
 
-@given("a server that answers with status {status:d}")
-def start_status_server(context, status):
+@given("a server that answers with status {status:d} and code {code}")
+def start_status_server(context, status, code):
     """Start a server in this process that gives one status."""
+    headers = [("Content-Length", "0")]
+    if code != "none":
+        headers.append(("Knapweedrock-Code", code))
 
     def answer(_environ, start_response):
-        start_response(f"{status} Status", [("Content-Length", "0")])
+        start_response(f"{status} Status", headers)
         return [b""]
 
     serve(context, answer)
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -12,7 +12,7 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock, create_clock
-from knapweedrock.codes import Code, Outcome
+from knapweedrock.codes import INFO, Code, Outcome, find_code
 from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import KeySource, create_keys
@@ -23,9 +23,10 @@
 ANSWER_MARGIN_S = 1.0
 READ = "read"
 ORDER = "order"
+CODE_HEADER = "knapweedrock-code"
 
-# Statuses of refusals: the request did not run.
-NOT_RUN_STATUSES = frozenset({400, 404, 408, 413, 421, 429, 431, 503})
+# Statuses that say by themselves that the request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 _PROCESS = uuid.uuid4().hex[:8]
 _RUNS = itertools.count(1)
@@ -161,7 +162,7 @@
             body = bytes(response.read())
             status = response.status_code
             headers = {str(name).lower(): str(text) for name, text in response.headers}
-            outcome = read_outcome(status)
+            outcome = read_outcome(status, headers)
         except ConnectionRefusedError:
             outcome = Outcome.NOT_RUN
         except EXCHANGE_ERRORS as error:
@@ -213,15 +214,17 @@
 
 
 def read_code(status: int, headers: dict[str, str]) -> int:
-    """Read the result code; a plain server without codes counts by status."""
-    text = headers.get("knapweedrock-code", "")
+    """Read the result code; an answer without one counts by its status."""
+    text = headers.get(CODE_HEADER, "")
     if text.isdigit():
         return int(text)
     return int(Code.DONE) if 200 <= status < 300 else NO_CODE
 
 
-def read_outcome(status: int) -> Outcome:
-    """Tell the outcome of an answer from its status."""
+def read_outcome(status: int, headers: dict[str, str]) -> Outcome:
+    """Tell the outcome of an answer from its result code, or else its status."""
+    if CODE_HEADER in headers:
+        return INFO[find_code(read_code(status, headers))].outcome
     if 200 <= status < 300:
         return Outcome.DONE
     return Outcome.NOT_RUN if status in NOT_RUN_STATUSES else Outcome.MAY_HAVE_RUN
