--- /dev/null
+++ b/features/steps/mesh_balance.py
@@ -0,0 +1,146 @@
+"""Steps about the balance of load between targets."""
+
+import time
+
+from behave import given, then, when
+
+from features.support.mesh_builders import (
+    create_facts,
+    create_member,
+)
+from features.support.tables import check_partition, complete_moves, measure, plan
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.mesh.ownership import (
+    KEYS,
+    balance_rows,
+    begin_moves,
+    find_gap_ms,
+    measure_loads,
+    merge_rows,
+)
+
+HOT_START = 30_000
+ROUNDS = 40
+
+
+@given("{count:d} neighbouring keys of one target get {load:d} requests at once")
+def give_hot_keys(context, count: int, load: int) -> None:
+    """Add load to neighbouring keys of one row."""
+    for key in range(HOT_START, HOT_START + count):
+        context.key_ms[key] = context.key_ms.get(key, 0) + load * 1000 / count
+
+
+@when("the coordinator balances until it rests")
+def balance(context) -> None:
+    """Balance, and let each move come to its end."""
+    for _ in range(ROUNDS):
+        facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+        moved = balance_rows(context.rows, facts, ())
+        context.rows = complete_moves(moved, facts)
+        check_partition(context.rows)
+
+
+@then("no target bears more than {load:d} requests at once")
+def check_borne(context, load: int) -> None:
+    """Check the load of each target."""
+    facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+    totals = measure_loads(context.rows, facts)
+    assert max(totals.values()) <= load, totals
+
+
+@then("fewer than {percent:d} percent of the keys have moved")
+def check_moved_share(context, percent: int) -> None:
+    """Check how many keys have another owner than at first."""
+    moved = sum(row.end - row.start + 1 for row in context.rows if row.token > 1)
+    assert 0 < moved < KEYS * percent / 100, moved
+
+
+@given("the heartbeats of the targets come {ms:d} ms after one another")
+def give_beats(context, ms: int) -> None:
+    """Let the heartbeats of the members be spread over their interval."""
+    names = sorted(context.facts.members)
+    beats_ms = {name: ms * index for index, name in enumerate(names)}
+    context.facts = context.facts._replace(
+        beats_ms=beats_ms, interval_ms=ms * len(names)
+    )
+
+
+@when("the coordinator balances once")
+def balance_once(context) -> None:
+    """Begin one move."""
+    facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+    context.rows = balance_rows(context.rows, facts, ())
+
+
+@then("the keys that move are without a holder for less than {ms:d} ms")
+def check_gap(context, ms: int) -> None:
+    """Check the gap between the two targets."""
+    moving = [row for row in context.rows if row.next_node]
+    assert moving
+    for row in moving:
+        gap_ms = find_gap_ms(row.node_id, row.next_node, context.facts)
+        assert gap_ms < ms, gap_ms
+
+
+@when("{count:d} members drain in turn and half as many join")
+def drain_in_turn(context, count: int) -> None:
+    """Replace members one after the other, balancing in between."""
+    members = dict(context.facts.members)
+    context.slowest_ms = 0.0
+    for number in range(count):
+        name = sorted(members, key=lambda n: members[n].state != "ready")[0]
+        members[name] = members[name]._replace(state="draining")
+        if number % 2:
+            members[f"new{number}"] = create_member(f"new{number}")
+        context.facts = create_facts(members)
+        for _ in range(6):
+            loads = measure(context.key_ms, context.rows)
+            facts = context.facts._replace(loads=loads)
+            began_s = time.process_time()
+            rows = balance_rows(plan(context.rows, facts), facts, ())
+            elapsed_ms = (time.process_time() - began_s) * 1000
+            context.slowest_ms = max(context.slowest_ms, elapsed_ms)
+            context.rows = merge_rows(complete_moves(rows, facts))
+            check_partition(context.rows)
+
+
+@then("the table has fewer than {count:d} rows")
+def check_rows(context, count: int) -> None:
+    """Count the rows."""
+    assert len(context.rows) < count, len(context.rows)
+
+
+@then("no decision took longer than {ms:d} ms")
+def check_decisions(context, ms: int) -> None:
+    """Check the processor time of the slowest decision."""
+    assert context.slowest_ms < ms, context.slowest_ms
+
+
+@given(
+    "{busy:d} targets get {load:d} requests at once on {count:d} neighbouring keys each"
+)
+def give_many_hot_keys(context, busy: int, load: int, count: int) -> None:
+    """Add load to neighbouring keys of the first targets."""
+    for row in context.rows[:busy]:
+        for key in range(row.start, row.start + count):
+            context.key_ms[key] = context.key_ms.get(key, 0) + load * 1000 / count
+
+
+@when("the coordinator balances for {seconds:d} s, each move taking 1 s")
+def balance_in_time(context, seconds: int) -> None:
+    """Balance every half second; moves end, and both sides rest, a second later."""
+    context.slowest_ms = 0.0
+    resting: set[str] = set()
+    for step in range(seconds * 2):
+        facts = context.facts._replace(loads=measure(context.key_ms, context.rows))
+        began_ns = time.perf_counter_ns()
+        marked = begin_moves(context.rows, facts, resting)
+        took_ms = (time.perf_counter_ns() - began_ns) / NS_PER_MS
+        context.slowest_ms = max(context.slowest_ms, took_ms)
+        resting |= {row.node_id for row in marked if row.next_node}
+        resting |= {row.next_node for row in marked if row.next_node}
+        context.rows = marked
+        if step % 2:
+            context.rows = complete_moves(marked, facts)
+            resting = set()
+        check_partition(context.rows)
