Report only rows with load, measured in one pass; mark moves in one way

Cause: found in review. With first tables of many rows each node reported 14 and more rows without load at every renewal, and went through all busy keys once for each row. Keys are sorted once, and a row takes its slice.

A run of keys and several whole rows are candidates of one choice, marked by one function; who has which configuration version is asked of the follower; the header of a JSON body stands once, not four times.

--- a/features/steps/mesh_balance.py
+++ b/features/steps/mesh_balance.py
@@ -12,20 +12,19 @@
 )
 from features.support.tables import check_partition, complete_moves, measure, plan
 from knapweedrock.clock import NS_PER_MS
+from knapweedrock.mesh.membership import LOAD_PARTS
 from knapweedrock.mesh.ownership import (
     KEYS,
     balance_rows,
     begin_moves,
-    find_cuts,
     find_gap_ms,
+    measure_keys,
     measure_loads,
     measure_row,
     merge_rows,
 )
 
 HOT_START = 30_000
-# Parts into which a measured row is cut.
-PARTS = 8
 ROUNDS = 40
 
 
@@ -161,8 +160,8 @@
     context.row, context.key = create_row(start, end, "n0"), key
     key_ms = dict.fromkeys(range(start, end + 1), (total - load) * 1000 / (end - start))
     key_ms[key] = load * 1000
-    found = find_cuts(key_ms, start, end, PARTS)
-    context.facts = create_facts(create_members(1), loads={"n0": [found]})
+    found = measure_keys([context.row], key_ms, LOAD_PARTS)
+    context.facts = create_facts(create_members(1), loads={"n0": found})
 
 
 @then("the load found at the key is at least {least:d} and at most {most:d}")
--- a/features/support/tables.py
+++ b/features/support/tables.py
@@ -1,12 +1,13 @@
 """Tables of keys: plans, checks and measured loads."""
 
+from knapweedrock.mesh.membership import LOAD_PARTS
 from knapweedrock.mesh.messages import Row
 from knapweedrock.mesh.ownership import (
     KEYS,
     empty_unfit,
-    find_cuts,
     find_row,
     mark_free,
+    measure_keys,
     merge_rows,
     settle_rows,
 )
@@ -38,11 +39,10 @@
 
 def measure(key_ms: dict[int, float], rows: list[Row]) -> dict:
     """Measure rows as their nodes do."""
-    loads: dict = {}
-    for row in rows:
-        found = find_cuts(key_ms, row.start, row.end, 8)
-        loads.setdefault(row.node_id, []).append(found)
-    return loads
+    return {
+        name: measure_keys([r for r in rows if r.node_id == name], key_ms, LOAD_PARTS)
+        for name in {row.node_id for row in rows}
+    }
 
 
 def check_tokens(before: list[Row], after: list[Row]) -> None:
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -10,12 +10,11 @@
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.counters import Counters
-from knapweedrock.emulator.objects import JSON
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.exchanges import Exchanges
-from knapweedrock.mesh.http import Answer, Request
+from knapweedrock.mesh.http import JSON, Answer, Request
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
     COLD,
--- a/knapweedrock/emulator/objects.py
+++ b/knapweedrock/emulator/objects.py
@@ -11,12 +11,11 @@
 
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
-from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.http import JSON, Request
 
 PAGE_ITEMS = 500
 MAX_WAIT_S = 30.0
 SILENCE_S = 3600.0
-JSON = [("Content-Type", "application/json")]
 
 
 class FailedCallError(Exception):
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -49,6 +49,11 @@
         """Follow no longer."""
         gevent.killall(self._tasks, block=False)
 
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration, 0 before the first one."""
+        return self.configuration.version if self.configuration else 0
+
     def is_known(self) -> bool:
         """Tell whether a configuration and the zones out are known."""
         return self.configuration is not None and self._has_zones
@@ -62,12 +67,11 @@
 
     def find_news(self, request: Renew) -> PublishConfiguration | None:
         """Find what a node that renews its lease has not heard of yet."""
-        version = self.configuration.version if self.configuration else 0
-        is_new = version > request.config_version
+        is_new = self.version > request.config_version
         if not is_new and self.zones_revision <= request.zones_revision:
             return None
         return PublishConfiguration(
-            version,
+            self.version,
             msgspec.json.encode(self.document) if is_new else b"",
             sorted(self.zones_out),
             self.zones_revision,
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -9,6 +9,8 @@
 
 from knapweedrock.sockets import disable_delay, receive_within, send_whole
 
+# Header of a body in JSON.
+JSON = [("Content-Type", "application/json")]
 RECEIVE_BYTES = 65536
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
--- a/knapweedrock/mesh/inspection.py
+++ b/knapweedrock/mesh/inspection.py
@@ -11,7 +11,7 @@
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.callers import Reply
 from knapweedrock.mesh.dumps import create_dump
-from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.http import JSON, Request
 from knapweedrock.mesh.metrics import CONTENT_TYPE, render_metrics
 from knapweedrock.mesh.overview import create_overview
 from knapweedrock.mesh.owners import find_owner
@@ -19,8 +19,6 @@
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
 
-JSON = [("Content-Type", "application/json")]
-
 Page = Callable[["Node", dict[str, str]], Reply]
 
 PAGES: dict[str, Page] = {}
@@ -95,7 +93,6 @@
 def set_gauges(node: "Node") -> None:
     """Set the gauges to what is true now."""
     admission, counters = node.gateway.admission, node.counters
-    configuration = node.configuration
     counters.gauge("in_flight", admission.in_flight)
     counters.gauge("waiting", admission.waiting)
     counters.gauge("lease_ms", node.get_lease_ms())
@@ -103,6 +100,4 @@
     counters.gauge("board_epoch", node.board.epoch)
     counters.gauge("board_version", node.board.version)
     counters.gauge("coordinating", int(node.coordinator.term.has_authority()))
-    counters.gauge(
-        "configuration_version", configuration.version if configuration else 0
-    )
+    counters.gauge("configuration_version", node.follower.version)
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -18,8 +18,9 @@
     Renew,
     Renewed,
     Row,
+    RowLoad,
 )
-from knapweedrock.mesh.ownership import find_cuts
+from knapweedrock.mesh.ownership import measure_keys
 from knapweedrock.mesh.terms import LEADER_NAME, TERM_MS
 from knapweedrock.platform.documents import LEADER_KIND
 from knapweedrock.platform.store import Stored
@@ -95,7 +96,7 @@
             self.describe(),
             self._node.board.epoch,
             self._node.board.version,
-            self._node.configuration.version if self._node.configuration else 0,
+            self._node.follower.version,
             self._node.follower.zones_revision,
             [tuple(item) for item in released],
             [(row.start, row.end, row.token) for row in unheld],
@@ -165,14 +166,11 @@
         seen_ms = (now_ns - self._lock_seen_ns) / NS_PER_MS
         return seen_ms > TERM_MS * TERM_DRIFT + TERM_GRACE_MS
 
-    def _measure_loads(self, rows: list[Row]) -> list:
+    def _measure_loads(self, rows: list[Row]) -> list[RowLoad]:
         own = self._node.settings.node_id
         key_ms = self._node.gateway.loads.measure()
-        return [
-            find_cuts(key_ms, row.start, row.end, LOAD_PARTS)
-            for row in rows
-            if row.node_id == own
-        ]
+        owned = [row for row in rows if row.node_id == own]
+        return measure_keys(owned, key_ms, LOAD_PARTS)
 
     def take_published(self, _sender: str, message: Publish) -> Published:
         """Take a push of the coordinator."""
--- a/knapweedrock/mesh/overview.py
+++ b/knapweedrock/mesh/overview.py
@@ -79,7 +79,7 @@
         "epoch": board.epoch,
         "version": board.version,
         "lease_ms": max(node.get_lease_ms(), 0),
-        "configuration_version": configuration.version if configuration else 0,
+        "configuration_version": node.follower.version,
         "zones_out": sorted(node.zones_out),
         "services": sorted(configuration.services) if configuration else [],
         "members": {
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -1,5 +1,6 @@
 """Decisions on who owns which keys, as functions of what is known."""
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Collection
 from typing import NamedTuple
 
@@ -326,22 +327,13 @@
     on their way are not served for a moment.
     """
     own = [row for row in rows if row.node_id == giver and not row.next_node]
-    run = choose_run(own, facts, wanted)
-    several = choose_rows(own, facts, wanted)
-    if run and measure_miss([run], facts, wanted) <= measure_miss(
-        several, facts, wanted
-    ):
-        several = []
-    else:
-        run = None
+    moves = [[run] for run in list_worth_runs(own, facts, wanted)]
+    moves.append(choose_rows(own, facts, wanted))
+    moved = min(moves, key=lambda parts: measure_miss(parts, facts, wanted))
     found = []
     for row in rows:
-        if row in several:
-            found.append(row._replace(next_node=receiver))
-        elif run and overlaps(row, run):
-            found += cut_out(row, run, receiver)
-        else:
-            found.append(row)
+        part = next((part for part in moved if overlaps(row, part)), None)
+        found += cut_out(row, part, receiver) if part else [row]
     return found
 
 
@@ -352,19 +344,16 @@
     return abs(load - wanted) + MOVE_COST * width
 
 
-def choose_run(own: list[Row], facts: Facts, wanted: float) -> Row | None:
-    """Choose the run of keys of one row that is closest to what is wanted."""
+def list_worth_runs(own: list[Row], facts: Facts, wanted: float) -> list[Row]:
+    """List the runs of keys of one row that bear enough of what is wanted."""
     least, most = wanted * WORTH_RUN_SHARE, wanted * MOST_RUN_SHARE
-    runs = [
+    return [
         piece
         for row in own
         if measure_row(row, facts) >= least
         for piece in list_runs(row, facts)
         if least <= measure_row(piece, facts) <= most
     ]
-    return min(
-        runs, key=lambda piece: measure_miss([piece], facts, wanted), default=None
-    )
 
 
 def choose_rows(own: list[Row], facts: Facts, wanted: float) -> list[Row]:
@@ -379,14 +368,14 @@
     return chosen
 
 
-def cut_out(row: Row, run: Row, receiver: str) -> list[Row]:
-    """Cut a run out of its row and mark it for a receiver."""
+def cut_out(row: Row, part: Row, receiver: str) -> list[Row]:
+    """Cut a part out of its row, or all of it, and mark it for a receiver."""
     found = []
-    if row.start < run.start:
-        found.append(row._replace(end=run.start - 1))
-    found.append(run._replace(next_node=receiver))
-    if run.end < row.end:
-        found.append(row._replace(start=run.end + 1))
+    if row.start < part.start:
+        found.append(row._replace(end=part.start - 1))
+    found.append(part._replace(next_node=receiver))
+    if part.end < row.end:
+        found.append(row._replace(start=part.end + 1))
     return found
 
 
@@ -416,23 +405,41 @@
     return found
 
 
-def find_cuts(key_ms: dict[int, float], start: int, end: int, parts: int) -> RowLoad:
-    """Measure the load of a row from the time spent on each key, and where it lies.
+def measure_keys(
+    rows: list[Row], key_ms: dict[int, float], parts: int
+) -> list[RowLoad]:
+    """Measure the load of rows from the time spent on each key, and where it lies.
+
+    `key_ms` is the time in ms that the keys took during the last second. Rows without
+    load are left out.
+    """
+    keys = sorted(key_ms)
+    found = []
+    for row in rows:
+        own = keys[bisect_left(keys, row.start) : bisect_right(keys, row.end)]
+        spent = [(key, key_ms[key]) for key in own]
+        total = sum(ms for _, ms in spent)
+        if total > 0:
+            cuts = find_cuts(spent, total, parts, row.end)
+            found.append(RowLoad(row.start, row.end, round(total / 1000, 2), cuts))
+    return found
+
+
+def find_cuts(
+    spent: list[tuple[int, float]], total: float, parts: int, end: int
+) -> tuple[int, ...]:
+    """Find the keys that divide a load into equal parts; `end` is the row's last key.
 
-    `key_ms` is the time in ms that the keys took during the last second.
+    `spent` lists the keys with the time spent on each, which is `total` together.
     """
-    keys = sorted(key for key in key_ms if start <= key <= end)
-    total = sum(key_ms[key] for key in keys)
-    if total <= 0:
-        return RowLoad(start, end, 0.0, ())
     cuts: list[int] = []
     reached = 0.0
-    for key in keys:
-        reached += key_ms[key]
+    for key, ms in spent:
+        reached += ms
         crossed = min(int(reached * parts / total), parts - 1) - len(cuts)
         if crossed > 1 and key < end:
             # The key bears more than a part: it is cut off on both sides.
             cuts += [key] * (crossed - 1) + [key + 1]
         else:
             cuts += [key] * crossed
-    return RowLoad(start, end, round(total / 1000, 2), tuple(cuts))
+    return tuple(cuts)
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -10,6 +10,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.http import (
+    JSON,
     Answer,
     AnswerParser,
     Connection,
@@ -22,7 +23,6 @@
 DIAL_TIMEOUT_S = 0.7
 WATCH_MARGIN_S = 2.0
 RETRY_PAUSE_S = 0.1
-CONTENT_TYPE = ("Content-Type", "application/json")
 
 
 class Stored(NamedTuple):
@@ -184,7 +184,7 @@
         self._counters.count("store_calls", method=method)
         headers = [("Host", f"{self._address[0]}:{self._address[1]}")]
         if data is not None:
-            headers.append(CONTENT_TYPE)
+            headers += JSON
         message = encode_request(method, path, headers, data or b"")
         end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
         connection = None
