Take out twins: owners' changes, spots, free ports, held keys, codes' header

One walk over two tables counts moves for churn and for reports; the demo, the measurements and the tests share spots, configurations and free ports; steps call what the local mesh has; unused parts of the tests' processes are gone.

--- a/features/steps/binary.py
+++ b/features/steps/binary.py
@@ -10,10 +10,11 @@
 
 from behave import given, then, when
 
-from features.support.processes import ROOT, Ports, create_loopback_host
+from features.support.processes import ROOT
 from knapweedrock.checker import parse_address
 from knapweedrock.clock import create_clock
 from knapweedrock.counters import Counters
+from knapweedrock.emulator.addresses import create_address
 from knapweedrock.platform.store import Store
 
 BINARY = ROOT / "dist" / "knapweedrock"
@@ -70,7 +71,7 @@
 @when("the binary serves as the store's stand-in")
 def start_stand_in(context):
     """Start the stand-in and look at its children all the time."""
-    context.address = Ports(create_loopback_host()).take()
+    context.address = str(create_address())
     arguments = ["emulate", "store", "--listen", context.address]
     context.process = start(context, *arguments)
     look(context, WATCHED_S)
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -7,10 +7,12 @@
 
 from behave import given, then, when
 
-from features.support.processes import Ports, create_loopback_host, start_child
+from features.support.processes import start_child
 from features.support.servers import create_http_server, start_socket_server
 from knapweedrock.checker import parse_address
 from knapweedrock.clock import NS_PER_MS
+from knapweedrock.codes import CODE_HEADER
+from knapweedrock.emulator.addresses import create_address
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import create_keys
 from knapweedrock.load.program import LoadOptions, offer_load
@@ -23,7 +25,7 @@
 
 def serve(context, answer):
     """Serve a WSGI application until the scenario ends."""
-    context.address = Ports(create_loopback_host()).take()
+    context.address = str(create_address())
     server = create_http_server(parse_address(context.address), answer)
     server.start()
     context.add_cleanup(server.stop, 0)
@@ -49,7 +51,7 @@
     """Start a server in this process that gives one status."""
     headers = [("Content-Length", "0")]
     if code != "none":
-        headers.append(("Knapweedrock-Code", code))
+        headers.append((CODE_HEADER, code))
 
     def answer(_environ, start_response):
         start_response(f"{status} Status", headers)
@@ -61,7 +63,7 @@
 @given("an address where nobody listens")
 def take_address(context):
     """Take an address and leave it alone."""
-    context.address = Ports(create_loopback_host()).take()
+    context.address = str(create_address())
 
 
 @given("a server that reads a request and closes the connection")
--- a/features/steps/mesh_leaving.py
+++ b/features/steps/mesh_leaving.py
@@ -4,7 +4,7 @@
 from behave import then, when
 
 from features.support.mesh_builders import create_document
-from features.support.mesh_harness import KEYS, choose_other
+from features.support.mesh_harness import KEYS, choose_other, list_held
 from knapweedrock.clock import NS_PER_MS
 from knapweedrock.mesh.http import AnswerParser
 
@@ -13,9 +13,7 @@
 def drain_target(context) -> None:
     """Let a target say that it drains."""
     context.place = context.mesh.places[0]
-    context.lost_keys = [
-        key for key in KEYS if context.place.holder.find_held(key) is not None
-    ]
+    context.lost_keys = list_held(context.place)
     context.place.holder.draining = True
 
 
@@ -60,10 +58,8 @@
     """Write the order to give a zone nothing more."""
     mesh = context.mesh
     context.place = mesh.places[0]
-    context.lost_keys = [
-        key for key in KEYS if context.place.holder.find_held(key) is not None
-    ]
-    mesh.objects.write("evacuations", context.place.settings.zone, {})
+    context.lost_keys = list_held(context.place)
+    mesh.take_out(context.place.settings.zone)
 
 
 @then("each request that was sent to it was answered or never read")
@@ -101,7 +97,7 @@
 @when("operators write version {version:d}")
 def write_version(context, version: int) -> None:
     """Write a configuration."""
-    context.mesh.objects.write("config", "main", create_document(version))
+    context.mesh.configure(create_document(version))
 
 
 @when("the store refuses one node and operators write version {version:d}")
--- a/features/steps/mesh_losses.py
+++ b/features/steps/mesh_losses.py
@@ -3,7 +3,7 @@
 import gevent
 from behave import then, when
 
-from features.support.mesh_harness import KEYS, choose_other, map_holds
+from features.support.mesh_harness import KEYS, choose_other, list_held, map_holds
 from knapweedrock.mesh.terms import LEADER_NAME
 from knapweedrock.platform.documents import LEADER_KIND
 
@@ -83,9 +83,7 @@
     """Crash a target whose node lives."""
     mesh = context.mesh
     context.place = mesh.places[0]
-    context.lost_keys = [
-        key for key in KEYS if context.place.holder.find_held(key) is not None
-    ]
+    context.lost_keys = list_held(context.place)
     context.place.holder.crash()
     mesh.call(choose_other(mesh, ""), "/read/1", context.lost_keys[0])
 
--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -53,6 +53,17 @@
         context.objects.write("many", f"name-{number:05}", number)
 
 
+def replace_object(context, timeout_s: float) -> None:
+    """Replace the object under the revision that the client knows."""
+    context.written = context.error = None
+    try:
+        context.written = context.client.replace(
+            KIND, NAME, {"value": 1}, context.found.revision, timeout_s
+        )
+    except PlatformError as error:
+        context.error = error
+
+
 @when("the client replaces an object and the store answers again after {ms:d} ms")
 def replace(context, ms: int) -> None:
     """Replace the object while answers are lost."""
@@ -61,26 +72,14 @@
         context.front.lost = context.front.late = 0.0
 
     gevent.spawn_later(ms / 1000, mend)
-    context.written = None
-    try:
-        context.written = context.client.replace(
-            KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
-        )
-    except PlatformError as error:
-        context.error = error
+    replace_object(context, TIMEOUT_S)
 
 
 @when("another writer changes the object first")
 def lose_race(context) -> None:
     """Change the object, then write under the old revision."""
     context.objects.write(KIND, NAME, {"value": 7})
-    context.conflict = None
-    try:
-        context.client.replace(
-            KIND, NAME, {"value": 1}, context.found.revision, TIMEOUT_S
-        )
-    except ConflictError as error:
-        context.conflict = error
+    replace_object(context, TIMEOUT_S)
 
 
 @when("{count:d} clients create the same object at once")
@@ -119,13 +118,7 @@
 def refuse(context, status: int) -> None:
     """Refuse every call and try a write."""
     context.front.status = status
-    context.error = None
-    try:
-        context.client.replace(
-            KIND, NAME, {"value": 1}, context.found.revision, SHORT_S
-        )
-    except PlatformError as error:
-        context.error = error
+    replace_object(context, SHORT_S)
 
 
 @then("the write is known to have taken effect")
@@ -147,8 +140,8 @@
 @then("the client's write is refused and shows the other one")
 def check_conflict(context) -> None:
     """Check the conflict."""
-    assert context.conflict is not None
-    assert context.conflict.current.value == {"value": 7}
+    assert isinstance(context.error, ConflictError), context.error
+    assert context.error.current.value == {"value": 7}
 
 
 @then("one of them has created it")
--- a/features/support/mesh_builders.py
+++ b/features/support/mesh_builders.py
@@ -34,8 +34,13 @@
     **changes,
 ) -> NodeSettings:
     """Create the settings of a node on loopback."""
-    spot = Spot(f"node-{number}", ZONES[number % len(ZONES)], service, True)
-    return create_local_settings(spot, store, target, **changes)
+    return create_local_settings(create_spot(number, service), store, target, **changes)
+
+
+def create_spot(number: int, service: str) -> Spot:
+    """Create the spot of a target, the zones taken in turn."""
+    zone = ZONES[number % len(ZONES)]
+    return Spot(f"node-{number}", zone, service, service == SERVICE)
 
 
 def create_member(name: str, **changes) -> Member:
--- a/features/support/mesh_harness.py
+++ b/features/support/mesh_harness.py
@@ -7,10 +7,11 @@
 from features.support.mesh_builders import (
     OTHER_SERVICE,
     SERVICE,
-    ZONES,
     create_document,
+    create_spot,
 )
-from knapweedrock.emulator.local import LocalMesh, Place, Spot
+from knapweedrock.emulator.local import LocalMesh, Place
+from knapweedrock.mesh import ownership
 from knapweedrock.mesh.http import (
     Answer,
     AnswerParser,
@@ -20,10 +21,10 @@
 )
 from knapweedrock.platform.headers import ATTEMPT_ID, KEY, REMAINING
 
-__all__ = ["KEYS", "Mesh", "Place", "choose_other", "map_holds"]
+__all__ = ["KEYS", "Mesh", "Place", "choose_other", "list_held", "map_holds"]
 
 # Keys whose holders are looked at.
-KEYS = tuple(range(0, 65536, 2048))
+KEYS = tuple(range(0, ownership.KEYS, 2048))
 
 
 class Mesh(LocalMesh):
@@ -84,7 +85,7 @@
         """Note keys that two targets hold at the same time."""
         while True:
             gevent.sleep(0.005)
-            for key in range(0, 65536, 1024):
+            for key in range(0, ownership.KEYS, 1024):
                 owners = [
                     place.holder.target
                     for place in self.places
@@ -94,12 +95,6 @@
                     self.double_owners.append((key, owners))
 
 
-def create_spot(number: int, service: str) -> Spot:
-    """Create the spot of a target, the zones taken in turn."""
-    zone = ZONES[number % len(ZONES)]
-    return Spot(f"node-{number}", zone, service, service == SERVICE)
-
-
 def map_holds(mesh: Mesh) -> dict[int, tuple[str, int]]:
     """Map keys to the target that holds them and its token."""
     found = {}
@@ -114,3 +109,8 @@
 def choose_other(mesh: Mesh, other: str) -> str:
     """Choose a node that is not the named one."""
     return next(name for name in mesh.nodes if name != other)
+
+
+def list_held(place: Place) -> list[int]:
+    """List the keys that a target holds, of those that are looked at."""
+    return [key for key in KEYS if place.holder.find_held(key) is not None]
--- a/features/support/mesh_processes.py
+++ b/features/support/mesh_processes.py
@@ -8,7 +8,9 @@
 from pathlib import Path
 
 from features.support.mesh_harness import Mesh, Place
+from knapweedrock.emulator.local import KEY_STEP
 from knapweedrock.mesh.definitions import NodeSettings
+from knapweedrock.mesh.ownership import KEYS
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 STOP_S = 10
@@ -75,7 +77,7 @@
 
     def is_settled(self) -> bool:
         """Tell whether every key is held."""
-        return all(self.find_owner(key) for key in range(0, 65536, 4096))
+        return all(self.find_owner(key) for key in range(0, KEYS, KEY_STEP))
 
 
 def write_settings(settings: NodeSettings, folder: Path) -> Path:
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -16,10 +16,9 @@
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.http import AnswerParser, MalformedMessageError, dial
+from knapweedrock.mesh.ownership import KEYS
 from knapweedrock.operators.client import fetch_json
-from knapweedrock.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 
-KEYS = 65536
 ORDER_SHARE = 0.4
 PAUSE_S = (0.3, 1.5)
 RECOVERY_S = 15.0
@@ -352,8 +351,7 @@
         """Write a newer configuration, now and then two at once."""
         for _ in range(self._random.choice((1, 1, 2))):
             self._version += self._random.randint(1, 5)
-            document = create_document(self._version)
-            self.mesh.objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+            self.mesh.configure(create_document(self._version))
 
     @fault
     def take_zone_out(self, place: Place) -> None:
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -3,59 +3,17 @@
 import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
 from pathlib import Path
-from typing import NamedTuple
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-FIRST_PORT = 10_000
-LAST_PORT = 30_000
 END_TIMEOUT_S = 5.0
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TAIL_LINES = 15
 
 
-class Usage(NamedTuple):
-    """Processor time in seconds and resident memory in bytes of one process."""
-
-    cpu_s: float
-    rss_bytes: int
-
-
-def create_loopback_host() -> str:
-    """Create a loopback address of this test process alone."""
-    pid = os.getpid()
-    return f"127.{64 + (pid >> 16) % 128}.{(pid >> 8) % 256}.{pid % 254 + 1}"
-
-
-class Ports:
-    """Free ports of one loopback address."""
-
-    def __init__(self, host: str) -> None:
-        self.host = host
-        self._ports = self._find_free()
-
-    def _find_free(self) -> Iterator[str]:
-        for port in range(FIRST_PORT, LAST_PORT):
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind((self.host, port))
-                except OSError:
-                    continue
-            yield f"{self.host}:{port}"
-
-    def take(self) -> str:
-        """Take the next free address as `host:port`."""
-        return next(self._ports)
-
-
 class Child:
     """One process of the program under test."""
 
@@ -114,26 +72,6 @@
         if self.process is not None:
             self.process.wait(END_TIMEOUT_S)
 
-    def pause(self) -> None:
-        """Stop the process in the middle of what it does."""
-        self.send_signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Let a paused process go on."""
-        self.send_signal(signal.SIGCONT)
-
-    def terminate(self, timeout_s: float = 30.0) -> int:
-        """Ask the process to shut down and return its exit status."""
-        self.told_to_end = True
-        self.send_signal(signal.SIGTERM)
-        return self.process.wait(timeout_s)
-
-    def read_usage(self) -> Usage:
-        """Read the processor time and memory that the process used so far."""
-        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return Usage(ticks / CLOCK_TICKS_PER_S, int(fields[21]) * PAGE_BYTES)
-
     def read_tail(self) -> str:
         """Read the last lines of the log."""
         with contextlib.suppress(OSError):
--- a/features/support/servers.py
+++ b/features/support/servers.py
@@ -5,17 +5,17 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from gevent.server import StreamServer
 
-from features.support.processes import create_loopback_host
+from knapweedrock.emulator.addresses import create_address
 from knapweedrock.sockets import disable_delay
 
 
 def start_socket_server(context, handle: Callable) -> str:
     """Start a server in this process that hands each connection to a function."""
-    host = create_loopback_host()
-    server = StreamServer((host, 0), handle)
+    address = create_address()
+    server = StreamServer(address, handle)
     server.start()
     context.add_cleanup(server.stop, 0)
-    return f"{host}:{server.server_port}"
+    return str(address)
 
 
 class NoDelayHandler(WSGIHandler):
--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -3,6 +3,9 @@
 from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
+# Header that carries the code of a refusal.
+CODE_HEADER = "Knapweedrock-Code"
+
 
 class Outcome(StrEnum):
     """What is known about the execution of a request."""
--- a/knapweedrock/demo/evidence.py
+++ b/knapweedrock/demo/evidence.py
@@ -55,6 +55,6 @@
     return [{"start": row.start, "owner": row.node_id} for row in rows]
 
 
-def list_behind(mesh: LocalMesh, zones_out: frozenset[str]) -> list[str]:
-    """List the nodes that don't know which availability zones are out."""
-    return [name for name, node in mesh.nodes.items() if node.zones_out != zones_out]
+def list_behind(mesh: LocalMesh) -> list[str]:
+    """List the nodes for which an availability zone is still out."""
+    return [name for name, node in mesh.nodes.items() if node.zones_out]
--- a/knapweedrock/demo/program.py
+++ b/knapweedrock/demo/program.py
@@ -180,9 +180,7 @@
     def _wait_in_force(self) -> list[str]:
         """Wait until no zone is out for any node; return where one still is."""
         end_s = time.monotonic() + IN_FORCE_LIMIT_S
-        while (
-            behind := list_behind(self.mesh, frozenset())
-        ) and time.monotonic() < end_s:
+        while (behind := list_behind(self.mesh)) and time.monotonic() < end_s:
             gevent.sleep(PROBE_PERIOD_S)
         return behind
 
--- a/knapweedrock/emulator/local.py
+++ b/knapweedrock/emulator/local.py
@@ -52,7 +52,7 @@
     def __init__(self, document: dict[str, Any], spots: list[Spot]) -> None:
         self.clock = create_clock()
         self.objects = Objects()
-        self.objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+        self.configure(document)
         self.nodes: dict[str, Node] = {}
         self.places = [self._create_place(*item) for item in enumerate(spots)]
 
@@ -88,6 +88,10 @@
         self.kill_node(name)
         self.find_place(name).holder.crash()
 
+    def configure(self, document: dict[str, Any]) -> None:
+        """Write a configuration, as operators do."""
+        self.objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+
     def take_out(self, zone: str) -> None:
         """Take an availability zone out, as operators do."""
         self.objects.write(EVACUATION_KIND, zone, {})
--- a/knapweedrock/history.py
+++ b/knapweedrock/history.py
@@ -1,6 +1,6 @@
 """Histories of concurrent runs and the checks of what must always hold."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -257,17 +257,25 @@
     return max(counts.values()) * len(counts) / total if total else 1.0
 
 
-def measure_churn(before: list[dict], after: list[dict], space: int = 1 << 64) -> float:
-    """Measure the share of the key space with another owner in the second table.
+def count_moves(
+    before: list[dict], after: list[dict], space: int
+) -> Counter[tuple[str, str]]:
+    """Count the keys that went from one owner to another, by both of them.
 
-    Both are lists of ranges by start, each with its owner.
+    Both are lists of ranges by start, each with its owner; `space` counts all keys.
     """
-    moved = 0
+    moved: Counter[tuple[str, str]] = Counter()
     edges = sorted({row["start"] for row in before} | {row["start"] for row in after})
-    for start, end in zip(edges, [*edges[1:], space], strict=True):
-        if find_owner(before, start) != find_owner(after, start):
-            moved += end - start
-    return moved / space
+    for start, end in zip(edges, [*edges[1:], space], strict=False):
+        giver, taker = find_owner(before, start), find_owner(after, start)
+        if giver != taker:
+            moved[giver, taker] += end - start
+    return moved
+
+
+def measure_churn(before: list[dict], after: list[dict], space: int = 1 << 64) -> float:
+    """Measure the share of the keys with another owner in the second table."""
+    return sum(count_moves(before, after, space).values()) / space
 
 
 def find_owner(ranges: list[dict], place: int) -> str:
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -12,7 +12,7 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock, create_clock
-from knapweedrock.codes import INFO, Code, Outcome, find_code
+from knapweedrock.codes import CODE_HEADER, INFO, Code, Outcome, find_code
 from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import KeySource, create_keys
@@ -23,7 +23,6 @@
 ANSWER_MARGIN_S = 1.0
 READ = "read"
 ORDER = "order"
-CODE_HEADER = "knapweedrock-code"
 
 # Statuses that say by themselves that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -215,7 +214,7 @@
 
 def read_code(status: int, headers: dict[str, str]) -> int:
     """Read the result code; an answer without one counts by its status."""
-    text = headers.get(CODE_HEADER, "")
+    text = headers.get(CODE_HEADER.lower(), "")
     if text.isdigit():
         return int(text)
     return int(Code.DONE) if 200 <= status < 300 else NO_CODE
@@ -223,7 +222,7 @@
 
 def read_outcome(status: int, headers: dict[str, str]) -> Outcome:
     """Tell the outcome of an answer from its result code, or else its status."""
-    if CODE_HEADER in headers:
+    if CODE_HEADER.lower() in headers:
         return INFO[find_code(read_code(status, headers))].outcome
     if 200 <= status < 300:
         return Outcome.DONE
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.codes import INFO, Code, Outcome, find_code
+from knapweedrock.codes import CODE_HEADER, INFO, Code, Outcome, find_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.budgets import RUN_COST, RetryBudget
@@ -338,7 +338,7 @@
     status = info.http_status
     if code is Code.QUARANTINED:
         status = 503
-    headers = [("Knapweedrock-Code", str(int(code)))]
+    headers = [(CODE_HEADER, str(int(code)))]
     if retry_after_ms > 0 and status in (429, 503):
         headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
     return Reply(status, headers, b"")
--- a/knapweedrock/operators/comparison.py
+++ b/knapweedrock/operators/comparison.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from knapweedrock.history import find_owner
+from knapweedrock.history import count_moves
 from knapweedrock.mesh.ownership import KEYS
 from knapweedrock.operators.reports import MeshReport, NodeDump, list_failed
 
@@ -77,10 +77,10 @@
     """Tell the share of each service's keys that moved, by its owners."""
     old, new = find_tables(before), find_tables(after)
     return [
-        {"service": service, "from": giver, "to": taker, "share": share}
+        {"service": service, "from": giver, "to": taker, "share": count / KEYS}
         for service in sorted(old.keys() & new.keys())
-        for (giver, taker), share in measure_moves(
-            old[service], new[service]
+        for (giver, taker), count in count_moves(
+            old[service], new[service], KEYS
         ).most_common()
     ]
 
@@ -151,14 +151,3 @@
     """Find the tables of the newest board that a node holds."""
     newest = find_newest(report)
     return newest["tables"] if newest else {}
-
-
-def measure_moves(before: list[dict], after: list[dict]) -> Counter:
-    """Measure the share of the keys that went from one owner to another."""
-    moved: Counter = Counter()
-    edges = sorted({row["start"] for row in before} | {row["start"] for row in after})
-    for start, end in zip(edges, [*edges[1:], KEYS], strict=False):
-        giver, taker = find_owner(before, start), find_owner(after, start)
-        if giver != taker:
-            moved[giver, taker] += (end - start) / KEYS
-    return moved
--- a/knapweedrock/operators/reports.py
+++ b/knapweedrock/operators/reports.py
@@ -9,6 +9,7 @@
 from gevent.pool import Pool
 
 from knapweedrock.checker import Address
+from knapweedrock.clock import NS_PER_MS
 from knapweedrock.documents import Count, Number, read_document
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.operators.client import fetch_json, fetch_text
@@ -16,7 +17,6 @@
 FORMAT = "knapweedrock mesh report"
 VERSION = 2
 MAX_NODES_AT_ONCE = 16
-NS_PER_MS = 1_000_000
 METRIC_PATTERN = re.compile(r"([a-zA-Z_:][^\s{]*(?:\{.*\})?) (\S+)")
 
 
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -22,9 +22,10 @@
     DEPLOYMENTS,
     HOST,
     create_offer,
+    list_spots,
 )
 from knapweedrock.emulator.documents import READ_PREFIX, create_document  # noqa: E402
-from knapweedrock.emulator.local import LocalMesh, Place, Spot  # noqa: E402
+from knapweedrock.emulator.local import LocalMesh, Place  # noqa: E402
 from knapweedrock.history import measure_key_gap  # noqa: E402
 from knapweedrock.load.program import LoadOptions, LoadRun  # noqa: E402
 from knapweedrock.load.samples import Sample  # noqa: E402
@@ -54,11 +55,7 @@
 @contextmanager
 def run_mesh(targets: int) -> Iterator[LocalMesh]:
     """Run a mesh whose targets all serve the service with owners of keys."""
-    zones = DEPLOYMENT.zones
-    spots = [
-        Spot(f"n{number}", zones[number % len(zones)], DEPLOYMENT.keyed, True)
-        for number in range(targets)
-    ]
+    spots = list_spots(DEPLOYMENT._replace(keyed_targets=targets, unkeyed_targets=0))
     mesh = LocalMesh(create_document(create_offer(DEPLOYMENT)), spots)
     mesh.start()
     try:
