Refuse at once what waits for an owner that is away; wait where the key comes

The node beside the next owner holds requests until the heartbeat that brings the key. A target that is silent gets nothing.

--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+from gevent.event import Event
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
@@ -40,6 +41,12 @@
 HEALTHY = 200
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
+# Time until a silent target is heard again, or its keys have another owner.
+SILENT_RETRY_MS = 2000
+# Wait for a target's next heartbeat, as a share of the time left and at most.
+GRANT_WAIT_SHARE = 0.6
+GRANT_WAIT_MS = 1000.0
+
 log = Logger("gateway")
 
 
@@ -61,6 +68,7 @@
         self.closing = False
         # The start of the target whose crash was counted last.
         self._crashed = ""
+        self._granted_news = Event()
         self._node = node
         self._clock = clock
         self._counters = counters
@@ -106,6 +114,7 @@
 
     def _deliver(self, request: Forward) -> Forwarded:
         began_ns = self._clock.now_ns()
+        self._wait_for_keys(request)
         self._check(request)
         fingerprint = create_fingerprint(
             request.method, request.path, request.key, request.body
@@ -133,6 +142,24 @@
                 self.loads.add(request.key, spent_ms)
         return self._judge(request, answer, fingerprint)
 
+    def note_granted(self) -> None:
+        """Let requests go on that wait for what the target was just granted."""
+        news, self._granted_news = self._granted_news, Event()
+        news.set()
+
+    def _wait_for_keys(self, request: Forward) -> None:
+        """Wait for the heartbeat at which the target takes a key that is its own."""
+        wait_ms = min(GRANT_WAIT_MS, GRANT_WAIT_SHARE * request.remaining_ms)
+        end_ns = self._clock.now_ns() + int(wait_ms * NS_PER_MS)
+        while request.key >= 0 and not self.closing:
+            rows, now_ns = self._node.find_rows(request.service), self._clock.now_ns()
+            is_awaited = self._node.holds.is_awaited(
+                request.key, self._target.name, rows, now_ns
+            )
+            if not is_awaited or now_ns >= end_ns:
+                return
+            self._granted_news.wait((end_ns - now_ns) / NS_PER_MS / 1000)
+
     def _wait_for_slot(self, request: Forward) -> None:
         """Take a slot; what is refused counts as load that the keys would bring."""
         rank = INNER_RANK if request.inner else request.priority
@@ -160,6 +187,10 @@
             raise RefusalError(Code.NO_LIVE_TARGET, "not heard of since the start")
         if target.dead:
             raise RefusalError(Code.TARGET_UNREACHABLE, "the target is down")
+        if target.silent:
+            raise RefusalError(
+                Code.TARGET_UNREACHABLE, "the target is silent", SILENT_RETRY_MS
+            )
         if node.is_zone_closed():
             raise RefusalError(Code.ZONE_OUT)
         rows = node.find_rows(request.service)
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -7,7 +7,7 @@
 import itertools
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any
+from typing import Any, NamedTuple
 
 import gevent
 from gevent.event import AsyncResult
@@ -45,6 +45,13 @@
 Handler = Callable[[str, Any], Any]
 
 
+class Down(NamedTuple):
+    """Since when a peer has not been reached, and whether its VM refuses dials."""
+
+    since_ns: int
+    refused: bool
+
+
 class Link:
     """One dialled connection to a peer, shared by all requests to it."""
 
@@ -160,6 +167,7 @@
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, AsyncResult] = {}
         self._failed_ns: dict[str, int] = {}
+        self._down: dict[str, Down] = {}
         self._server = StreamServer(address, self._serve, backlog=BACKLOG)
 
     def start(self) -> None:
@@ -190,6 +198,10 @@
             return True
         return self._clock.now_ns() - failed_ns > DIAL_PAUSE_MS * NS_PER_MS
 
+    def find_down(self, peer: str) -> Down | None:
+        """Return since when a peer has not been reached; None where it may be."""
+        return self._down.get(peer)
+
     def request(
         self, peer: str, message: Any, timeout_ms: float, cancels: bool = False
     ) -> Any:
@@ -205,6 +217,8 @@
 
     def _connect(self, peer: str, timeout_ms: float) -> Link:
         dialling = self._dialling.get(peer)
+        if dialling is not None and peer in self._down:
+            raise LinkError(Code.PEER_UNREACHABLE, f"{peer} is down, and dialled again")
         if dialling is not None:
             try:
                 return dialling.get(timeout=max(timeout_ms, 1) / 1000)
@@ -223,12 +237,16 @@
         try:
             connection = dial(peer, {NODE_HEADER: self.node_id}, DIAL_TIMEOUT_MS)
         except OSError as error:
-            self._failed_ns[peer] = self._clock.now_ns()
+            now_ns = self._failed_ns[peer] = self._clock.now_ns()
+            since_ns = self._down.get(peer, Down(now_ns, False)).since_ns
+            is_refused = isinstance(error, ConnectionRefusedError)
+            self._down[peer] = Down(since_ns, is_refused)
             self._counters.count("dials_failed")
             refused = LinkError(Code.PEER_UNREACHABLE, f"{peer}: {error}")
             result.set_exception(refused)
         else:
             self._failed_ns.pop(peer, None)
+            self._down.pop(peer, None)
             link = Link(peer, connection, self._clock, self._counters)
             self._links[peer] = link
             result.set(link)
--- a/knapweedrock/mesh/pages.py
+++ b/knapweedrock/mesh/pages.py
@@ -72,6 +72,7 @@
             gevent.spawn(self._node.gateway.probe)
         rows = self._node.find_rows(heartbeat.service)
         reply = self._node.holds.reply(heartbeat, rows, self._node.clock.now_ns())
+        self._node.gateway.note_granted()
         if (
             self._node.membership.describe() != before
             or heartbeat.released
