Take what requests were held up between nodes off the time they have left

Ruled out: a cancellation that was not sent (it is sent at every departure). The receiver now measures how much later than usual a request comes, by the least difference of the two clocks, and refuses what has no time left. Test: mesh_budget, held up for 785 ms.

--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -13,3 +13,8 @@
     Given 1 nodes with a budget of 0.2 and a slack of 60
     When the budget is used up and 11 s pass without requests
     Then a repeat is allowed again
+
+  Scenario: A request that was held up between nodes has less time left
+    Given two nodes whose clocks differ by 1000 s
+    When requests with 441 ms left take 2 ms, 3 ms and 785 ms between them
+    Then they have at least 440 ms, 439 ms and at most 0 ms left
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -2,9 +2,10 @@
 
 from behave import given, then, when
 
-from features.support.mesh_builders import FakeClock
+from features.support.mesh_builders import FakeClock, create_forward
 from knapweedrock.clock import NS_PER_S
 from knapweedrock.mesh.budgets import RUN_COST, WINDOW_S, RetryBudget
+from knapweedrock.mesh.transit import Transit
 
 STEP_MS = 10
 
@@ -95,3 +96,32 @@
 def check_allowed(context) -> None:
     """Check that the budget has come back."""
     assert context.callers[0].spend(1)
+
+
+@given("two nodes whose clocks differ by {seconds:d} s")
+def give_clocks(context, seconds: int) -> None:
+    """Create a clock for each of two nodes."""
+    context.sender, context.receiver = FakeClock(), FakeClock()
+    context.receiver.pass_ms(seconds * 1000)
+
+
+@when(
+    "requests with {left:d} ms left take {first:d} ms, {second:d} ms and "
+    "{third:d} ms between them"
+)
+def hold_up(context, left: int, first: int, second: int, third: int) -> None:
+    """Let requests be on their way for so long."""
+    sender, receiver = Transit(context.sender), Transit(context.receiver)
+    context.left_ms = []
+    for took_ms in (first, second, third):
+        request = sender.stamp(create_forward(remaining_ms=float(left)))
+        for clock in (context.sender, context.receiver):
+            clock.pass_ms(took_ms)
+        context.left_ms.append(receiver.age("n0/1", request).remaining_ms)
+
+
+@then("they have at least {first:d} ms, {second:d} ms and at most {third:d} ms left")
+def check_left(context, first: int, second: int, third: int) -> None:
+    """Check the time that is left."""
+    found = context.left_ms
+    assert found[0] >= first and found[1] >= second and found[2] <= third, found
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -141,7 +141,8 @@
     """A caller's request on its way to the node beside a target.
 
     `key` is -1 where the service has no keys; the times are what was left when it
-    was sent. `inner` marks a call that a target made for a request it runs.
+    was sent, at `sent_ns` of the sender's clock. `inner` marks a call that a target
+    made for a request it runs.
     """
 
     service: str
@@ -155,6 +156,7 @@
     priority: int
     idempotent: bool
     inner: bool
+    sent_ns: int = 0
 
 
 @message(51)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -30,6 +30,7 @@
     Crashed,
     Done,
     Forward,
+    Forwarded,
     Member,
     Publish,
     PublishConfiguration,
@@ -41,6 +42,7 @@
 from knapweedrock.mesh.routing import Router
 from knapweedrock.mesh.settings import take_live
 from knapweedrock.mesh.targets import ASSUMED_COLD_MS, Target
+from knapweedrock.mesh.transit import Transit
 from knapweedrock.platform.store import Store
 
 PROBE_S = 0.3
@@ -73,7 +75,10 @@
         self.target = Target(settings, clock, admission)
         self.holds = Holds(settings.node_id, settings.max_hold_ms)
         listen = settings.peer_listen or settings.peer
-        self.links = Links(settings.node_id, listen, clock, self.counters)
+        # A restarted VM has another clock, so senders are told apart by processes.
+        sender = f"{settings.node_id}/{self.process}"
+        self.links = Links(sender, listen, clock, self.counters)
+        self.transit = Transit(clock)
         self.store = Store(settings.store, clock, self.counters)
         self.follower = Follower(self.store, self._note_configuration)
         self.gateway = Gateway(self, clock, self.counters, admission, self._tell_crash)
@@ -91,7 +96,7 @@
         self.membership = Membership(self)
         self.links.handlers.update(
             {
-                Forward: lambda _sender, message: self.gateway.deliver(message),
+                Forward: self._take_forward,
                 Publish: self.membership.take_published,
                 PublishConfiguration: self._take_configuration,
                 Renew: lambda _sender, message: self.coordinator.renew(message),
@@ -242,6 +247,9 @@
         self.follower.take_pushed(message)
         return Done()
 
+    def _take_forward(self, sender: str, message: Forward) -> Forwarded:
+        return self.gateway.deliver(self.transit.age(sender, message))
+
     def _take_crashed(self, _sender: str, message: Crashed) -> Done:
         self.gateway.suspects.count_crash(message.fingerprints)
         return Done()
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -257,6 +257,7 @@
             if member.node_id == node.settings.node_id:
                 result = node.gateway.deliver(message)
             else:
+                message = node.transit.stamp(message)
                 result = node.links.request(
                     member.peer, message, remaining_ms + LINK_MARGIN_MS, cancels=True
                 )
