Give a target that starts anew its keys with its first answer

The answer waits for the rows, 0.6 s at most; targets wait 1 s. The scenario (heartbeats 3 s apart) failed before.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -73,6 +73,12 @@
     Then all of its keys are held by others within 2 s
     And no key was held by two targets
 
+  Scenario: Targets that start again hold their keys by the answer to a first heartbeat
+    Given a mesh of 3 keyed targets
+    When all targets crash and start again, with heartbeats 3 s apart
+    Then every key is held again within 2 s
+    And no key was held by two targets
+
   Scenario: The keys of a target that drains move with their handover
     Given a mesh of 3 keyed targets
     When a target begins to drain
--- a/features/steps/mesh_losses.py
+++ b/features/steps/mesh_losses.py
@@ -260,3 +260,12 @@
 
     context.mesh.wait_until(follows, 3)
     assert node.get_lease_ms() > 0
+
+
+@when("all targets crash and start again, with heartbeats {seconds:d} s apart")
+def restart_targets(context, seconds: int) -> None:
+    """Start all targets anew beside living nodes."""
+    for place in context.mesh.places:
+        place.holder.crash()
+        place.holder.beat_s = seconds
+        place.holder.start()
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -88,6 +88,7 @@
         self.keyed = True
         self.cold_ms = 0.0
         self.silent_heartbeats = False
+        self.beat_s = BEAT_S
         self.draining = False
         self.lost_share = 0.0
         self.requests: list[Request] = []
@@ -244,7 +245,7 @@
                 gevent.sleep(RETRY_S)
                 continue
             is_settled = answer.status != 200 or self._take_answer(answer, sent_ns)
-            gevent.sleep(BEAT_S if is_settled else FREED_BEAT_S)
+            gevent.sleep(self.beat_s if is_settled else FREED_BEAT_S)
 
     def _send_beat(self, exchanges: Exchanges) -> Answer:
         self._sequence += 1
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -45,12 +45,17 @@
         until_ns = sent_ns + int(lease_ms * NS_PER_MS)
         self.lease_until_ns = max(self.lease_until_ns, until_ns)
 
+    def take(self, heartbeat: Heartbeat) -> None:
+        """Take what a target says it holds and has let go."""
+        if heartbeat is not self._heartbeat:
+            self._heartbeat = heartbeat
+            self.released += heartbeat.released
+
     def reply(
         self, heartbeat: Heartbeat, rows: list[Row], now_ns: int
     ) -> HeartbeatReply:
         """Answer a heartbeat with all that its sender may hold."""
-        self._heartbeat = heartbeat
-        self.released += heartbeat.released
+        self.take(heartbeat)
         left_ms = (self.lease_until_ns - now_ns) / NS_PER_MS
         hold_ms = int(min(self.max_hold_ms, left_ms * CLOCK_RATE - GRANT_MARGIN_MS))
         if hold_ms < MIN_HOLD_MS:
--- a/knapweedrock/mesh/pages.py
+++ b/knapweedrock/mesh/pages.py
@@ -5,6 +5,7 @@
 import gevent
 from logbook import Logger
 
+from knapweedrock.clock import NS_PER_S
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.callers import CallerServer, Reply
@@ -19,6 +20,9 @@
 # A target that drains is told so once the coordinator knows, or after this long.
 DRAIN_REPORT_S = 0.4
 
+# Wait of a new target's first heartbeat for its rows; targets wait a second at most.
+FIRST_ROWS_WAIT_S = 0.6
+
 log = Logger("node")
 
 
@@ -65,13 +69,17 @@
         ):
             raise RefusalError(Code.BAD_ANNOUNCEMENT, "not the target beside this node")
         before = self._node.membership.describe()
+        came_ns = self._node.clock.now_ns()
         is_news = self._node.target.take(heartbeat)
         if not is_news:
             return b"{}"
+        self._node.holds.take(heartbeat)
+        if heartbeat.target != before.target:
+            self._wait_for_rows(heartbeat.target)
         if self._node.target.dead:
             gevent.spawn(self._node.gateway.probe)
         rows = self._node.find_rows(heartbeat.service)
-        reply = self._node.holds.reply(heartbeat, rows, self._node.clock.now_ns())
+        reply = self._node.holds.reply(heartbeat, rows, came_ns)
         self._node.gateway.note_granted()
         if (
             self._node.membership.describe() != before
@@ -83,6 +91,22 @@
                 reported.wait(DRAIN_REPORT_S)
         return encode_reply(reply)
 
+    def _wait_for_rows(self, target: str) -> None:
+        """Wait until a target that has just started owns the rows of the former one.
+
+        The answer to its first heartbeat lets it hold them then, a heartbeat sooner.
+        """
+        node = self._node
+        own, service = node.settings.node_id, node.settings.service
+        end_ns = node.clock.now_ns() + int(FIRST_ROWS_WAIT_S * NS_PER_S)
+        node.membership.report_soon()
+        while True:
+            rows = [row for row in node.find_rows(service) if row.node_id == own]
+            left_s = (end_ns - node.clock.now_ns()) / NS_PER_S
+            if left_s <= 0 or all(row.target == target for row in rows):
+                return
+            node.wait_board(left_s)
+
 
 def create_servers(node: "Node") -> list[CallerServer]:
     """Create the servers of a node's pages; they listen once started."""
