Refuse what would wait for a full link, and count the link in a target's load

A node now counts the bytes that peers have not taken yet, refuses a request that could not be back in time, and reports the wait as load. New setting LINK_MBPS. Test: mesh_answers, a link of 8 Mbit/s with 1.5 MB waiting.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -91,3 +91,10 @@
       | not accepted |
       | not read     |
       | half read    |
+
+  Scenario: A node whose answers wait for its link refuses what would come too late
+    Given a node of a VM with 8 Mbit/s beside a target
+    When 1500000 bytes of answers wait for its link
+    Then a request with an objective of 500 ms is refused, to come back in 1500 ms
+    When 100000 bytes of answers wait for its link
+    Then a request with an objective of 500 ms is done
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 
 from features.support.mesh_builders import (
+    OTHER_SERVICE,
     FakeClock,
     create_forward,
 )
@@ -350,3 +351,53 @@
         context.connection.close()
     assert answer.status == 200, answer
     assert answer.body.decode().startswith(context.attempt_id), answer
+
+
+@given("a node of a VM with {mbps:d} Mbit/s beside a target")
+def give_node_with_link(context, mbps: int) -> None:
+    """Start a mesh and take the node beside a target without keys."""
+    context.mesh = Mesh(1, 1)
+    context.add_cleanup(context.mesh.stop)
+    context.mesh.start()
+    context.node = context.mesh.nodes["node-1"]
+    context.node.settings = context.node.settings._replace(link_mbps=mbps)
+
+
+@when("{size:d} bytes of answers wait for its link")
+def fill_link(context, size: int) -> None:
+    """Let a peer be slow to take answers."""
+    waiting = mock.Mock(unsent=size)
+    context.node.links.accepted.add(waiting)
+    context.waiting = waiting
+
+
+def deliver_one(context, objective_ms: int):
+    """Deliver a request without a key, and free the link."""
+    request = create_forward(
+        service=OTHER_SERVICE,
+        key=-1,
+        path="/list/1",
+        objective_ms=float(objective_ms),
+        remaining_ms=objective_ms * 2.0,
+    )
+    result = context.node.gateway.deliver(request)
+    context.node.links.accepted.discard(context.waiting)
+    return result
+
+
+@then(
+    "a request with an objective of {objective_ms:d} ms is refused, "
+    "to come back in {return_ms:d} ms"
+)
+def check_link_refusal(context, objective_ms: int, return_ms: int) -> None:
+    """Check the refusal of a node whose link is full."""
+    result = deliver_one(context, objective_ms)
+    assert result.code == Code.OVERLOADED, result
+    assert result.retry_after_ms == return_ms, result
+
+
+@then("a request with an objective of {objective_ms:d} ms is done")
+def check_link_done(context, objective_ms: int) -> None:
+    """Check that a short wait for the link refuses nothing."""
+    result = deliver_one(context, objective_ms)
+    assert result.code == Code.DONE, result
--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -36,6 +36,8 @@
         self._sock = sock
         # Bytes that have come, also those of frames that are not whole yet.
         self.received = 0
+        # Bytes that wait for the other end to take them.
+        self.unsent = 0
         self._protocol = protocol
         self._sending = False
         self._events: list[Event] = []
@@ -46,6 +48,7 @@
             self._protocol.send_binary(data)
         except InvalidState as error:
             raise ConnectionError(str(error)) from error
+        self.unsent += len(data)
         self._flush()
 
     def receive(self) -> Iterator[bytes]:
@@ -131,7 +134,9 @@
         self._sending = True
         try:
             while pieces := self._protocol.data_to_send():
-                send_whole(self._sock, b"".join(pieces))
+                data = b"".join(pieces)
+                send_whole(self._sock, data)
+                self.unsent = max(0, self.unsent - len(data))
         except BaseException:
             self.shut_down()
             raise
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -119,7 +119,8 @@
 
     `target` is the address of the target beside it, `service` the target's service.
     Peers dial `peer`; the node listens there, or on `peer_listen` where that is set.
-    `cores` is the processor that it has, in cores.
+    `cores` is the processor that it has, in cores, `link_mbps` the bandwidth of its
+    VM, in Mbit/s; 0 is not known.
     """
 
     node_id: str
@@ -139,3 +140,4 @@
     retry_slack: float
     peer_listen: tuple[str, int] | None = None
     cores: float = 1.0
+    link_mbps: float = 0.0
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -41,6 +41,8 @@
 HEALTHY = 200
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
+# Bytes that a link of 1 Mbit/s takes in a millisecond.
+BYTES_MS_A_MBPS = 125.0
 # Time until a silent target is heard again, or its keys have another owner.
 SILENT_RETRY_MS = 2000
 # Wait for a target's next heartbeat, as a share of the time left and at most.
@@ -163,6 +165,7 @@
     def _wait_for_slot(self, request: Forward) -> None:
         """Take a slot; what is refused counts as load that the keys would bring."""
         rank = INNER_RANK if request.inner else request.priority
+        self._check_link(request)
         try:
             self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
         except RefusalError:
@@ -170,6 +173,27 @@
                 self.loads.add(request.key, self.admission.service_ms)
             raise
 
+    def _check_link(self, request: Forward) -> None:
+        """Refuse where answers wait for the VM's link longer than the caller hopes."""
+        drain_ms = self.find_drain_ms()
+        patience_ms = self.admission.find_patience_ms(
+            request.objective_ms, request.remaining_ms
+        )
+        if drain_ms > patience_ms:
+            raise RefusalError(Code.OVERLOADED, "the link is full", int(drain_ms))
+
+    def find_drain_ms(self) -> float:
+        """Find how long the link takes for the answers that wait for it."""
+        link_mbps = self._node.settings.link_mbps
+        if not link_mbps:
+            return 0.0
+        return self._node.links.count_unsent() / BYTES_MS_A_MBPS / link_mbps
+
+    def _get_busy(self) -> float:
+        """Return the load of the target and of the link, in requests for each slot."""
+        waits = self.find_drain_ms() / max(self.admission.service_ms, 1.0)
+        return self.admission.get_busy() + waits
+
     def _check(self, request: Forward) -> None:
         """Raise where the target may not get the request now."""
         node, target = self._node, self._target
@@ -284,11 +308,11 @@
             answer.body,
             "",
             0,
-            self.admission.get_busy(),
+            self._get_busy(),
         )
 
     def _create_failed(self, code: Code, detail: str, retry_ms: float) -> Forwarded:
-        busy = self.admission.get_busy()
+        busy = self._get_busy()
         return Forwarded(int(code), 0, [], b"", detail, retry_ms, busy)
 
     def probe(self) -> None:
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -204,6 +204,10 @@
             return True
         return self._clock.now_ns() - failed_ns > DIAL_PAUSE_MS * NS_PER_MS
 
+    def count_unsent(self) -> int:
+        """Count the bytes of answers that peers have not taken yet."""
+        return sum(connection.unsent for connection in self.accepted)
+
     def find_down(self, peer: str) -> Down | None:
         """Return since when a peer has not been reached; None where it may be."""
         return self._down.get(peer)
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -21,6 +21,7 @@
 MAX_MS = 3_600_000
 MAX_RATIO = 1000.0
 MAX_CORES = 1024.0
+MAX_MBPS = 1_000_000.0
 
 
 def read_file(path: Path) -> str:
@@ -68,6 +69,7 @@
         retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
         peer_listen=read_optional_address(checker, "peer_listen"),
         cores=read_cores(checker),
+        link_mbps=read_optional_number(checker, "link_mbps", 0.0, MAX_MBPS),
     )
     checker.close()
     return settings
@@ -85,14 +87,20 @@
 
 def read_cores(checker: Checker) -> float:
     """Read the processor of the VM: a share of a core, times its speed in cores."""
-    share = speed = 1.0
-    if checker.given.get("core_share"):
-        share = checker.read_number("core_share", 0, MAX_CORES)
-    if checker.given.get("core_speed"):
-        speed = checker.read_number("core_speed", 0, MAX_CORES)
+    share = read_optional_number(checker, "core_share", 1.0, MAX_CORES)
+    speed = read_optional_number(checker, "core_speed", 1.0, MAX_CORES)
     return share * speed
 
 
+def read_optional_number(
+    checker: Checker, name: str, usual: float, high: float
+) -> float:
+    """Read a number from 0 on that may be missing."""
+    if not checker.given.get(name):
+        return usual
+    return checker.read_number(name, 0, high)
+
+
 def take_live(old: NodeSettings, new: NodeSettings) -> tuple[NodeSettings, list[str]]:
     """Return the old settings with what may change live, and what needs a restart."""
     changed = {
