Let few nodes watch the store, and hear of changes from the coordinator

Two members a zone and the coordinator watch; the others get what is new with their next renewal. A member that has seen more than the coordinator makes it read; a node without a coordinator for 1.5 s watches itself. Ruled out: one watcher alone, as a watch may go silent without a word. Tests: mesh_path, few nodes watch, and a coordinator whose watches hear nothing.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -115,6 +115,17 @@
     When the zone of a target is taken out
     Then that node knows the zone within 2 s
 
+  Scenario: Few nodes watch the store, and all have a new configuration soon
+    Given a mesh of 12 keyed targets
+    When the configuration changes 5 times in 1 s
+    Then every node has the newest one within 1000 ms
+    And at most 7 nodes have asked the store since the first change
+
+  Scenario: A coordinator whose watch hears nothing learns of changes from members
+    Given a mesh of 6 keyed targets
+    When the coordinator's watches hear nothing and the configuration changes
+    Then every node has the newest one within 2000 ms
+
   Scenario: A node that starts while the store is away serves again
     Given a mesh of 3 keyed targets
     When the store is silent for 1 s
--- a/features/steps/mesh_leaving.py
+++ b/features/steps/mesh_leaving.py
@@ -194,3 +194,49 @@
 def check_others_done(context) -> None:
     """Check that no request was refused or lost."""
     assert set(context.statuses) == {200}, context.statuses
+
+
+@when("the configuration changes {count:d} times in {seconds:d} s")
+def change_often(context, count: int, seconds: int) -> None:
+    """Write versions one after the other, once elections and listings are over."""
+    gevent.sleep(1)
+    places = context.mesh.places
+    context.calls = {place.settings.node_id: place.front.calls for place in places}
+    for number in range(count):
+        context.mesh.configure(create_document(number + 2))
+        gevent.sleep(seconds / count)
+    context.version = count + 1
+
+
+@when("the coordinator's watches hear nothing and the configuration changes")
+def change_unheard(context) -> None:
+    """Let the coordinator's watches wait for ever, then write a version."""
+    mesh = context.mesh
+    name = mesh.find_coordinator()
+    mesh.nodes[name].store.watch = lambda *_: gevent.sleep(60)
+    mesh.find_place(name).front.drop_watches()
+    gevent.sleep(1)
+    context.version = 2
+    mesh.configure(create_document(context.version))
+
+
+@then("every node has the newest one within {ms:d} ms")
+def check_newest(context, ms: int) -> None:
+    """Wait until the newest version is in force everywhere."""
+    nodes = context.mesh.nodes.values()
+
+    def is_in_force() -> bool:
+        return all(node.configuration.version == context.version for node in nodes)
+
+    context.mesh.wait_until(is_in_force, ms / 1000)
+
+
+@then("at most {count:d} nodes have asked the store since the first change")
+def check_askers(context, count: int) -> None:
+    """Count the nodes that made calls."""
+    asked = [
+        place.settings.node_id
+        for place in context.mesh.places
+        if place.front.calls > context.calls[place.settings.node_id]
+    ]
+    assert 0 < len(asked) <= count, asked
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -18,7 +18,10 @@
 )
 from knapweedrock.platform.store import Change, HistoryGoneError, Listing, Store
 
-WATCH_S = 20.0
+# A watch may hear nothing any more without a word: it is not trusted for long.
+WATCH_S = 6.0
+# Pause between two looks whether the node is to watch the store itself.
+IDLE_S = 0.2
 FIRST_PAUSE_S = 0.2
 LONGEST_PAUSE_S = 1.5
 
@@ -28,7 +31,10 @@
 class Follower:
     """The configuration and the zones out, which never go back to older ones."""
 
-    def __init__(self, store: Store, note: Callable[[], None]) -> None:
+    def __init__(
+        self, store: Store, note: Callable[[], None], is_watcher: Callable[[], bool]
+    ) -> None:
+        """Take who is told of news, and whether to watch the store for them."""
         self.configuration: Configuration | None = None
         self.document: Any = None
         self.zones_out: frozenset[str] = frozenset()
@@ -36,6 +42,8 @@
         self._has_zones = False
         self._store = store
         self._note = note
+        self._is_watcher = is_watcher
+        self._refreshing = False
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -65,6 +73,22 @@
         if message.zones_revision > self.zones_revision:
             self._set_zones(frozenset(message.zones_out), message.zones_revision)
 
+    def note_seen(self, version: int, zones_revision: int) -> None:
+        """Read the store where another node has seen something newer."""
+        is_newer = version > self.version or zones_revision > self.zones_revision
+        if is_newer and not self._refreshing:
+            self._refreshing = True
+            gevent.spawn(self._refresh)
+
+    def _refresh(self) -> None:
+        try:
+            self._take_listed(self._store.list_kind(CONFIGURATION_KIND))
+            self._take_zones(self._store.list_kind(EVACUATION_KIND))
+        except PlatformError as error:
+            log.info("news not read", reason=error.detail)
+        finally:
+            self._refreshing = False
+
     def find_news(self, request: Renew) -> PublishConfiguration | None:
         """Find what a node that renews its lease has not heard of yet."""
         is_new = self.version > request.config_version
@@ -78,11 +102,15 @@
         )
 
     def _follow(self, kind: str, take: Callable[[Listing], None]) -> None:
-        """List a kind, then list it again whenever something of it has changed."""
+        """List a kind and watch it, while this node is to watch the store."""
         pause_s = FIRST_PAUSE_S
         revision = 0
         lost = False
         while True:
+            if not self._is_watcher():
+                revision = 0
+                gevent.sleep(IDLE_S)
+                continue
             try:
                 if not revision:
                     listing = self._store.list_kind(kind)
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -54,6 +54,12 @@
 POWERFUL_CORES = 1.0
 LOAD_PARTS = 8
 
+# Members of each availability zone that watch the store, beside the coordinator. The
+# others hear of changes from it.
+WATCHERS_A_ZONE = 2
+# Time without a coordinator after which a node watches the store itself.
+ALONE_MS = 1500
+
 log = Logger("node")
 
 
@@ -79,6 +85,17 @@
         node = self._node
         return node.target.describe(node.settings.node_id, node.process, node.peer)
 
+    def is_watcher(self) -> bool:
+        """Tell whether this node is to watch the store itself."""
+        node = self._node
+        alone_ms = (node.clock.now_ns() - self._renewed_ns) / NS_PER_MS
+        if alone_ms > ALONE_MS:
+            return True
+        zone = [m for m in node.board.members.values() if m.zone == node.settings.zone]
+        ranked = sorted(zone, key=lambda m: (crc32(m.node_id.encode()), m.node_id))
+        own = node.settings.node_id
+        return any(member.node_id == own for member in ranked[:WATCHERS_A_ZONE])
+
     def report_soon(self) -> Event:
         """Report to the coordinator at once; the event is set when it has answered."""
         answered = Event()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -80,7 +80,7 @@
         self.links = Links(sender, listen, clock, self.counters)
         self.transit = Transit(clock)
         self.store = Store(settings.store, clock, self.counters)
-        self.follower = Follower(self.store, self._note_configuration)
+        self.follower = Follower(self.store, self._note_configuration, self._is_watcher)
         self.gateway = Gateway(self, clock, self.counters, admission, self._tell_crash)
         self.coordinator = Coordinator(self, self.store, clock, self.counters)
         chooser = Chooser(settings.zone, clock, self.links.is_up)
@@ -211,6 +211,9 @@
         self.links.stop()
         log.info("node stopped", id=self.settings.node_id)
 
+    def _is_watcher(self) -> bool:
+        return self.coordinator.term.leading or self.membership.is_watcher()
+
     def _find_limits(self) -> Limits:
         return self.configuration.limits if self.configuration else Limits()
 
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -5,7 +5,6 @@
 import gevent
 from logbook import Logger
 
-from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.boards import BoardHistory
 from knapweedrock.mesh.following import Follower
@@ -20,9 +19,6 @@
 )
 
 PUBLISH_TIMEOUT_MS = 500
-# A node that reads the store has a new configuration sooner than this. One that has
-# none at all serves nothing, and gets it at once.
-BEHIND_MS = 300
 
 log = Logger("coordinator")
 
@@ -35,21 +31,17 @@
         node_id: str,
         links: Links,
         follower: Follower,
-        clock: Clock,
         is_leading: Callable[[], bool],
     ) -> None:
         self._node_id = node_id
         self._links = links
         self._follower = follower
-        self._clock = clock
         self._is_leading = is_leading
         self._board = Board(0, 0, "", {}, {})
         self._history = BoardHistory(self._board)
         # Version that each member is known to have.
         self._pushed: dict[str, tuple[int, int]] = {}
         self._publishing: set[str] = set()
-        # Since when a member's configuration is older than the coordinator's, in ns.
-        self._behind_ns: dict[str, int] = {}
 
     def begin(self, board: Board) -> None:
         """Publish the first board of a term."""
@@ -73,16 +65,10 @@
         return self._history.find_change(*held)
 
     def help_follow(self, request: Renew) -> None:
-        """Push the configuration to a node that does not get it from the store."""
-        name, now_ns = request.member.node_id, self._clock.now_ns()
+        """Push the configuration to a node that has an older one."""
+        self._follower.note_seen(request.config_version, request.zones_revision)
         message = self._follower.find_news(request)
-        if message is None:
-            self._behind_ns.pop(name, None)
-            return
-        since_ns = self._behind_ns.setdefault(name, now_ns)
-        has_none = request.config_version == 0
-        if has_none or now_ns - since_ns > BEHIND_MS * NS_PER_MS:
-            del self._behind_ns[name]
+        if message is not None:
             gevent.spawn(self._push_configuration, request.member, message)
 
     def _push_configuration(
