Answer the requests that are not done when a node ends

They are answered as possibly run now. Test: mesh_answers; failed before, with the end of the process shown as it is.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -92,6 +92,11 @@
       | not read     |
       | half read    |
 
+  Scenario: A request that is not done when its node ends is answered, not cut off
+    Given a mesh of 2 keyed targets whose work takes 4000 ms
+    When a node stops within 1 s while a request waits at another one
+    Then the request is answered with status 504 before the node has ended
+
   Scenario: A node whose answers wait for its link refuses what would come too late
     Given a node of a VM with 8 Mbit/s beside a target
     When 1500000 bytes of answers wait for its link
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -13,7 +13,7 @@
     FakeClock,
     create_forward,
 )
-from features.support.mesh_harness import Mesh
+from features.support.mesh_harness import KEYS, Mesh
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.counters import Counters
@@ -22,6 +22,7 @@
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges, is_sound
 from knapweedrock.mesh.http import AnswerParser, encode_request
 from knapweedrock.mesh.jobs import Jobs
+from knapweedrock.mesh.node import SHUTDOWN_MARGIN_MS
 from knapweedrock.mesh.suspects import Suspects
 
 TIMEOUT_S = 0.4
@@ -336,6 +337,8 @@
     """Stop a node in order, and then all that it runs, as the end of a process does."""
     with mock.patch("knapweedrock.mesh.node.LEAVE_MS", 1):
         node.stop()
+    # Connections end with the process, before anything else could be noticed.
+    node.callers.drop_connections()
     node.abort()
 
 
@@ -401,3 +404,26 @@
     """Check that a short wait for the link refuses nothing."""
     result = deliver_one(context, objective_ms)
     assert result.code == Code.DONE, result
+
+
+@when("a node stops within {seconds:d} s while a request waits at another one")
+def stop_beside_waiting(context, seconds: int) -> None:
+    """Stop a node in less time than the request takes."""
+    mesh = context.mesh
+    node = mesh.nodes.pop("node-0")
+    shutdown_ms = seconds * 1000 + SHUTDOWN_MARGIN_MS
+    node.settings = node.settings._replace(shutdown_ms=shutdown_ms)
+    key = next(key for key in KEYS if mesh.find_owner(key) is mesh.places[1])
+    context.connection = mesh.open("node-0")
+    data, _ = mesh.encode("/order/1", key, "POST", b"body", 6000)
+    context.connection.send(data, TIMEOUT_S)
+    gevent.sleep(LATE_S)
+    context.end = gevent.spawn(end_process, node)
+
+
+@then("the request is answered with status {status:d} before the node has ended")
+def check_last_answer(context, status: int) -> None:
+    """Read the answer."""
+    answer = context.connection.read(AnswerParser(), ANSWER_S)
+    assert answer.status == status, answer
+    context.end.get(timeout=ANSWER_S)
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -10,6 +10,7 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from knapweedrock.codes import CODE_HEADER, INFO, Code
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.departures import CallerGoneError, DepartureWatch
 from knapweedrock.mesh.http import (
@@ -46,6 +47,10 @@
         self.closes = closes
 
 
+class NodeEndsError(gevent.GreenletExit):
+    """Ends the work on a request because its node ends."""
+
+
 # Answers a request of a caller at an address.
 Serve = Callable[[Request, str], Reply]
 
@@ -65,6 +70,7 @@
             address, self._run, backlog=BACKLOG, spawn=self._connections.spawn
         )
         self._idle: set[socket.socket] = set()
+        self._serving: set[gevent.Greenlet] = set()
 
     def start(self) -> None:
         """Open the listener."""
@@ -86,6 +92,11 @@
         """Tell whether requests are being read or served, once it has stopped."""
         return len(self._connections) > 0
 
+    def end_requests(self) -> None:
+        """Answer all requests that are still served, as possibly run."""
+        for task in list(self._serving):
+            task.kill(NodeEndsError, block=False)
+
     def abort(self) -> None:
         """Close the listener and all connections, whatever is in flight."""
         self._server.close()
@@ -119,8 +130,7 @@
                 return
             self.in_flight += 1
             try:
-                with watch:
-                    reply = self._serve(request, address)
+                reply = self._answer(request, address, watch)
                 closes = reply.closes or not request.keep_alive or self.closing
                 data = encode_reply(request, reply, closes)
                 send_whole(sock, data, SEND_TIMEOUT_S)
@@ -130,6 +140,20 @@
                 finish_sending(sock)
                 return
 
+    def _answer(self, request: Request, address: str, watch: DepartureWatch) -> Reply:
+        task = gevent.getcurrent()
+        self._serving.add(task)
+        try:
+            with watch:
+                return self._serve(request, address)
+        except NodeEndsError:
+            log.info("request not awaited", path=request.target)
+            code = Code.PEER_LOST
+            headers = [(CODE_HEADER, str(int(code)))]
+            return Reply(INFO[code].http_status, headers, b"", closes=True)
+        finally:
+            self._serving.discard(task)
+
     def _read(self, sock: socket.socket, parser: RequestParser) -> Request | None:
         """Read the next request; None where the connection ends."""
         limits = self._find_limits()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -54,6 +54,8 @@
 # Callers are sent elsewhere only after they were told twice, a second apart.
 LEAVE_MS = 2300
 STOP_POLL_S = 0.05
+# Time in which the last callers get their answers.
+ENDING_S = 0.1
 
 log = Logger("node")
 
@@ -205,6 +207,9 @@
         self.callers.stop()
         while self.clock.now_ns() < end_ns and self.callers.has_requests():
             gevent.sleep(STOP_POLL_S)
+        if self.callers.has_requests():
+            self.callers.end_requests()
+            gevent.sleep(ENDING_S)
         self.gateway.closing = True
         while self.clock.now_ns() < end_ns and self.gateway.in_flight:
             gevent.sleep(STOP_POLL_S)
