Let a node that starts while the store is away find its coordinator

No node is noted as lost during an outage, and boards are pushed again to members that none has reached. The scenario failed before, and with either half alone.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -139,6 +139,12 @@
     Then a request for one of its keys is done within 3000 ms of the start
     And no key was held by two targets
 
+  Scenario: A node that ended before an outage of the store and starts in it serves again
+    Given a mesh of 3 keyed targets
+    When a node ends, the store falls silent after 400 ms, and the node starts 2 s later
+    Then a request for one of its keys is done within 3000 ms of the start
+    And no key was held by two targets
+
   Scenario: Writes that take effect late end neither a term nor the moves
     Given a mesh of 3 keyed targets
     When writes of the node that coordinates take effect 300 ms late for 3 s
--- a/features/steps/mesh_losses.py
+++ b/features/steps/mesh_losses.py
@@ -291,3 +291,21 @@
         known = [len(node.board.members) for node in others]
         assert min(known) >= len(mesh.nodes), known
         gevent.sleep(0.02)
+
+
+@when(
+    "a node ends, the store falls silent after {ms:d} ms, and the node starts "
+    "{seconds:d} s later"
+)
+def restart_in_outage(context, ms: int, seconds: int) -> None:
+    """Restart a node that does not coordinate, with an outage in between."""
+    mesh = context.mesh
+    name = choose_other(mesh, mesh.find_coordinator())
+    context.place = mesh.find_place(name)
+    mesh.kill_node(name)
+    gevent.sleep(ms / 1000)
+    for place in mesh.places:
+        place.front.silent = True
+    gevent.sleep(seconds)
+    mesh.start_node(context.place)
+    context.started_ns = mesh.clock.now_ns()
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -35,6 +35,8 @@
 # Nodes have this long to report before the first table is made.
 GATHER_MS = 2500
 TICK_S = 0.1
+# Pause between pushes to members that no push has reached.
+PUSH_AGAIN_MS = 500
 
 log = Logger("coordinator")
 
@@ -71,6 +73,7 @@
         # What targets let go, by service.
         self._released: dict[str, list[tuple[int, int, str]]] = {}
         self._planners: dict[str, Planner] = {}
+        self._pushed_ns = 0
         self._wake = Event()
 
     def claim(self, found: Stored | None) -> bool:
@@ -125,6 +128,7 @@
             if self.term.get_outage_ms() <= 0:
                 continue
             self._note_silent()
+            self._push_again()
             if not self.term.has_authority():
                 continue
             try:
@@ -200,10 +204,18 @@
             elif silent_ms > SILENT_MS and member.state == "ready":
                 members[name] = member._replace(state="absent")
                 log.warning("member silent", about=name, ms=int(silent_ms))
-        self.term.set_lost(list_lost(self._heard, now_ns))
+        if not self.term.is_store_away():
+            # A node that is noted as lost now could get no lease for the whole outage.
+            self.term.set_lost(list_lost(self._heard, now_ns))
         if members != self.board.members:
             self._change(members=members)
 
+    def _push_again(self) -> None:
+        now_ns = self._clock.now_ns()
+        if now_ns - self._pushed_ns > PUSH_AGAIN_MS * NS_PER_MS:
+            self._pushed_ns = now_ns
+            self._publisher.push_again()
+
     def _plan(self, service: str) -> None:
         rows = self.board.tables.get(service)
         if rows is None:
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -56,6 +56,15 @@
         self._board = board
         self._push_all()
 
+    def push_again(self) -> None:
+        """Push the board to members that it has not reached.
+
+        A node that has just started finds its coordinator so while the store is away.
+        """
+        for name, member in self._board.members.items():
+            if name not in self._pushed:
+                self._start_push(name, member)
+
     def find_change(self, request: Renew) -> BoardChange | None:
         """Find what a member that renews its lease has not got; None for nothing."""
         held = (request.epoch, request.version)
@@ -83,8 +92,10 @@
 
     def _push_all(self) -> None:
         for name, member in self._board.members.items():
-            if name == self._node_id or name in self._publishing:
-                continue
+            self._start_push(name, member)
+
+    def _start_push(self, name: str, member: Member) -> None:
+        if name != self._node_id and name not in self._publishing:
             self._publishing.add(name)
             gevent.spawn(self._push, name, member)
 
