Let no request wait for the heartbeat of a target that is silent

Cause, by reading: the node beside the next owner of a key held its requests for up to a second though its target was known to be silent, down or leaving, so that no heartbeat would bring the key.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -97,6 +97,11 @@
     When a node stops within 1 s while a request waits at another one
     Then the request is answered with status 504 before the node has ended
 
+  Scenario: A request for a key that a silent target would take is refused at once
+    Given a mesh of 2 keyed targets
+    When a target whose next heartbeat would bring it a key falls silent
+    Then a request for the key is refused by its node within 100 ms
+
   Scenario: A node whose answers wait for its link refuses what would come too late
     Given a node of a VM with 8 Mbit/s beside a target
     When 1500000 bytes of answers wait for its link
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -430,3 +430,26 @@
         raise AssertionError(f"no answer: {error}") from error
     assert answer.status == status, answer
     context.end.get(timeout=ANSWER_S)
+
+
+@when("a target whose next heartbeat would bring it a key falls silent")
+def silence_next_owner(context) -> None:
+    """Let a node own keys that its target does not hold yet, and lose its target."""
+    mesh = context.mesh
+    place = mesh.places[0]
+    context.key = next(key for key in KEYS if mesh.find_owner(key) is place)
+    context.node = mesh.nodes["node-0"]
+    holds = context.node.holds
+    holds.granted = holds.granted._replace(rows=())
+    place.holder.silent_heartbeats = True
+    context.node.target.silent = True
+
+
+@then("a request for the key is refused by its node within {ms:d} ms")
+def check_refused_soon(context, ms: int) -> None:
+    """Check that nobody waits for a heartbeat that does not come."""
+    began_ns = context.mesh.clock.now_ns()
+    result = context.node.gateway.deliver(create_forward(key=context.key))
+    took_ms = (context.mesh.clock.now_ns() - began_ns) / 1e6
+    assert INFO[Code(result.code)].outcome is Outcome.NOT_RUN, result
+    assert took_ms < ms, took_ms
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -153,7 +153,7 @@
         """Wait for the heartbeat at which the target takes a key that is its own."""
         wait_ms = min(GRANT_WAIT_MS, GRANT_WAIT_SHARE * request.remaining_ms)
         end_ns = self._clock.now_ns() + int(wait_ms * NS_PER_MS)
-        while request.key >= 0 and not self.closing:
+        while request.key >= 0 and not self.closing and self._target.is_usable():
             rows, now_ns = self._node.find_rows(request.service), self._clock.now_ns()
             is_awaited = self._node.holds.is_awaited(
                 request.key, self._target.name, rows, now_ns
