Give a target no more time than its node has before it ends

A stopping node now tells its target how long it has, and refuses what would need more; the target's own answer goes back. Ruled out: the end of the node where the request entered (1.4 s after its SIGTERM).

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -97,6 +97,13 @@
     When a node stops within 1 s while a request waits at another one
     Then the request is answered with status 504 before the node has ended
 
+  Scenario: A node that stops gives its target no more than the time that is left
+    Given a mesh of 2 keyed targets
+    When a node has 2000 ms left before it ends and gets a request that may take 6000 ms
+    Then its target was told at most 1850 ms
+    When a node has 200 ms left before it ends and gets a request that may take 6000 ms
+    Then the request is refused as not run
+
   Scenario: A request for a key that a silent target would take is refused at once
     Given a mesh of 2 keyed targets
     When a target whose next heartbeat would bring it a key falls silent
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -24,6 +24,7 @@
 from knapweedrock.mesh.jobs import Jobs
 from knapweedrock.mesh.node import SHUTDOWN_MARGIN_MS
 from knapweedrock.mesh.suspects import Suspects
+from knapweedrock.platform.headers import REMAINING
 
 TIMEOUT_S = 0.4
 # Time after which the rest of a request is sent.
@@ -453,3 +454,26 @@
     took_ms = (context.mesh.clock.now_ns() - began_ns) / 1e6
     assert INFO[Code(result.code)].outcome is Outcome.NOT_RUN, result
     assert took_ms < ms, took_ms
+
+
+@when(
+    "a node has {left_ms:d} ms left before it ends and gets a request that may take "
+    "{remaining_ms:d} ms"
+)
+def deliver_at_end(context, left_ms: int, remaining_ms: int) -> None:
+    """Deliver a request to a node that stops."""
+    mesh = context.mesh
+    context.place = mesh.places[0]
+    key = next(key for key in KEYS if mesh.find_owner(key) is context.place)
+    gateway = mesh.nodes["node-0"].gateway
+    gateway.end_ns = mesh.clock.now_ns() + int(left_ms * 1e6)
+    request = create_forward(key=key, remaining_ms=float(remaining_ms))
+    context.result = gateway.deliver(request)
+
+
+@then("its target was told at most {ms:d} ms")
+def check_told_time(context, ms: int) -> None:
+    """Check the time that the target was given."""
+    assert context.result.code == Code.DONE, context.result
+    told = context.place.holder.requests[-1].fields[REMAINING]
+    assert 0 < int(told) <= ms, told
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -45,6 +45,12 @@
 BYTES_MS_A_MBPS = 125.0
 # Time until a silent target is heard again, or its keys have another owner.
 SILENT_RETRY_MS = 2000
+# Time before the end of a node in which its targets' last answers are passed on.
+LAST_MS = 150.0
+# Times of service that a request must have left before its node ends.
+LAST_WORKS = 2.0
+# Time in which a node that ends is usually back.
+LEAVING_RETRY_MS = 1500
 # Wait for a target's next heartbeat, as a share of the time left and at most.
 GRANT_WAIT_SHARE = 0.6
 GRANT_WAIT_MS = 1000.0
@@ -68,6 +74,8 @@
         self.in_flight: dict[int, str] = {}
         self.loads = LoadMeter(clock)
         self.closing = False
+        # When the node ends, once it stops; 0 before.
+        self.end_ns = 0
         # The start of the target whose crash was counted last.
         self._crashed = ""
         self._granted_news = Event()
@@ -116,6 +124,7 @@
 
     def _deliver(self, request: Forward) -> Forwarded:
         began_ns = self._clock.now_ns()
+        request = self._limit(request)
         self._wait_for_keys(request)
         self._check(request)
         fingerprint = create_fingerprint(
@@ -144,6 +153,18 @@
                 self.loads.add(request.key, spent_ms)
         return self._judge(request, answer, fingerprint)
 
+    def _limit(self, request: Forward) -> Forward:
+        """Give a request no more time than its node has before it ends.
+
+        Its target gives it up then by itself; what can't end any more is refused.
+        """
+        if not self.end_ns:
+            return request
+        left_ms = (self.end_ns - self._clock.now_ns()) / NS_PER_MS - LAST_MS
+        if left_ms < LAST_WORKS * self.admission.service_ms:
+            raise RefusalError(Code.LEAVING, "the node ends", LEAVING_RETRY_MS)
+        return request._replace(remaining_ms=min(request.remaining_ms, left_ms))
+
     def note_granted(self) -> None:
         """Let requests go on that wait for what the target was just granted."""
         news, self._granted_news = self._granted_news, Event()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -202,6 +202,7 @@
         end_ns = began_ns + (
             (self.settings.shutdown_ms - SHUTDOWN_MARGIN_MS) * NS_PER_MS
         )
+        self.gateway.end_ns = end_ns
         self.callers.closing = True
         gevent.sleep(LEAVE_MS / 1000)
         self.callers.stop()
