Let no rank of requests be shut out of a full target

A rank that gets less than 0.4 of the usual share of slots is taken first. Scenario: 0 of 45 of the least urgent served before.

--- a/features/mesh_admission.feature
+++ b/features/mesh_admission.feature
@@ -24,6 +24,12 @@
     And fewer of the others were served
     And the refused were told within 150 ms
 
+  Scenario: The least urgent are not shut out in a rush that lasts
+    Given admission to a target of 10 slots whose work takes 50 ms
+    When 240 urgent and 15 of the least urgent requests a second come for 3000 ms
+    Then at least 20 percent of the least urgent were served
+    And at least 70 percent of the urgent were served
+
   Scenario: Calls of requests that run come before all new work
     Given admission to a target of 2 slots whose work takes 50 ms
     When the slots are taken and a request and then a call wait
--- a/features/steps/mesh_admission.py
+++ b/features/steps/mesh_admission.py
@@ -15,7 +15,7 @@
 
 OBJECTIVE_MS = 250.0
 REMAINING_MS = 1000.0
-URGENT, OTHER = 0, 2
+URGENT, OTHER, LEAST = 0, 2, 3
 
 
 def create_admission(context, slots: int, work_ms: float = 50.0) -> None:
@@ -204,3 +204,22 @@
     ask(context, OTHER, 1)
     assert len(context.sent) == 2
     assert context.admission.in_flight == 0
+
+
+@when(
+    "{urgent:d} urgent and {least:d} of the least urgent requests a second come "
+    "for {ms:d} ms"
+)
+def offer_unequal(context, urgent: int, least: int, ms: int) -> None:
+    """Offer many urgent requests and now and then one of the lowest rank."""
+    every = urgent // least
+    ranks = [URGENT] * every + [LEAST]
+    offer(context, ranks, 50, ms, urgent + least)
+
+
+@then("at least {percent:d} percent of the least urgent were served")
+def check_least(context, percent: int) -> None:
+    """Check that a rank is not shut out."""
+    served = sum(1 for rank, _ in context.sent if rank == LEAST)
+    refused = sum(1 for rank, _, _ in context.refused if rank == LEAST)
+    assert served >= (served + refused) * percent / 100, (served, refused)
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -24,6 +24,10 @@
 # into the queue are rarely refused at the end of their wait.
 ADMITTED_SHARE = 0.7
 TAKEN_COUNT = 64
+# No rank is served less often than this share of how often all are served: the least
+# urgent come last, but they come.
+LEAST_SERVED = 0.4
+ASKED_COUNT = 512
 MIN_OPEN_SHARE = 0.1
 # Requests to a cold target are spread over each second, at nearly its rate.
 COLD_SPACING = 0.95
@@ -62,6 +66,9 @@
         self._taken: deque[int] = deque(maxlen=TAKEN_COUNT)
         self._taken_by_rank: Counter[int] = Counter()
         self._timer: Any = None
+        # Requests of the last time by rank, and those of them that got a slot.
+        self._asked: Counter[int] = Counter()
+        self._served: Counter[int] = Counter()
 
     @property
     def waiting(self) -> int:
@@ -82,9 +89,26 @@
         `objective_ms` is what is left of the time that the caller hopes for and
         `remaining_ms` what is left of its deadline. Raises `RefusalError`.
         """
+        own_rank, rank = rank, self._lift(rank)
         if not self._waiting and self._has_room():
             self._take(rank)
-            return
+        else:
+            self._queue_up(rank, objective_ms, remaining_ms)
+        self._served[own_rank] += 1
+
+    def _lift(self, rank: int) -> int:
+        """Return the rank of a request, the highest where its own is shut out."""
+        if self._asked.total() >= ASKED_COUNT:
+            for counts in (self._asked, self._served):
+                for known in counts:
+                    counts[known] //= 2
+        self._asked[rank] += 1
+        usual = self._served.total() / self._asked.total()
+        if self._served[rank] < LEAST_SERVED * usual * self._asked[rank]:
+            return min(rank, 0)
+        return rank
+
+    def _queue_up(self, rank: int, objective_ms: float, remaining_ms: float) -> None:
         patience_ms = self.find_patience_ms(objective_ms, remaining_ms)
         ahead = sum(1 for r, _, w in self._queue if r <= rank and not w.given_up)
         wait_ms = self.estimate_wait_ms(ahead) / self._find_open_share(rank)
