Judge a request by the usual time of its own kind

Each route has its own usual time now; one that was not served yet is taken for short. Scenario: failed before.

--- a/features/mesh_admission.feature
+++ b/features/mesh_admission.feature
@@ -30,6 +30,11 @@
     Then at least 20 percent of the least urgent were served
     And at least 70 percent of the urgent were served
 
+  Scenario: A short kind of request is not judged by the long ones beside it
+    Given admission to a target of 4 slots whose work takes 900 ms
+    When requests of 900 ms fill it and one of a short kind hopes for 800 ms
+    Then the short one gets a slot
+
   Scenario: Calls of requests that run come before all new work
     Given admission to a target of 2 slots whose work takes 50 ms
     When the slots are taken and a request and then a call wait
--- a/features/steps/mesh_admission.py
+++ b/features/steps/mesh_admission.py
@@ -223,3 +223,23 @@
     served = sum(1 for rank, _ in context.sent if rank == LEAST)
     refused = sum(1 for rank, _, _ in context.refused if rank == LEAST)
     assert served >= (served + refused) * percent / 100, (served, refused)
+
+
+@when("requests of {long_ms:d} ms fill it and one of a short kind hopes for {ms:d} ms")
+def ask_short(context, long_ms: int, ms: int) -> None:
+    """Fill the slots, free them one after the other, and ask for a short request."""
+    admission = context.admission
+    for number in range(admission.slots):
+        admission.acquire(OTHER, 5000, 5000, "long")
+        gevent.spawn_later(0.2 + number * 0.1, admission.release, long_ms, "long")
+    context.error = None
+    try:
+        admission.acquire(OTHER, ms, ms, "short")
+    except RefusalError as error:
+        context.error = error
+
+
+@then("the short one gets a slot")
+def check_short(context) -> None:
+    """Check that the short request was let in."""
+    assert context.error is None, context.error
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -17,6 +17,10 @@
 INNER_RANK = -1
 SERVICE_WEIGHT = 0.05
 FIRST_SERVICE_MS = 100.0
+# Time of service to expect of a kind that was not served yet, as a share of its
+# objective at most.
+FIRST_SERVICE_SHARE = 0.3
+MAX_KINDS = 1024
 # Share of the time left that a late request may spend waiting.
 LATE_SHARE = 0.4
 MIN_PATIENCE_MS = 20.0
@@ -66,6 +70,8 @@
         self._taken: deque[int] = deque(maxlen=TAKEN_COUNT)
         self._taken_by_rank: Counter[int] = Counter()
         self._timer: Any = None
+        # Time of service of each kind of request: they differ within one service.
+        self._kind_ms: dict[str, float] = {}
         # Requests of the last time by rank, and those of them that got a slot.
         self._asked: Counter[int] = Counter()
         self._served: Counter[int] = Counter()
@@ -83,17 +89,20 @@
         """Tell whether the target bears only a bounded rate now."""
         return self.cold_rate > 0 and self._clock.now_ns() < self.cold_until_ns
 
-    def acquire(self, rank: int, objective_ms: float, remaining_ms: float) -> None:
+    def acquire(
+        self, rank: int, objective_ms: float, remaining_ms: float, kind: str = ""
+    ) -> None:
         """Take a slot, waiting for it as long as that helps the caller.
 
         `objective_ms` is what is left of the time that the caller hopes for and
-        `remaining_ms` what is left of its deadline. Raises `RefusalError`.
+        `remaining_ms` what is left of its deadline; `kind` names what its work is
+        like. Raises `RefusalError`.
         """
         own_rank, rank = rank, self._lift(rank)
         if not self._waiting and self._has_room():
             self._take(rank)
         else:
-            self._queue_up(rank, objective_ms, remaining_ms)
+            self._queue_up(rank, objective_ms, remaining_ms, kind)
         self._served[own_rank] += 1
 
     def _lift(self, rank: int) -> int:
@@ -108,8 +117,10 @@
             return min(rank, 0)
         return rank
 
-    def _queue_up(self, rank: int, objective_ms: float, remaining_ms: float) -> None:
-        patience_ms = self.find_patience_ms(objective_ms, remaining_ms)
+    def _queue_up(
+        self, rank: int, objective_ms: float, remaining_ms: float, kind: str
+    ) -> None:
+        patience_ms = self.find_patience_ms(objective_ms, remaining_ms, kind)
         ahead = sum(1 for r, _, w in self._queue if r <= rank and not w.given_up)
         wait_ms = self.estimate_wait_ms(ahead) / self._find_open_share(rank)
         if wait_ms > patience_ms * ADMITTED_SHARE:
@@ -121,10 +132,11 @@
         self._push_out(rank)
         self._wait(waiter, patience_ms)
 
-    def release(self, service_ms: float = 0.0) -> None:
+    def release(self, service_ms: float = 0.0, kind: str = "") -> None:
         """Give a slot back after this much time of service (0: not known)."""
         if service_ms:
             self.service_ms += (service_ms - self.service_ms) * SERVICE_WEIGHT
+            self._note_kind(service_ms, kind)
         self.in_flight -= 1
         self.wake()
 
@@ -144,12 +156,30 @@
         self._timer = None
         self.wake()
 
-    def find_patience_ms(self, objective_ms: float, remaining_ms: float) -> float:
+    def find_patience_ms(
+        self, objective_ms: float, remaining_ms: float, kind: str = ""
+    ) -> float:
         """Find the longest wait after which the answer is still worth the slot."""
-        in_time_ms = objective_ms - self.service_ms
+        service_ms = self._find_service_ms(objective_ms, kind)
+        in_time_ms = objective_ms - service_ms
         if in_time_ms > MIN_PATIENCE_MS:
             return min(in_time_ms, remaining_ms)
-        return max(MIN_PATIENCE_MS, (remaining_ms - self.service_ms) * LATE_SHARE)
+        return max(MIN_PATIENCE_MS, (remaining_ms - service_ms) * LATE_SHARE)
+
+    def _find_service_ms(self, objective_ms: float, kind: str) -> float:
+        """Find the usual time of service of a kind of request."""
+        if not kind:
+            return self.service_ms
+        known_ms = self._kind_ms.get(kind)
+        if known_ms is not None:
+            return known_ms
+        return min(self.service_ms, max(objective_ms, 0) * FIRST_SERVICE_SHARE)
+
+    def _note_kind(self, service_ms: float, kind: str) -> None:
+        if kind not in self._kind_ms and len(self._kind_ms) >= MAX_KINDS:
+            self._kind_ms.clear()
+        usual_ms = self._kind_ms.get(kind, service_ms)
+        self._kind_ms[kind] = usual_ms + (service_ms - usual_ms) * SERVICE_WEIGHT
 
     def estimate_wait_ms(self, ahead: int) -> float:
         """Estimate the wait behind this many requests in the queue."""
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -147,7 +147,7 @@
             self._service_ms.observe(served_ms)
         finally:
             self.in_flight.pop(id(request), None)
-            self.admission.release(served_ms)
+            self.admission.release(served_ms, request.route)
             if request.key >= 0:
                 spent_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
                 self.loads.add(request.key, spent_ms)
@@ -188,7 +188,9 @@
         rank = INNER_RANK if request.inner else request.priority
         self._check_link(request)
         try:
-            self.admission.acquire(rank, request.objective_ms, request.remaining_ms)
+            self.admission.acquire(
+                rank, request.objective_ms, request.remaining_ms, request.route
+            )
         except RefusalError:
             if request.key >= 0:
                 self.loads.add(request.key, self.admission.service_ms)
@@ -198,7 +200,7 @@
         """Refuse where answers wait for the VM's link longer than the caller hopes."""
         drain_ms = self.find_drain_ms()
         patience_ms = self.admission.find_patience_ms(
-            request.objective_ms, request.remaining_ms
+            request.objective_ms, request.remaining_ms, request.route
         )
         if drain_ms > patience_ms:
             raise RefusalError(Code.OVERLOADED, "the link is full", int(drain_ms))
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -143,7 +143,7 @@
 
     `key` is -1 where the service has no keys; the times are what was left when it
     was sent, at `sent_ns` of the sender's clock. `inner` marks a call that a target
-    made for a request it runs.
+    made for a request it runs; `route` names the request's route.
     """
 
     service: str
@@ -158,6 +158,7 @@
     idempotent: bool
     inner: bool
     sent_ns: int = 0
+    route: str = ""
 
 
 @message(51)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -249,6 +249,7 @@
             job.route.priority,
             job.route.idempotent,
             job.inner,
+            route=job.route.name,
         )
         peer = self.chooser.find_peer(member)
         began_ns = self._clock.now_ns()
