Tell members of a large configuration, and let them read it from the store

Above 8 KB it sends the version alone, a member reads the store, and is sent the whole only where it has not got it in 0.7 s.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -127,6 +127,12 @@
     Then every node has the newest one within 1000 ms
     And at most 7 nodes have asked the store since the first change
 
+  Scenario: A large configuration is read from the store, not sent by the coordinator
+    Given a mesh of 9 keyed targets
+    When the configuration grows by 500 routes
+    Then every node has the newest one within 2000 ms
+    And the coordinator has sent fewer than 100000 bytes since
+
   Scenario: A coordinator whose watch hears nothing learns of changes from members
     Given a mesh of 6 keyed targets
     When the coordinator's watches hear nothing and the configuration changes
--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -13,6 +13,7 @@
     create_members,
     create_row,
 )
+from knapweedrock.clock import create_clock
 from knapweedrock.mesh.boards import BoardHistory, apply_change, diff_boards
 from knapweedrock.mesh.facts import KEYS
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
@@ -115,7 +116,9 @@
         return Published(message.change.epoch, message.change.version)
 
     links = mock.Mock(request=note)
-    context.publisher = Publisher("n0", links, mock.Mock(), lambda: True)
+    context.publisher = Publisher(
+        "n0", links, mock.Mock(), create_clock(), lambda: True
+    )
     rows = [create_row(0, KEYS - 1, "n1")]
     context.board = Board(1, 1, "n0:1", create_members(2), {"orders": rows})
     context.publisher.begin(context.board)
--- a/features/steps/mesh_leaving.py
+++ b/features/steps/mesh_leaving.py
@@ -240,3 +240,27 @@
         if place.front.calls > context.calls[place.settings.node_id]
     ]
     assert 0 < len(asked) <= count, asked
+
+
+@when("the configuration grows by {count:d} routes")
+def grow_configuration(context, count: int) -> None:
+    """Write a version with many routes more."""
+    gevent.sleep(1)
+    mesh = context.mesh
+    context.version = 2
+    document = create_document(context.version)
+    route = document["routes"]["read"]
+    document["routes"] |= {
+        f"more-{number}": {**route, "pathPrefix": f"/more/{number}/"}
+        for number in range(count)
+    }
+    context.name = mesh.find_coordinator()
+    context.before = mesh.nodes[context.name].counters.total("link_bytes_sent")
+    mesh.configure(document)
+
+
+@then("the coordinator has sent fewer than {size:d} bytes since")
+def check_sent_bytes(context, size: int) -> None:
+    """Count the bytes that the coordinator has sent to peers."""
+    sent = context.mesh.nodes[context.name].counters.total("link_bytes_sent")
+    assert sent - context.before < size, sent - context.before
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -61,7 +61,7 @@
         self._clock = clock
         self._counters = counters
         self._publisher = Publisher(
-            name, node.links, node.follower, lambda: self.term.leading
+            name, node.links, node.follower, clock, lambda: self.term.leading
         )
         self._began_ns = 0
         self._heard: dict[str, Heard] = {}
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -70,6 +70,8 @@
         """Take what the coordinator pushes to a node that can't read the store."""
         if message.document:
             self._take_document(msgspec.json.decode(message.document))
+        else:
+            self.note_seen(message.version, 0)
         if message.zones_revision > self.zones_revision:
             self._set_zones(frozenset(message.zones_out), message.zones_revision)
 
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -5,6 +5,7 @@
 import gevent
 from logbook import Logger
 
+from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.boards import BoardHistory
 from knapweedrock.mesh.following import Follower
@@ -19,6 +20,10 @@
 )
 
 PUBLISH_TIMEOUT_MS = 500
+# Configurations above this size are only told of; a member that has not read one from
+# the store within this time is sent it.
+BIG_BYTES = 8192
+BEHIND_MS = 700
 # Changes within this time go to a member together.
 PUSH_PAUSE_S = 0.015
 
@@ -33,11 +38,15 @@
         node_id: str,
         links: Links,
         follower: Follower,
+        clock: Clock,
         is_leading: Callable[[], bool],
     ) -> None:
         self._node_id = node_id
         self._links = links
         self._follower = follower
+        self._clock = clock
+        # Since when members have an older configuration, in ns.
+        self._behind_ns: dict[str, int] = {}
         self._is_leading = is_leading
         self._board = Board(0, 0, "", {}, {})
         self._history = BoardHistory(self._board)
@@ -80,9 +89,19 @@
     def help_follow(self, request: Renew) -> None:
         """Push the configuration to a node that has an older one."""
         self._follower.note_seen(request.config_version, request.zones_revision)
+        name, now_ns = request.member.node_id, self._clock.now_ns()
         message = self._follower.find_news(request)
-        if message is not None:
-            gevent.spawn(self._push_configuration, request.member, message)
+        if message is None:
+            self._behind_ns.pop(name, None)
+            return
+        since_ns = self._behind_ns.setdefault(name, now_ns)
+        is_soon = now_ns - since_ns < BEHIND_MS * NS_PER_MS
+        if len(message.document) > BIG_BYTES and request.config_version and is_soon:
+            # It reads the store itself: so much to all would fill this VM's link.
+            message = message._replace(document=b"")
+        else:
+            del self._behind_ns[name]
+        gevent.spawn(self._push_configuration, request.member, message)
 
     def _push_configuration(
         self, member: Member, message: PublishConfiguration
