--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -90,7 +90,7 @@
                 if result.passed:
                     passed += 1
                     print(f"passed  {label}", flush=True)
-                elif result.name in known_red:
+                elif result.name.strip() in known_red:
                     red += 1
                     print(f"KNOWN RED  {label}", flush=True)
                 else:
