--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -148,9 +148,9 @@
                 return self._serve(request, address)
         except NodeEndsError:
             log.info("request not awaited", path=request.target)
-            code = Code.PEER_LOST
-            headers = [(CODE_HEADER, str(int(code)))]
-            return Reply(INFO[code].http_status, headers, b"", closes=True)
+            reply = create_refusal(Code.PEER_LOST, 0)
+            reply.closes = True
+            return reply
         finally:
             self._serving.discard(task)
 
@@ -223,3 +223,15 @@
         with gevent.Timeout(1.0, False):
             while sock.recv(RECEIVE_BYTES):
                 pass
+
+
+def create_refusal(code: Code, retry_after_ms: float) -> Reply:
+    """Create the answer to a request that is given up."""
+    info = INFO[code]
+    status = info.http_status
+    if code is Code.QUARANTINED:
+        status = 503
+    headers = [(CODE_HEADER, str(int(code)))]
+    if retry_after_ms > 0 and status in (429, 503):
+        headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
+    return Reply(status, headers, b"")
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -16,6 +16,7 @@
 from knapweedrock.mesh.facts import Facts, list_fit
 from knapweedrock.mesh.measures import measure_row
 from knapweedrock.mesh.messages import Board, Member, Renew, Renewed, Row
+from knapweedrock.mesh.moves import list_begun
 from knapweedrock.mesh.planning import Planner
 from knapweedrock.mesh.publishing import Publisher
 from knapweedrock.mesh.terms import OUTAGE_MS, TERM_MS, Term
@@ -248,16 +249,14 @@
         self, service: str, rows: list[Row], facts: Facts, now_ms: float
     ) -> list[Row]:
         marked = self._get_planner(service).balance(rows, facts, now_ms)
-        known = set(rows)
-        for row in marked:
-            if row.next_node and row not in known:
-                log.info(
-                    "move begins",
-                    keys=f"{row.start}-{row.end}",
-                    about=row.node_id,
-                    receiver=row.next_node,
-                    load=round(measure_row(row, facts), 2),
-                )
+        for row in list_begun(rows, marked):
+            log.info(
+                "move begins",
+                keys=f"{row.start}-{row.end}",
+                about=row.node_id,
+                receiver=row.next_node,
+                load=round(measure_row(row, facts), 2),
+            )
         return marked
 
     def _get_planner(self, service: str) -> Planner:
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -4,7 +4,6 @@
 from typing import TYPE_CHECKING
 
 import gevent
-from gevent.event import Event
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
@@ -22,6 +21,7 @@
 from knapweedrock.mesh.http import Answer, Headers, dial
 from knapweedrock.mesh.loads import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded
+from knapweedrock.mesh.news import News
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
@@ -49,8 +49,8 @@
 LAST_MS = 150.0
 # Times of service that a request must have left before its node ends.
 LAST_WORKS = 2.0
-# Time in which a node that ends is usually back.
-LEAVING_RETRY_MS = 1500
+# Time in which a node that ends on a living VM is usually back.
+RESTART_MS = 1500
 # Wait for a target's next heartbeat, as a share of the time left and at most.
 GRANT_WAIT_SHARE = 0.6
 GRANT_WAIT_MS = 1000.0
@@ -78,7 +78,7 @@
         self.end_ns = 0
         # The start of the target whose crash was counted last.
         self._crashed = ""
-        self._granted_news = Event()
+        self._granted_news = News()
         self._node = node
         self._clock = clock
         self._counters = counters
@@ -162,13 +162,12 @@
             return request
         left_ms = (self.end_ns - self._clock.now_ns()) / NS_PER_MS - LAST_MS
         if left_ms < LAST_WORKS * self.admission.service_ms:
-            raise RefusalError(Code.LEAVING, "the node ends", LEAVING_RETRY_MS)
+            raise RefusalError(Code.LEAVING, "the node ends", RESTART_MS)
         return request._replace(remaining_ms=min(request.remaining_ms, left_ms))
 
     def note_granted(self) -> None:
         """Let requests go on that wait for what the target was just granted."""
-        news, self._granted_news = self._granted_news, Event()
-        news.set()
+        self._granted_news.announce()
 
     def _wait_for_keys(self, request: Forward) -> None:
         """Wait for the heartbeat at which the target takes a key that is its own."""
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -99,9 +99,8 @@
         if alone_ms > ALONE_MS:
             return True
         zone = [m for m in node.board.members.values() if m.zone == node.settings.zone]
-        ranked = sorted(zone, key=lambda m: (crc32(m.node_id.encode()), m.node_id))
-        own = node.settings.node_id
-        return any(member.node_id == own for member in ranked[:WATCHERS_A_ZONE])
+        names = sorted((m.node_id for m in zone), key=rank_name)
+        return node.settings.node_id in names[:WATCHERS_A_ZONE]
 
     def report_soon(self) -> Event:
         """Report to the coordinator at once; the event is set when it has answered."""
@@ -247,18 +246,19 @@
             self._node.take_board(board)
 
 
+def rank_name(name: str) -> tuple[int, str]:
+    """Rank a node's name by a hash, in an order that all nodes agree on."""
+    return crc32(name.encode()), name
+
+
 def find_turn_ms(node_id: str, board: Board) -> int:
     """Find how long a node leaves it to others to look for a coordinator.
 
     The coordinator that was lost is no candidate. Equal members come in the order of
     a hash, so that the first ones do not share an availability zone.
     """
-    ranked = sorted(
-        (-member.cores, crc32(name.encode()), name)
-        for name, member in board.members.items()
-        if member.peer != board.coordinator
-    )
-    names = [name for _, _, name in ranked]
+    names = [n for n, m in board.members.items() if m.peer != board.coordinator]
+    names.sort(key=lambda name: (-board.members[name].cores, rank_name(name)))
     if node_id not in names:
         return 0
     group = names.index(node_id) // CANDIDATES
--- a/knapweedrock/mesh/moves.py
+++ b/knapweedrock/mesh/moves.py
@@ -295,6 +295,14 @@
     return found
 
 
+def list_begun(before: list[Row], after: list[Row]) -> list[Row]:
+    """List the rows that were marked for another owner in between."""
+    if after is before:
+        return []
+    known = set(before)
+    return [row for row in after if row.next_node and row not in known]
+
+
 def find_share(node_id: str, totals: dict[str, float], facts: Facts) -> float:
     """Find the load of a target for each of its slots."""
     return totals[node_id] / max(facts.members[node_id].slots, 1)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -3,7 +3,6 @@
 import uuid
 
 import gevent
-from gevent.event import Event
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
@@ -38,6 +37,7 @@
     Row,
 )
 from knapweedrock.mesh.metrics import Histograms
+from knapweedrock.mesh.news import News
 from knapweedrock.mesh.pages import create_servers
 from knapweedrock.mesh.routing import Router
 from knapweedrock.mesh.settings import take_live
@@ -91,7 +91,7 @@
             settings.caller, self.router.serve, self._find_limits
         )
         self._pages = create_servers(self)
-        self._board_news = Event()
+        self._board_news = News()
         self._was_out = False
         self._out_since_ns = 0
         self._tasks: list[gevent.Greenlet] = []
@@ -155,8 +155,7 @@
         own = board.members.get(self.settings.node_id)
         if own is not None and self.target.adopt(own):
             gevent.spawn(self.gateway.probe)
-        news, self._board_news = self._board_news, Event()
-        news.set()
+        self._board_news.announce()
         if self.has_marked(self.find_rows(self.settings.service)):
             self.membership.report_soon()
 
@@ -224,8 +223,7 @@
         return self.configuration.limits if self.configuration else Limits()
 
     def _note_configuration(self) -> None:
-        self._board_news.set()
-        self._board_news = Event()
+        self._board_news.announce()
         configuration = self.configuration
         if configuration and self.settings.service in configuration.services:
             service = configuration.services[self.settings.service]
--- a/knapweedrock/mesh/planning.py
+++ b/knapweedrock/mesh/planning.py
@@ -6,7 +6,7 @@
 from knapweedrock.mesh.holds import overlaps
 from knapweedrock.mesh.measures import count_common, measure_row
 from knapweedrock.mesh.messages import Row
-from knapweedrock.mesh.moves import level_loads, relieve_full
+from knapweedrock.mesh.moves import level_loads, list_begun, relieve_full
 
 # Pause between two looks for full targets.
 RELIEF_MS = 200
@@ -67,23 +67,19 @@
     def _level(self, rows: list[Row], facts: Facts, now_ms: float) -> list[Row]:
         resting = {n for n, ms in self._rest_until_ms.items() if ms > now_ms}
         marked = level_loads(rows, facts, resting)
-        known = set(rows)
-        for row in marked:
-            if row.next_node and row not in known:
-                self._rest_until_ms[row.node_id] = now_ms + REST_MS
-                self._rest_until_ms[row.next_node] = now_ms + REST_MS
+        for row in list_begun(rows, marked):
+            self._rest_until_ms[row.node_id] = now_ms + REST_MS
+            self._rest_until_ms[row.next_node] = now_ms + REST_MS
         return marked
 
     def _note_moving(
         self, rows: list[Row], marked: list[Row], facts: Facts, now_ms: float
     ) -> None:
-        known = set(rows)
         self._moving = [m for m in self._moving if now_ms - m.began_ms < FORGET_MS]
-        for row in marked:
-            if row.next_node and row not in known:
-                load = measure_row(row, facts)
-                moving = Moving(row.start, row.end, row.next_node, load, now_ms)
-                self._moving.append(moving)
+        for row in list_begun(rows, marked):
+            load = measure_row(row, facts)
+            moving = Moving(row.start, row.end, row.next_node, load, now_ms)
+            self._moving.append(moving)
 
     def _list_given(self, now_ms: float) -> list[Given]:
         """List what was given of late; it counts less the longer ago that was."""
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -4,12 +4,13 @@
 from typing import TYPE_CHECKING
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.codes import CODE_HEADER, INFO, Code, Outcome, find_code
+from knapweedrock.codes import INFO, Code, Outcome, find_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.budgets import RUN_COST, RetryBudget
-from knapweedrock.mesh.callers import Reply
+from knapweedrock.mesh.callers import Reply, create_refusal
 from knapweedrock.mesh.choice import Chooser
+from knapweedrock.mesh.gateway import RESTART_MS
 from knapweedrock.mesh.holds import find_row
 from knapweedrock.mesh.http import Request
 from knapweedrock.mesh.jobs import Job, Jobs, find_route
@@ -32,8 +33,6 @@
 # Time from the loss of a VM until its keys have another owner: the lease runs out, the
 # table is written, the next owner's heartbeat comes.
 LOSS_MS = 4000.0
-# Time in which a node that ended on a living VM is usually back.
-RESTART_MS = 1500.0
 LEAST_RETURN_MS = 200.0
 START_RETRY_AFTER_MS = 500
 DEFAULT_RETRY_AFTER_MS = 200
@@ -368,15 +367,3 @@
     ):
         return final
     return progress.lost
-
-
-def create_refusal(code: Code, retry_after_ms: float) -> Reply:
-    """Create the answer to a request that is given up."""
-    info = INFO[code]
-    status = info.http_status
-    if code is Code.QUARANTINED:
-        status = 503
-    headers = [(CODE_HEADER, str(int(code)))]
-    if retry_after_ms > 0 and status in (429, 503):
-        headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
-    return Reply(status, headers, b"")
