Log what a lost link carried, and how late the event loop is

It gives the requests that waited, how long nothing came and the bytes not sent yet; the other end says how many requests it was serving; a process that stood still for more than 200 ms says so (histogram loop_late_ms). No logic is changed; the links' watch measures its own sleep, so nothing wakes up more often.

--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -275,6 +275,7 @@
 
     def __init__(self) -> None:
         self.received = 0
+        self.unsent = 0
 
     def receive(self) -> Iterator[bytes]:
         """Yield no whole frame."""
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -29,6 +29,7 @@
     encode_frame,
 )
 from knapweedrock.mesh.messages import Cancel, Done, Failed, Probe
+from knapweedrock.mesh.metrics import Histogram
 from knapweedrock.timers import Alarm
 
 DIAL_TIMEOUT_MS = 400
@@ -37,6 +38,8 @@
 # With the interval of the watch a silent link ends within a second.
 SILENCE_LIMIT_MS = 850
 WATCH_INTERVAL_S = 0.1
+# Delay of the event loop from which on it is logged.
+LATE_MS = 200
 NODE_HEADER = "Knapweedrock-Node"
 BACKLOG = 1024
 
@@ -112,7 +115,14 @@
             return
         self.closed = True
         self._counters.count("links_dropped")
-        log.info("link lost", peer=self.peer, reason=reason)
+        log.info(
+            "link lost",
+            peer=self.peer,
+            reason=reason,
+            pending=len(self.pending),
+            silent_ms=round(self.get_silent_ms()),
+            unsent=self._connection.unsent,
+        )
         for result in list(self.pending.values()):
             result.set_exception(LinkError(Code.PEER_LOST, reason))
         self._connection.shut_down()
@@ -126,14 +136,18 @@
             self.received_ns = max(self.received_ns, looked_ns)
         if not self.pending or self.closed:
             return
-        since_ns = max(self.received_ns, self.asked_ns)
-        silent_ms = (self._clock.now_ns() - since_ns) / NS_PER_MS
+        silent_ms = self.get_silent_ms()
         if silent_ms > SILENCE_LIMIT_MS:
             self.close("silent")
         elif silent_ms > PROBE_AFTER_MS:
             with suppress(LinkError):
                 self.send(Frame(0, False, Probe()))
 
+    def get_silent_ms(self) -> float:
+        """Return for how long the peer has sent nothing while it owed answers."""
+        since_ns = max(self.received_ns, self.asked_ns)
+        return (self._clock.now_ns() - since_ns) / NS_PER_MS
+
     def _cancel(self, number: int) -> None:
         with suppress(LinkError):
             self.send(Frame(next(self._numbers), False, Cancel(number)))
@@ -163,6 +177,7 @@
         address: tuple[str, int],
         clock: Clock,
         counters: Counters,
+        lateness: Histogram | None = None,
     ) -> None:
         self.node_id = node_id
         self.address = address
@@ -170,6 +185,7 @@
         self.accepted: set[Connection] = set()
         self._clock = clock
         self._counters = counters
+        self._lateness = lateness or Histogram()
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, AsyncResult] = {}
         self._failed_ns: dict[str, int] = {}
@@ -265,12 +281,22 @@
 
     def _watch(self) -> None:
         while True:
-            gevent.sleep(WATCH_INTERVAL_S)
+            self._sleep()
             for peer, link in list(self._links.items()):
                 link.check_silence()
                 if link.closed:
                     self._links.pop(peer, None)
 
+    def _sleep(self) -> None:
+        """Sleep until the next look, and note by how much the event loop was late."""
+        began_ns = self._clock.now_ns()
+        gevent.sleep(WATCH_INTERVAL_S)
+        slept_ms = (self._clock.now_ns() - began_ns) / NS_PER_MS
+        late_ms = slept_ms - WATCH_INTERVAL_S * 1000
+        self._lateness.observe(late_ms)
+        if late_ms > LATE_MS:
+            log.warning("event loop late", ms=round(late_ms))
+
     def _check(self, protocol: ServerProtocol, request: Request) -> Response | None:
         if not request.headers.get(NODE_HEADER):
             return protocol.reject(400, f"{int(Code.BAD_FRAME)}\n")
@@ -304,6 +330,8 @@
             log.debug("link ended", sender=sender, reason=error)
         finally:
             self.accepted.discard(connection)
+            if running:
+                log.info("link ended with work", sender=sender, requests=len(running))
             for task in list(running.values()):
                 task.kill(block=False)
             connection.close()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -79,7 +79,8 @@
         listen = settings.peer_listen or settings.peer
         # A restarted VM has another clock, so senders are told apart by processes.
         sender = f"{settings.node_id}/{self.process}"
-        self.links = Links(sender, listen, clock, self.counters)
+        lateness = self.histograms.create("loop_late_ms")
+        self.links = Links(sender, listen, clock, self.counters, lateness)
         self.transit = Transit(clock)
         self.store = Store(settings.store, clock, self.counters)
         self.follower = Follower(self.store, self._note_configuration, self._is_watcher)
