Let work at a target outlive the connection that it came over

Cause: a node took a silent or reset connection for the loss of all that went over it, gave it up, and the other end cut what it was serving. Ruled out: nodes that stand still, single connections that hang.

Requests belong to a session of two processes now. The node that sent them dials again and names those it awaits; the peer goes on with them, repeats answers that it keeps, ends the rest and takes nothing more from the former connection, so that a request it never saw is known not to have run. A silent connection that is heard again goes on. An idempotent request may go to another target meanwhile, and the first answer counts. A peer on which no process listens, or that is not reached for 3.5 s, is given up.

The link of one peer is a module of its own (link), what a peer works on for another is another (sessions); the guard of silent links follows the code.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -23,3 +23,46 @@
     And the link to that node is held up for 1500 ms
     Then its caller gets the target's own answer
     And it ran once and nothing was cut
+
+  # Guards against orders that are given up as possibly run though they never arrived.
+  Scenario: An order that is lost on its way runs once, on the next connection
+    Given a mesh of 2 nodes behind proxies whose targets work for 5 ms
+    When the link to a node falls silent for good before an order is sent to it
+    Then its caller gets the target's own answer
+    And it ran once and nothing was cut
+
+  # Guards against work for callers that left while the link was held up.
+  Scenario: What nobody awaits any more ends once the link is back
+    Given a mesh of 2 nodes behind proxies whose targets work for 4000 ms
+    When a read is at work at a target beside another node
+    And the link to that node is silent for good
+    And its caller leaves after 200 ms
+    Then its target's work is cut within 3 s
+
+  # Guards against work that goes on for a node that is gone.
+  Scenario: The work for a node that was killed ends
+    Given a mesh of 2 nodes behind proxies whose targets work for 5000 ms
+    When a read is at work at a target beside another node
+    And the node where it entered is killed
+    Then its target's work is cut within 3 s
+
+  # Guards against callers that wait until their deadline for a VM that is gone.
+  Scenario: An order at a VM that is lost without a word ends before its deadline
+    Given a mesh of 2 nodes behind proxies whose targets work for 8000 ms
+    When an order is at work at a target whose VM is then cut off for good
+    Then its caller gets status 504 within 5 s
+
+  Scenario: A sender learns of each request what its peer knows
+    Given a session that has taken the requests 1 to 4
+    And 1 is at work, 2 was answered and the answer of 3 is not kept any more
+    When the sender resumes and awaits 1, 2, 3 and 9
+    Then 9 never came and nothing is known of 3
+    And the answer to 2 is sent again
+    And nothing of its former connection is taken
+
+  Scenario: Answers are kept for a while, and not more than a VM bears
+    Given answers of 1000000 bytes that are kept
+    When 20 of them are sent at once
+    Then at most 8 are kept, the last ones
+    When 5 s pass and one more is sent
+    Then at most 1 are kept, the last ones
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -6,7 +6,6 @@
 import gevent
 import websockets.exceptions
 from behave import given, then, when
-from gevent.event import AsyncResult
 from hypothesis import strategies as st
 from websockets.sync.client import connect
 
@@ -22,8 +21,10 @@
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import LinkError
+from knapweedrock.mesh.calls import Call
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
-from knapweedrock.mesh.links import NODE_HEADER, Link, Links
+from knapweedrock.mesh.link import Link
+from knapweedrock.mesh.links import NODE_HEADER, Links
 from knapweedrock.mesh.messages import (
     BoardChange,
     Cancel,
@@ -37,6 +38,8 @@
     Published,
     Renew,
     Renewed,
+    Resume,
+    Resumed,
     RowLoad,
     get_kind,
     list_types,
@@ -129,6 +132,8 @@
         Done(),
         Probe(),
         Cancel(9),
+        Resume([3, 9]),
+        Resumed([9], [3]),
         Renew(member, 3, 1, 2, 5, released, unheld, loads, 120),
         Renewed(3, 6000.0, "n1:1", change, 17, 3700.0),
         Renewed(3, 0.0, "n1:1", None, 17, 0.0),
@@ -295,7 +300,7 @@
     context.clock, context.connection = FakeClock(), SlowConnection()
     context.link = Link("n1:1", context.connection, context.clock, Counters())
     context.link.asked_ns = context.clock.now_ns()
-    context.link.pending[1] = AsyncResult()
+    context.link.pending[1] = Call(1)
 
 
 @when("some bytes of a frame come each {ms:d} ms for {seconds:d} s")
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -1,14 +1,31 @@
 """Steps about requests whose link to another node is in trouble."""
 
+from unittest import mock
+
 import gevent
 from behave import given, then, when
 
+from features.support.mesh_builders import FakeClock, create_forward
+from features.support.mesh_harness import KEYS
 from features.support.mesh_proxied import PATIENT_MS, ProxiedMesh
+from features.support.proxies import Proxy
+from knapweedrock.clock import NS_PER_MS, create_clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.emulator.addresses import create_address
+from knapweedrock.errors import LinkError
+from knapweedrock.mesh.frames import Frame
 from knapweedrock.mesh.http import AnswerParser
+from knapweedrock.mesh.links import Links
+from knapweedrock.mesh.messages import Done, Forwarded, Probe, Resumed
+from knapweedrock.mesh.sessions import AnswerCache, Session
 
 ENTRY = "node-0"
 ANSWER_S = 8.0
 SEND_S = 1.0
+# What a request may take beyond its time.
+SLACK_MS = 200
+POLL_S = 0.02
 # Requests whose runs are looked at, by kind.
 KINDS = {"order": ("POST", "/order/1", b"body"), "read": ("GET", "/read/1", b"")}
 
@@ -26,14 +43,25 @@
 @when("a {kind} is at work at a target beside another node")
 def begin_work(context, kind: str) -> None:
     """Send a request for a key of another node and wait until its target runs it."""
-    mesh = context.mesh
+    choose_key(context)
+    send(context, kind)
+    context.mesh.wait_until(lambda: context.owner.holder.requests)
+
+
+def choose_key(context) -> None:
+    """Choose a key whose target is beside another node than the entry."""
+    context.key = context.mesh.find_remote_key(ENTRY)
+    context.owner = context.mesh.find_owner(context.key)
+
+
+def send(context, kind: str) -> None:
+    """Send a request for the key at the entry."""
     method, path, body = KINDS[kind]
-    key = mesh.find_remote_key(ENTRY)
-    context.owner = mesh.find_owner(key)
-    data, context.attempt_id = mesh.encode(path, key, method, body, PATIENT_MS)
-    context.connection = mesh.open(ENTRY)
+    data, context.attempt_id = context.mesh.encode(
+        path, context.key, method, body, PATIENT_MS
+    )
+    context.connection = context.mesh.open(ENTRY)
     context.connection.send(data, SEND_S)
-    mesh.wait_until(lambda: context.owner.holder.requests)
 
 
 @when("the link to that node is held up for {ms:d} ms")
@@ -87,3 +115,199 @@
     cut = [attempt_id for holder in holders for attempt_id in holder.cut]
     assert ran.count(context.attempt_id) == 1, ran
     assert not cut, cut
+
+
+@when("the link to a node falls silent for good before an order is sent to it")
+def silence_before(context) -> None:
+    """Use the link once, silence it, and send an order over it."""
+    choose_key(context)
+    used = context.mesh.call(ENTRY, "/read/1", context.key, remaining_ms=PATIENT_MS)
+    assert used.status == 200, used
+    find_proxy(context).silence()
+    send(context, "order")
+
+
+@when("its caller leaves after {ms:d} ms")
+def leave(context, ms: int) -> None:
+    """Close the caller's connection."""
+    gevent.sleep(ms / 1000)
+    context.connection.close()
+
+
+@when("the node where it entered is killed")
+def kill_entry(context) -> None:
+    """End the node without a word."""
+    context.mesh.kill_node(ENTRY)
+
+
+@then("its target's work is cut within {seconds:d} s")
+def check_cut(context, seconds: int) -> None:
+    """Wait until the target has given the request up."""
+    holder = context.owner.holder
+    context.mesh.wait_until(lambda: context.attempt_id in holder.cut, seconds)
+
+
+@when("an order is at work at a target whose VM is then cut off for good")
+def cut_off(context) -> None:
+    """Let nothing pass to or from a VM that does not coordinate."""
+    mesh = context.mesh
+    mesh.wait_until(mesh.find_coordinator)
+    lost = next(name for name in mesh.nodes if name != mesh.find_coordinator())
+    context.entry = mesh.find_coordinator()
+    context.owner = mesh.find_place(lost)
+    context.key = next(key for key in KEYS if mesh.find_owner(key) is context.owner)
+    data, context.attempt_id = mesh.encode(
+        "/order/1", context.key, "POST", b"body", PATIENT_MS
+    )
+    context.connection = mesh.open(context.entry)
+    context.connection.send(data, SEND_S)
+    mesh.wait_until(lambda: context.owner.holder.requests)
+    for proxy in mesh.proxies.values():
+        for way in proxy.ways:
+            way.open.clear()
+
+
+@then("its caller gets status {status:d} within {seconds:d} s")
+def check_status_soon(context, status: int, seconds: int) -> None:
+    """Read the answer, in time."""
+    answer = context.connection.read(AnswerParser(), seconds)
+    context.connection.close()
+    assert answer.status == status, answer
+
+
+@given("two nodes that are linked through a proxy")
+def give_linked(context) -> None:
+    """Open the links of two nodes, and use them once."""
+    context.proxy = Proxy(create_address(), create_address())
+    context.first, second = (
+        Links(name, address, create_clock(), Counters())
+        for name, address in (
+            ("first", create_address()),
+            ("second", context.proxy.back),
+        )
+    )
+    for started in (second, context.first, context.proxy):
+        started.start()
+    for ended in (context.proxy.stop, context.first.abort, second.abort):
+        context.add_cleanup(ended)
+    context.peer = str(context.proxy.front)
+    assert context.first.request(context.peer, Probe(), SEND_S * 1000) == Done()
+
+
+@when("the proxy takes no more bytes")
+def stop_reading(context) -> None:
+    """Hold up what goes to the second node."""
+    context.proxy.ways[0].open.clear()
+
+
+@then("requests of {size:d} bytes fail within {ms:d} ms, each on time")
+def check_on_time(context, size: int, ms: int) -> None:
+    """Send more than the system buffers, and measure each request."""
+    message = create_forward(body=bytes(size))
+    sent = [gevent.spawn(time_request, context, message, ms) for _ in range(3)]
+    gevent.joinall(sent, timeout=ANSWER_S)
+    for task in sent:
+        assert task.successful(), "it still waits, or was answered"
+        assert task.value < ms + SLACK_MS, task.value
+
+
+def time_request(context, message, timeout_ms: int) -> float:
+    """Send a request that is not answered, and return how long it took, in ms."""
+    clock = create_clock()
+    began_ns = clock.now_ns()
+    try:
+        context.first.request(context.peer, message, timeout_ms, cancels=True)
+        raise AssertionError("the request was answered")
+    except LinkError as error:
+        assert error.code == Code.PEER_LOST, error
+    return (clock.now_ns() - began_ns) / NS_PER_MS
+
+
+@then("the link is known to be silent within {seconds:d} s")
+def check_known(context, seconds: int) -> None:
+    """Wait until new requests would not be sent over it."""
+    with gevent.Timeout(seconds, AssertionError("the link counts as open")):
+        while context.first.is_open(context.peer):
+            gevent.sleep(POLL_S)
+
+
+@given("a session that has taken the requests {first:d} to {last:d}")
+def give_session(context, first: int, last: int) -> None:
+    """Create a session on a connection."""
+    context.cache = AnswerCache(FakeClock())
+    context.session = Session("peer/1", context.cache)
+    context.former = mock.Mock()
+    context.session.resume(context.former, [])
+    for number in range(first, last + 1):
+        context.session.note(number)
+
+
+@given("1 is at work, 2 was answered and the answer of 3 is not kept any more")
+def give_states(context) -> None:
+    """Put the requests in three states."""
+    context.session.running[1] = mock.Mock()
+    context.cache.keep("peer/1", create_answer(2))
+
+
+@when("the sender resumes and awaits 1, 2, 3 and 9")
+def resume_session(context) -> None:
+    """Resume over another connection."""
+    context.awaited = [1, 2, 3, 9]
+    context.resumed = context.session.resume(mock.Mock(), context.awaited)
+
+
+@then("9 never came and nothing is known of 3")
+def check_resumed(context) -> None:
+    """Check what the sender is told."""
+    assert context.resumed == Resumed([9], [3]), context.resumed
+    assert 1 in context.session.running
+
+
+@then("the answer to 2 is sent again")
+def check_sent_again(context) -> None:
+    """Check the answers that go over the new connection."""
+    numbers = [f.number for f in context.session.list_answers(context.awaited)]
+    assert numbers == [2], numbers
+
+
+@then("nothing of its former connection is taken")
+def check_former(context) -> None:
+    """Check that the former connection was ended."""
+    context.former.shut_down.assert_called_once()
+
+
+def create_answer(number: int, size: int = 0) -> Frame:
+    """Create the answer to a request."""
+    return Frame(number, True, Forwarded(0, 200, [], bytes(size), "", 0.0, 0.0))
+
+
+@given("answers of {size:d} bytes that are kept")
+def give_cache(context, size: int) -> None:
+    """Create a cache of answers."""
+    context.clock, context.size = FakeClock(), size
+    context.cache = AnswerCache(context.clock)
+    context.last = 0
+
+
+@when("{count:d} of them are sent at once")
+def keep_answers(context, count: int) -> None:
+    """Keep some answers."""
+    for _ in range(count):
+        context.last += 1
+        context.cache.keep("peer/1", create_answer(context.last, context.size))
+
+
+@when("{seconds:d} s pass and one more is sent")
+def keep_later(context, seconds: int) -> None:
+    """Let time pass and keep another answer."""
+    context.clock.pass_ms(seconds * 1000)
+    keep_answers(context, 1)
+
+
+@then("at most {count:d} are kept, the last ones")
+def check_kept(context, count: int) -> None:
+    """Check which answers are found."""
+    numbers = range(1, context.last + 1)
+    kept = [n for n in numbers if context.cache.find("peer/1", n) is not None]
+    assert 0 < len(kept) <= count, kept
+    assert kept == list(numbers)[-len(kept) :], kept
--- a/features/support/proxies.py
+++ b/features/support/proxies.py
@@ -27,8 +27,8 @@
 
     def __init__(self, front: tuple[str, int], back: tuple[str, int]) -> None:
         self.front = front
+        self.back = back
         self.ways = (Way(), Way())
-        self._address = back
         self._server = StreamServer(front, self._serve)
         self._sockets: set[socket.socket] = set()
         self._silenced: set[socket.socket] = set()
@@ -65,7 +65,7 @@
 
     def _serve(self, sock: socket.socket, _address: tuple) -> None:
         try:
-            other = socket.create_connection(self._address, DIAL_TIMEOUT_S)
+            other = socket.create_connection(self.back, DIAL_TIMEOUT_S)
         except OSError:
             sock.close()
             return
--- /dev/null
+++ b/knapweedrock/mesh/link.py
@@ -0,0 +1,269 @@
+"""A link to one peer: typed requests and answers over websockets with CBOR."""
+
+import itertools
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import gevent
+from logbook import Logger
+
+from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
+from knapweedrock.codes import Code, find_code
+from knapweedrock.counters import Counters
+from knapweedrock.errors import LinkError
+from knapweedrock.mesh.calls import Call
+from knapweedrock.mesh.connections import Connection
+from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
+from knapweedrock.mesh.messages import Cancel, Failed, Probe, Resume
+
+PROBE_AFTER_MS = 300
+SILENCE_LIMIT_MS = 750
+# With the interval of the watch this ends within a second; until then another
+# connection may take the place of one that hangs.
+LEAVE_AFTER_MS = 900
+WATCH_INTERVAL_S = 0.1
+RESUME_TIMEOUT_MS = 2000
+# A VM that was not reached for so long has lost its lease.
+GIVE_UP_MS = 3500
+# Time in which the peer may be told that an answer is not awaited any more.
+CANCEL_TIMEOUT_MS = 3000
+
+log = Logger("links")
+
+
+class Link:
+    """All requests to one peer; they share one connection at a time.
+
+    Requests that are kept wait for the next connection where one is lost or silent.
+    """
+
+    def __init__(
+        self,
+        peer: str,
+        connection: Connection,
+        clock: Clock,
+        counters: Counters,
+        numbers: Iterator[int] | None = None,
+        seek: Callable[["Link"], None] = lambda _link: None,
+    ) -> None:
+        """Take what numbers the requests, and what dials the peer again."""
+        self.peer = peer
+        self.closed = False
+        self.silent = False
+        self.pending: dict[int, Call] = {}
+        self.received_ns = self.asked_ns = self._lost_ns = 0
+        self._connection: Connection | None = None
+        self._received = 0
+        self._clock = clock
+        self._counters = counters
+        self._numbers = numbers or itertools.count(1)
+        self._seek = seek
+        self.resume(connection)
+
+    def is_usable(self) -> bool:
+        """Tell whether requests can be sent now."""
+        return self._connection is not None and not self.silent and not self.closed
+
+    def request(
+        self, message: Any, timeout_ms: float, cancels: bool, leaves: bool = False
+    ) -> Any:
+        """Send a request and wait for its answer; raises `LinkError`.
+
+        With `cancels` it outlives its connection, and the peer is told when nobody
+        waits for the answer any more. With `leaves` a silent link is told by
+        `SilentLinkError`.
+        """
+        if not self.is_usable():
+            raise LinkError(Code.PEER_UNREACHABLE, f"{self.peer} was just lost")
+        call = Call(next(self._numbers), cancels, leaves, self._end)
+        if not self.pending:
+            self.asked_ns = self._clock.now_ns()
+        self.pending[call.number] = call
+        self._send(Frame(call.number, False, message))
+        return call.wait(timeout_ms)
+
+    def resume(self, connection: Connection) -> None:
+        """Go on over another connection."""
+        former, self._connection = self._connection, connection
+        if former is not None:
+            former.shut_down()
+        self.silent = False
+        self.received_ns = self.asked_ns = self._clock.now_ns()
+        self._received = connection.received
+        awaited = list(self.pending)
+        call = Call(next(self._numbers) if awaited else 0)
+        self._send(Frame(call.number, False, Resume(awaited)))
+        if awaited:
+            self._counters.count("links_resumed")
+            self.pending[call.number] = call
+            gevent.spawn(self._take_resumed, call)
+        gevent.spawn(self._read_answers, connection)
+
+    def close(self, reason: str) -> None:
+        """Give the link up for good and fail what is waiting on it."""
+        if self.closed:
+            return
+        self._log_lost(reason)
+        self.closed = True
+        for call in list(self.pending.values()):
+            call.fail(Code.PEER_LOST, reason)
+        if self._connection is not None:
+            self._connection.shut_down()
+
+    def check_silence(self) -> None:
+        """Probe a connection that owes answers; it is silent if nothing comes."""
+        self._note_bytes()
+        if self.closed:
+            return
+        if not self.is_usable():
+            self._release()
+            return
+        if not self.pending:
+            return
+        silent_ms = self.get_silent_ms()
+        if silent_ms > SILENCE_LIMIT_MS:
+            self._fall_silent()
+        elif silent_ms > PROBE_AFTER_MS:
+            self._send(Frame(0, False, Probe()))
+
+    def get_silent_ms(self) -> float:
+        """Return for how long the peer has sent nothing while it owed answers."""
+        since_ns = max(self.received_ns, self.asked_ns)
+        return (self._clock.now_ns() - since_ns) / NS_PER_MS
+
+    def _note_bytes(self) -> None:
+        """Note bytes that have come, also of an answer that is not whole yet."""
+        connection = self._connection
+        if connection is None or connection.received == self._received:
+            return
+        self._received = connection.received
+        looked_ns = self._clock.now_ns() - int(WATCH_INTERVAL_S * NS_PER_S)
+        self.received_ns = max(self.received_ns, looked_ns)
+        if self.silent:
+            log.info("link heard again", peer=self.peer)
+            self.silent = False
+
+    def _fall_silent(self) -> None:
+        self._fail_others("silent")
+        if not self._has_kept():
+            self.close("silent")
+            return
+        self._log_lost("silent")
+        self.silent = True
+        self._lost_ns = self._clock.now_ns()
+        self._seek(self)
+
+    def _lose(self, connection: Connection, reason: str) -> None:
+        """Note the end of a connection."""
+        if self.closed or connection is not self._connection:
+            return
+        self._connection = None
+        self._fail_others(reason)
+        if not self._has_kept():
+            self.close(reason)
+            return
+        self._log_lost(reason)
+        self._lost_ns = self._clock.now_ns()
+        self._seek(self)
+
+    def _release(self) -> None:
+        """Let those go who may turn elsewhere; give the peer up after a while."""
+        if self.get_silent_ms() > LEAVE_AFTER_MS:
+            for call in list(self.pending.values()):
+                call.leave()
+        lost_ms = (self._clock.now_ns() - self._lost_ns) / NS_PER_MS
+        if not self.pending or lost_ms > GIVE_UP_MS:
+            self.close("not reached again")
+
+    def _fail_others(self, reason: str) -> None:
+        """Fail what is not kept."""
+        for call in list(self.pending.values()):
+            if not call.kept:
+                call.fail(Code.PEER_LOST, reason)
+
+    def _has_kept(self) -> bool:
+        return any(call.kept for call in self.pending.values())
+
+    def _log_lost(self, reason: str) -> None:
+        self._counters.count("links_dropped")
+        connection = self._connection
+        log.info(
+            "link lost",
+            peer=self.peer,
+            reason=reason,
+            pending=len(self.pending),
+            silent_ms=round(self.get_silent_ms()),
+            unsent=connection.unsent if connection else 0,
+        )
+
+    def _send(self, frame: Frame) -> None:
+        """Send a frame; a connection that breaks counts as lost."""
+        connection = self._connection
+        if connection is None:
+            return
+        data = encode_frame(frame)
+        self._counters.count("link_bytes_sent", len(data))
+        try:
+            connection.send(data)
+        except OSError as error:
+            self._lose(connection, str(error))
+
+    def _end(self, call: Call, answered: bool) -> None:
+        """Forget a request, and tell the peer where no answer is awaited any more."""
+        if self.pending.pop(call.number, None) is None:
+            return
+        if call.kept and not answered and not self.closed:
+            gevent.spawn(self._cancel, call.number)
+
+    def _cancel(self, number: int) -> None:
+        """Tell the peer that an answer is not awaited, over the next connection too."""
+        call = Call(next(self._numbers), kept=True)
+        self.pending[call.number] = call
+        self._send(Frame(call.number, False, Cancel(number)))
+        try:
+            call.wait(CANCEL_TIMEOUT_MS)
+        except LinkError as error:
+            log.debug("cancellation not confirmed", reason=error.detail)
+        finally:
+            self.pending.pop(call.number, None)
+
+    def _take_resumed(self, call: Call) -> None:
+        """Fail the requests that the peer does not answer any more."""
+        try:
+            resumed = call.wait(RESUME_TIMEOUT_MS)
+        except LinkError as error:
+            log.info("link not resumed", peer=self.peer, reason=error.detail)
+            return
+        finally:
+            self.pending.pop(call.number, None)
+        for number in resumed.unseen:
+            self._fail(number, Code.PEER_UNREACHABLE, "it never came")
+        for number in resumed.unknown:
+            self._fail(number, Code.PEER_LOST, "the peer does not know it")
+
+    def _fail(self, number: int, code: Code, reason: str) -> None:
+        call = self.pending.get(number)
+        if call is not None:
+            call.fail(code, reason)
+
+    def _read_answers(self, connection: Connection) -> None:
+        reason = "closed by the peer"
+        try:
+            for data in connection.receive():
+                self._take(connection, decode_frame(data))
+        except (LinkError, OSError) as error:
+            reason = str(error)
+        finally:
+            self._lose(connection, reason)
+            connection.close()
+
+    def _take(self, connection: Connection, frame: Frame) -> None:
+        if connection is self._connection:
+            self.received_ns = self._clock.now_ns()
+        call = self.pending.get(frame.number)
+        if call is None or not frame.is_answer:
+            return
+        if isinstance(frame.message, Failed):
+            call.fail(find_code(frame.message.code), frame.message.detail)
+        else:
+            call.answer(frame.message)
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -6,7 +6,6 @@
 
 import itertools
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any, NamedTuple
 
 import gevent
@@ -17,8 +16,8 @@
 from websockets.http11 import Request, Response
 from websockets.server import ServerProtocol
 
-from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
-from knapweedrock.codes import Code, find_code
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, LinkError
 from knapweedrock.mesh.connections import Connection, accept, dial
@@ -28,16 +27,17 @@
     decode_frame,
     encode_frame,
 )
-from knapweedrock.mesh.messages import Cancel, Done, Failed, Probe
+from knapweedrock.mesh.link import WATCH_INTERVAL_S, Link
+from knapweedrock.mesh.messages import Cancel, Done, Probe, Resume
 from knapweedrock.mesh.metrics import Histogram
-from knapweedrock.timers import Alarm
+from knapweedrock.mesh.sessions import AnswerCache, Session
 
 DIAL_TIMEOUT_MS = 400
+# For a VM that may only be slow to answer, and on which requests are at work.
+REDIAL_TIMEOUT_MS = 1000
 DIAL_PAUSE_MS = 150
-PROBE_AFTER_MS = 300
-# With the interval of the watch a silent link ends within a second.
-SILENCE_LIMIT_MS = 850
-WATCH_INTERVAL_S = 0.1
+# Time in which a peer whose connection has ended may come back to its requests.
+ORPHAN_S = 2.0
 # Delay of the event loop from which on it is logged.
 LATE_MS = 200
 NODE_HEADER = "Knapweedrock-Node"
@@ -55,119 +55,6 @@
     refused: bool
 
 
-class Link:
-    """One dialled connection to a peer, shared by all requests to it."""
-
-    def __init__(
-        self, peer: str, connection: Connection, clock: Clock, counters: Counters
-    ) -> None:
-        self.peer = peer
-        self.closed = False
-        self.received_ns = clock.now_ns()
-        self.asked_ns = 0
-        self.pending: dict[int, AsyncResult] = {}
-        self._connection = connection
-        self._received = connection.received
-        self._clock = clock
-        self._counters = counters
-        self._numbers = itertools.count(1)
-        gevent.spawn(self._read_answers)
-
-    def request(self, message: Any, timeout_ms: float, cancels: bool) -> Any:
-        """Send a request and wait for its answer; raises `LinkError`.
-
-        With `cancels` the peer is told when nobody waits for the answer any more.
-        """
-        number = next(self._numbers)
-        result = AsyncResult()
-        if not self.pending:
-            self.asked_ns = self._clock.now_ns()
-        self.pending[number] = result
-        answered = False
-        try:
-            self.send(Frame(number, False, message))
-            with Alarm(max(timeout_ms, 1) / 1000):
-                answer = result.get()
-            answered = True
-        except TimeoutError as error:
-            raise LinkError(Code.PEER_LOST, f"no answer of {self.peer}") from error
-        finally:
-            self.pending.pop(number, None)
-            if not answered and cancels and not self.closed:
-                gevent.spawn(self._cancel, number)
-        if isinstance(answer, Failed):
-            raise LinkError(find_code(answer.code), answer.detail)
-        return answer
-
-    def send(self, frame: Frame) -> None:
-        """Send a frame; raises `LinkError`."""
-        data = encode_frame(frame)
-        self._counters.count("link_bytes_sent", len(data))
-        try:
-            self._connection.send(data)
-        except OSError as error:
-            self.close(str(error))
-            raise LinkError(Code.PEER_LOST, str(error)) from error
-
-    def close(self, reason: str) -> None:
-        """Drop the connection and fail what was waiting on it."""
-        if self.closed:
-            return
-        self.closed = True
-        self._counters.count("links_dropped")
-        log.info(
-            "link lost",
-            peer=self.peer,
-            reason=reason,
-            pending=len(self.pending),
-            silent_ms=round(self.get_silent_ms()),
-            unsent=self._connection.unsent,
-        )
-        for result in list(self.pending.values()):
-            result.set_exception(LinkError(Code.PEER_LOST, reason))
-        self._connection.shut_down()
-
-    def check_silence(self) -> None:
-        """Probe a link that owes answers, and drop it if it stays silent."""
-        if self._connection.received != self._received:
-            # A large answer may come for a while before it is whole.
-            self._received = self._connection.received
-            looked_ns = self._clock.now_ns() - int(WATCH_INTERVAL_S * NS_PER_S)
-            self.received_ns = max(self.received_ns, looked_ns)
-        if not self.pending or self.closed:
-            return
-        silent_ms = self.get_silent_ms()
-        if silent_ms > SILENCE_LIMIT_MS:
-            self.close("silent")
-        elif silent_ms > PROBE_AFTER_MS:
-            with suppress(LinkError):
-                self.send(Frame(0, False, Probe()))
-
-    def get_silent_ms(self) -> float:
-        """Return for how long the peer has sent nothing while it owed answers."""
-        since_ns = max(self.received_ns, self.asked_ns)
-        return (self._clock.now_ns() - since_ns) / NS_PER_MS
-
-    def _cancel(self, number: int) -> None:
-        with suppress(LinkError):
-            self.send(Frame(next(self._numbers), False, Cancel(number)))
-
-    def _read_answers(self) -> None:
-        reason = "closed by the peer"
-        try:
-            for data in self._connection.receive():
-                self.received_ns = self._clock.now_ns()
-                frame = decode_frame(data)
-                result = self.pending.get(frame.number)
-                if result is not None and frame.is_answer:
-                    result.set(frame.message)
-        except (LinkError, OSError) as error:
-            reason = str(error)
-        finally:
-            self.close(reason)
-            self._connection.close()
-
-
 class Links:
     """All links of a node: those it dialled and those it accepted."""
 
@@ -187,6 +74,11 @@
         self._counters = counters
         self._lateness = lateness or Histogram()
         self._links: dict[str, Link] = {}
+        # One count for all links: a peer sees each number once, and in order.
+        self._numbers = itertools.count(1)
+        self._ended = False
+        self._answers = AnswerCache(clock)
+        self._sessions: dict[str, Session] = {}
         self._dialling: dict[str, AsyncResult] = {}
         self._failed_ns: dict[str, int] = {}
         self._down: dict[str, Down] = {}
@@ -205,8 +97,11 @@
 
     def abort(self) -> None:
         """Close the listener and all links at once."""
+        self._ended = True
         self.stop()
         self._watcher.kill(block=False)
+        for session in list(self._sessions.values()):
+            session.end()
         for link in list(self._links.values()):
             link.close("the node ends")
 
@@ -214,12 +109,17 @@
         """Tell whether the peer was not unreachable a moment ago."""
         link = self._links.get(peer)
         if link is not None and not link.closed:
-            return True
+            return link.is_usable()
         failed_ns = self._failed_ns.get(peer)
         if failed_ns is None:
             return True
         return self._clock.now_ns() - failed_ns > DIAL_PAUSE_MS * NS_PER_MS
 
+    def is_open(self, peer: str) -> bool:
+        """Tell whether a connection to the peer is open and not silent."""
+        link = self._links.get(peer)
+        return link is not None and link.is_usable()
+
     def count_unsent(self) -> int:
         """Count the bytes of answers that peers have not taken yet."""
         return sum(connection.unsent for connection in self.accepted)
@@ -229,19 +129,27 @@
         return self._down.get(peer)
 
     def request(
-        self, peer: str, message: Any, timeout_ms: float, cancels: bool = False
+        self,
+        peer: str,
+        message: Any,
+        timeout_ms: float,
+        cancels: bool = False,
+        leaves: bool = False,
     ) -> Any:
         """Send a request to a peer and return its answer.
 
-        Raises `LinkError`: `PEER_UNREACHABLE` when it was surely not sent,
-        `PEER_LOST` when it may have been handled, else the code of the refusal.
+        Raises `LinkError`: `PEER_UNREACHABLE` when it was surely not handled,
+        `PEER_LOST` when it may have been, else the code of the refusal. See
+        `Link.request` for `cancels` and `leaves`.
         """
         link = self._links.get(peer)
-        if link is None or link.closed:
+        if link is None or not link.is_usable():
             link = self._connect(peer, timeout_ms)
-        return link.request(message, timeout_ms, cancels)
+        return link.request(message, timeout_ms, cancels, leaves)
 
     def _connect(self, peer: str, timeout_ms: float) -> Link:
+        if self._ended:
+            raise LinkError(Code.PEER_UNREACHABLE, "the node has ended")
         dialling = self._dialling.get(peer)
         if dialling is not None and peer in self._down:
             raise LinkError(Code.PEER_UNREACHABLE, f"{peer} is down, and dialled again")
@@ -252,33 +160,61 @@
                 raise LinkError(Code.PEER_UNREACHABLE, "dialling") from error
         if not self.is_up(peer):
             raise LinkError(Code.PEER_UNREACHABLE, f"{peer} was just unreachable")
-        result = self._dialling[peer] = AsyncResult()
-        gevent.spawn(self._dial, peer, result)
+        result = self._start_dial(peer, DIAL_TIMEOUT_MS)
         try:
             return result.get(timeout=max(timeout_ms, 1) / 1000)
         except gevent.Timeout as error:
             raise LinkError(Code.PEER_UNREACHABLE, "dialling") from error
 
-    def _dial(self, peer: str, result: AsyncResult) -> None:
+    def _start_dial(self, peer: str, timeout_ms: float) -> AsyncResult:
+        result = self._dialling[peer] = AsyncResult()
+        gevent.spawn(self._dial, peer, result, timeout_ms)
+        return result
+
+    def _dial(self, peer: str, result: AsyncResult, timeout_ms: float) -> None:
         try:
-            connection = dial(peer, {NODE_HEADER: self.node_id}, DIAL_TIMEOUT_MS)
+            connection = dial(peer, {NODE_HEADER: self.node_id}, timeout_ms)
         except OSError as error:
-            now_ns = self._failed_ns[peer] = self._clock.now_ns()
-            since_ns = self._down.get(peer, Down(now_ns, False)).since_ns
-            is_refused = isinstance(error, ConnectionRefusedError)
-            self._down[peer] = Down(since_ns, is_refused)
-            self._counters.count("dials_failed")
+            self._note_unreached(peer, error)
             refused = LinkError(Code.PEER_UNREACHABLE, f"{peer}: {error}")
             result.set_exception(refused)
         else:
             self._failed_ns.pop(peer, None)
             self._down.pop(peer, None)
-            link = Link(peer, connection, self._clock, self._counters)
-            self._links[peer] = link
-            result.set(link)
+            result.set(self._put(peer, connection))
         finally:
             self._dialling.pop(peer, None)
 
+    def _note_unreached(self, peer: str, error: OSError) -> None:
+        now_ns = self._failed_ns[peer] = self._clock.now_ns()
+        since_ns = self._down.get(peer, Down(now_ns, False)).since_ns
+        is_refused = isinstance(error, ConnectionRefusedError)
+        self._down[peer] = Down(since_ns, is_refused)
+        self._counters.count("dials_failed")
+        link = self._links.get(peer)
+        if is_refused and link is not None:
+            link.close("no process listens")
+
+    def _put(self, peer: str, connection: Connection) -> Link:
+        """Use a new connection to a peer, and return its link."""
+        link = self._links.get(peer)
+        if link is None or link.closed:
+            link = Link(
+                peer,
+                connection,
+                self._clock,
+                self._counters,
+                self._numbers,
+                self._look_after,
+            )
+            self._links[peer] = link
+        elif link.is_usable():
+            # The former connection was heard again meanwhile.
+            connection.close()
+        else:
+            link.resume(connection)
+        return link
+
     def _watch(self) -> None:
         while True:
             self._sleep()
@@ -286,6 +222,20 @@
                 link.check_silence()
                 if link.closed:
                     self._links.pop(peer, None)
+                else:
+                    self._look_after(link)
+
+    def _look_after(self, link: Link) -> None:
+        """Dial again for a link that lost its connection or is silent."""
+        peer = link.peer
+        if link.is_usable():
+            self._down.pop(peer, None)
+            return
+        self._down.setdefault(peer, Down(self._clock.now_ns(), False))
+        failed_ns = self._failed_ns.get(peer, 0)
+        paused_ms = (self._clock.now_ns() - failed_ns) / NS_PER_MS
+        if peer not in self._dialling and paused_ms > DIAL_PAUSE_MS:
+            self._start_dial(peer, REDIAL_TIMEOUT_MS)
 
     def _sleep(self) -> None:
         """Sleep until the next look, and note by how much the event loop was late."""
@@ -309,46 +259,85 @@
             self._counters.count("accepts_failed")
             return
         sender = request.headers[NODE_HEADER]
+        session = self._sessions.get(sender)
+        if session is None:
+            session = self._sessions[sender] = Session(sender, self._answers)
         self.accepted.add(connection)
-        running: dict[int, gevent.Greenlet] = {}
         try:
-            for data in connection.receive():
-                frame = decode_frame(data)
-                if isinstance(frame.message, Cancel):
-                    task = running.pop(frame.message.request, None)
-                    if task is not None:
-                        task.kill(block=False)
-                elif isinstance(frame.message, Probe):
-                    self._answer(connection, Frame(frame.number, True, Done()))
-                else:
-                    running[frame.number] = gevent.spawn(
-                        self._handle, connection, sender, frame, running
-                    )
+            self._read_requests(session, connection)
         except LinkError as error:
             log.warning("bad frame", sender=sender, reason=error.detail)
         except OSError as error:
             log.debug("link ended", sender=sender, reason=error)
         finally:
             self.accepted.discard(connection)
-            if running:
-                log.info("link ended with work", sender=sender, requests=len(running))
-            for task in list(running.values()):
-                task.kill(block=False)
+            if session.connection in (connection, None):
+                session.connection = None
+                gevent.spawn_later(ORPHAN_S, self._end_orphan, session)
             connection.close()
 
-    def _handle(
-        self, connection: Connection, sender: str, frame: Frame, running: dict
-    ) -> None:
+    def _read_requests(self, session: Session, connection: Connection) -> None:
+        """Take the requests of a connection until it ends or another follows it."""
+        began = False
+        for data in connection.receive():
+            frame = decode_frame(data)
+            if isinstance(frame.message, Resume):
+                began = True
+                self._resume(session, connection, frame)
+                continue
+            if not began:
+                raise LinkError(Code.BAD_FRAME, "expected to resume first")
+            if session.connection is not connection:
+                return
+            self._take(session, connection, frame)
+
+    def _resume(self, session: Session, connection: Connection, frame: Frame) -> None:
+        awaited = frame.message.awaited
+        if session.running:
+            log.info("link resumed", sender=session.sender, awaited=len(awaited))
+        resumed = session.resume(connection, awaited)
+        session.note(frame.number)
+        self._answer(connection, Frame(frame.number, True, resumed))
+        for answer in session.list_answers(awaited):
+            self._answer(connection, answer)
+
+    def _take(self, session: Session, connection: Connection, frame: Frame) -> None:
+        session.note(frame.number)
+        message = frame.message
+        if isinstance(message, Cancel):
+            session.cancel(message.request)
+            self._answer(connection, Frame(frame.number, True, Done()))
+        elif isinstance(message, Probe):
+            self._answer(connection, Frame(frame.number, True, Done()))
+        else:
+            task = gevent.spawn(self._handle, session, frame)
+            session.running[frame.number] = task
+
+    def _end_orphan(self, session: Session) -> None:
+        """End the work of a peer that did not come back."""
+        if session.connection is not None:
+            return
+        if session.running:
+            requests = len(session.running)
+            log.info("link ended with work", sender=session.sender, requests=requests)
+        session.end()
+        if self._sessions.get(session.sender) is session:
+            del self._sessions[session.sender]
+
+    def _handle(self, session: Session, frame: Frame) -> None:
         try:
-            answer = self.handlers[type(frame.message)](sender, frame.message)
+            answer = self.handlers[type(frame.message)](session.sender, frame.message)
         except KnapweedrockError as error:
             answer = create_failed(error)
         except KeyError:
             refused = LinkError(Code.BAD_FRAME, "nobody handles this message")
             answer = create_failed(refused)
         finally:
-            running.pop(frame.number, None)
-        self._answer(connection, Frame(frame.number, True, answer))
+            session.running.pop(frame.number, None)
+        answered = Frame(frame.number, True, answer)
+        self._answers.keep(session.sender, answered)
+        if session.connection is not None:
+            self._answer(session.connection, answered)
 
     def _answer(self, connection: Connection, frame: Frame) -> None:
         data = encode_frame(frame)
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -61,6 +61,28 @@
     request: int
 
 
+@message(5)
+class Resume(NamedTuple):
+    """First request on a connection: the numbers whose answers are still awaited.
+
+    What the sender asked for on former connections, and does not name, is cancelled.
+    """
+
+    awaited: list[int]
+
+
+@message(6)
+class Resumed(NamedTuple):
+    """Answer to `Resume`.
+
+    `unseen` are the numbers that never came and never will, `unknown` those of which
+    nothing is known any more. All others are answered later.
+    """
+
+    unseen: list[int]
+    unknown: list[int]
+
+
 class Member(NamedTuple):
     """A node and the target beside it, as the node last reported them.
 
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -3,12 +3,15 @@
 import random
 from typing import TYPE_CHECKING
 
+from logbook import Logger
+
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import INFO, Code, Outcome, find_code
 from knapweedrock.counters import Counters
-from knapweedrock.errors import KnapweedrockError
+from knapweedrock.errors import KnapweedrockError, LinkError
 from knapweedrock.mesh.budgets import RUN_COST, RetryBudget
 from knapweedrock.mesh.callers import Reply, create_refusal
+from knapweedrock.mesh.calls import Call, SilentLinkError
 from knapweedrock.mesh.choice import Chooser
 from knapweedrock.mesh.gateway import RESTART_MS
 from knapweedrock.mesh.holds import find_row
@@ -64,6 +67,8 @@
 REACHED = frozenset({Code.TARGET_FENCED, Code.TARGET_SHED})
 ROOM = frozenset({Code.OVERLOADED, Code.QUEUE_TIMEOUT})
 
+log = Logger("routing")
+
 
 class Progress:
     """What has become of a request so far."""
@@ -76,6 +81,8 @@
         self.reached = 0
         self.tried: set[str] = set()
         self.lost: Forwarded | None = None
+        # Attempts on silent links, which may still be answered.
+        self.open: list[Call] = []
         self.failed: Forwarded | None = None
 
 
@@ -129,10 +136,33 @@
 
     def _run(self, job: Job, progress: Progress) -> Forwarded:
         self._find_budget(job).count_request()
+        try:
+            result = self._send_until_settled(job, progress)
+            if not is_good(result):
+                result = self._await_open(job, progress) or result
+        finally:
+            for call in progress.open:
+                call.cancel()
+        return settle(result, progress)
+
+    def _await_open(self, job: Job, progress: Progress) -> Forwarded | None:
+        """Wait for the answers of attempts that may still come."""
+        for call in progress.open:
+            try:
+                result = call.wait(self._find_left_ms(job) + LINK_MARGIN_MS)
+            except LinkError as error:
+                log.debug("attempt not answered", reason=error.detail)
+                continue
+            if is_good(result):
+                return result
+        return None
+
+    def _send_until_settled(self, job: Job, progress: Progress) -> Forwarded:
+        """Send a request to one target after the other, as long as that helps."""
         while True:
             remaining_ms = self._find_left_ms(job)
             if remaining_ms < LEAST_MS:
-                return settle(create_failed(Code.DEADLINE_PASSED), progress)
+                return create_failed(Code.DEADLINE_PASSED)
             member = self._find_member(job, progress)
             progress.member = member
             progress.sent += 1
@@ -140,10 +170,10 @@
                 code = Code.NO_OWNER if job.key >= 0 else Code.NO_LIVE_TARGET
                 result = create_failed(code)
             else:
-                result = self._send(job, member, remaining_ms)
+                result = self._send(job, progress, member, remaining_ms)
                 self._note_result(member, result)
             if not self._goes_on(job, progress, member, result):
-                return settle(result, progress)
+                return result
 
     def _goes_on(
         self, job: Job, progress: Progress, member: Member | None, result: Forwarded
@@ -171,6 +201,9 @@
             return self._find_member(job, progress) is not None
         if job.key < 0 and not self._has_ready(job):
             return False
+        if code is Code.PEER_UNREACHABLE and self._node.links.is_open(member.peer):
+            # It was lost on its way, and the peer has been reached again.
+            return True
         if code in FOLLOWED:
             until_ns = progress.away_until_ns
             if code in MOVED and job.key >= 0:
@@ -233,7 +266,9 @@
             return None
         return node.board.members.get(row.node_id)
 
-    def _send(self, job: Job, member: Member, remaining_ms: float) -> Forwarded:
+    def _send(
+        self, job: Job, progress: Progress, member: Member, remaining_ms: float
+    ) -> Forwarded:
         node = self._node
         objective_ms = (job.objective_ns - self._clock.now_ns()) / NS_PER_MS
         message = Forward(
@@ -259,8 +294,15 @@
             else:
                 message = node.transit.stamp(message)
                 result = node.links.request(
-                    member.peer, message, remaining_ms + LINK_MARGIN_MS, cancels=True
+                    member.peer,
+                    message,
+                    remaining_ms + LINK_MARGIN_MS,
+                    cancels=True,
+                    leaves=job.route.idempotent,
                 )
+        except SilentLinkError as error:
+            progress.open.append(error.call)
+            return create_failed(error.code, error.detail)
         except KnapweedrockError as error:
             return_ms = self._find_return_ms(member) if job.key >= 0 else 0.0
             return create_failed(error.code, error.detail, return_ms)
@@ -281,7 +323,7 @@
         return max(usual_ms - down_ms, LEAST_RETURN_MS)
 
     def _note_result(self, member: Member, result: Forwarded) -> None:
-        if result.code == Code.DONE and result.status < SERVER_ERROR:
+        if is_good(result):
             return
         if find_code(result.code) not in ROOM:
             self.chooser.note_failure(member)
@@ -313,10 +355,11 @@
         self, job: Job, progress: Progress, result: Forwarded, latency_ms: float
     ) -> None:
         code = find_code(result.code)
-        is_good = code is Code.DONE and result.status < SERVER_ERROR
         self._counters.count("requests", code=code.name, service=job.service.name)
         self._latencies.observe(
-            latency_ms, outcome="good" if is_good else "failed", route=job.route.name
+            latency_ms,
+            outcome="good" if is_good(result) else "failed",
+            route=job.route.name,
         )
         node = self._node
 
@@ -339,12 +382,17 @@
             }
 
         attempt_id = job.request.fields.get(ATTEMPT_ID, "")
-        if is_good:
+        if is_good(result):
             node.decisions.note_success("request done", attempt_id, describe)
         else:
             node.decisions.note_failure("request failed", attempt_id, describe)
 
 
+def is_good(result: Forwarded) -> bool:
+    """Tell whether a target has answered without an error of its own."""
+    return result.code == Code.DONE and result.status < SERVER_ERROR
+
+
 def create_failed(
     code: Code, detail: str = "", retry_after_ms: float = 0.0
 ) -> Forwarded:
--- /dev/null
+++ b/knapweedrock/mesh/sessions.py
@@ -0,0 +1,110 @@
+"""What a node does for one peer, whatever connection it came over."""
+
+from collections import OrderedDict
+from collections.abc import Collection
+from typing import NamedTuple
+
+import gevent
+
+from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.mesh.connections import Connection
+from knapweedrock.mesh.frames import Frame
+from knapweedrock.mesh.messages import Forwarded, Resumed
+
+# Time for which an answer is kept that may have been lost with its connection.
+ANSWER_KEPT_MS = 4000
+MAX_KEPT_BYTES = 8 << 20
+# What an answer takes beside its body.
+ANSWER_BYTES = 1000
+
+
+class KeptAnswer(NamedTuple):
+    """An answer that was sent at `sent_ns`."""
+
+    frame: Frame
+    size: int
+    sent_ns: int
+
+
+class AnswerCache:
+    """The last answers to all peers."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._kept: OrderedDict[tuple[str, int], KeptAnswer] = OrderedDict()
+        self._size = 0
+
+    def keep(self, sender: str, frame: Frame) -> None:
+        """Keep an answer to a request for a while."""
+        if not isinstance(frame.message, Forwarded):
+            return
+        size = ANSWER_BYTES + len(frame.message.body)
+        kept = KeptAnswer(frame, size, self._clock.now_ns())
+        self._kept[sender, frame.number] = kept
+        self._size += size
+        self._drop_old()
+
+    def find(self, sender: str, number: int) -> Frame | None:
+        """Find the answer to a request."""
+        kept = self._kept.get((sender, number))
+        return kept.frame if kept else None
+
+    def _drop_old(self) -> None:
+        oldest_ns = self._clock.now_ns() - ANSWER_KEPT_MS * NS_PER_MS
+        while self._kept:
+            first = next(iter(self._kept.values()))
+            if self._size <= MAX_KEPT_BYTES and first.sent_ns >= oldest_ns:
+                return
+            self._kept.popitem(last=False)
+            self._size -= first.size
+
+
+class Session:
+    """Requests of one process of a peer, which numbers them in the order it sends them.
+
+    `connection` is the one that answers go to; none while the peer has none.
+    """
+
+    def __init__(self, sender: str, answers: AnswerCache) -> None:
+        self.sender = sender
+        self.connection: Connection | None = None
+        self.running: dict[int, gevent.Greenlet] = {}
+        self._last = 0
+        self._answers = answers
+
+    def note(self, number: int) -> None:
+        """Note that a request has come."""
+        self._last = max(self._last, number)
+
+    def resume(self, connection: Connection, awaited: Collection[int]) -> Resumed:
+        """Go on over a new connection with what the peer still awaits.
+
+        Nothing that still comes on the former connection is taken.
+        """
+        former, self.connection = self.connection, connection
+        if former is not None:
+            former.shut_down()
+        for number in self.running.keys() - set(awaited):
+            self.cancel(number)
+        unseen = [number for number in awaited if number > self._last]
+        unknown = [n for n in awaited if n <= self._last and not self._knows(n)]
+        return Resumed(unseen, unknown)
+
+    def list_answers(self, numbers: Collection[int]) -> list[Frame]:
+        """List the answers that are ready."""
+        found = (self._answers.find(self.sender, number) for number in numbers)
+        return [frame for frame in found if frame is not None]
+
+    def cancel(self, number: int) -> None:
+        """End the work on a request."""
+        task = self.running.pop(number, None)
+        if task is not None:
+            task.kill(block=False)
+
+    def end(self) -> None:
+        """End all work."""
+        for number in list(self.running):
+            self.cancel(number)
+
+    def _knows(self, number: int) -> bool:
+        return number in self.running or bool(self.list_answers([number]))
