--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -73,3 +73,10 @@
     When the proxy takes no more bytes
     Then requests of 4000000 bytes fail within 300 ms, each on time
     And the link is known to be silent within 1 s
+
+  # Guards against answers that a node had, and that ended with it.
+  Scenario: A node that ends has sent its last answers
+    Given two nodes that are linked through a proxy
+    When the second node answers 8000000 bytes, which the proxy takes 500 ms later
+    And the second node stops within 2 s as soon as it has answered
+    Then the first node gets the whole answer
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -4,6 +4,7 @@
 
 import gevent
 from behave import given, then, when
+from gevent.event import Event
 
 from features.support.mesh_builders import FakeClock, create_forward
 from features.support.mesh_harness import KEYS
@@ -17,7 +18,7 @@
 from knapweedrock.mesh.frames import Frame
 from knapweedrock.mesh.http import AnswerParser
 from knapweedrock.mesh.links import Links
-from knapweedrock.mesh.messages import Done, Forwarded, Probe, Resumed
+from knapweedrock.mesh.messages import Done, Forward, Forwarded, Probe, Resumed
 from knapweedrock.mesh.sessions import AnswerCache, Session
 
 ENTRY = "node-0"
@@ -179,21 +180,53 @@
 def give_linked(context) -> None:
     """Open the links of two nodes, and use them once."""
     context.proxy = Proxy(create_address(), create_address())
-    context.first, second = (
+    context.first, context.second = (
         Links(name, address, create_clock(), Counters())
         for name, address in (
             ("first", create_address()),
             ("second", context.proxy.back),
         )
     )
-    for started in (second, context.first, context.proxy):
+    for started in (context.second, context.first, context.proxy):
         started.start()
-    for ended in (context.proxy.stop, context.first.abort, second.abort):
+    for ended in (context.proxy.stop, context.first.abort, context.second.abort):
         context.add_cleanup(ended)
     context.peer = str(context.proxy.front)
     assert context.first.request(context.peer, Probe(), SEND_S * 1000) == Done()
 
 
+@when("the second node answers {size:d} bytes, which the proxy takes {ms:d} ms later")
+def answer_late(context, size: int, ms: int) -> None:
+    """Ask for a large answer that waits for the way back."""
+    context.size = size
+    context.answered = Event()
+
+    def answer(_sender, _message) -> Forwarded:
+        context.answered.set()
+        return create_answer(0, size).message
+
+    context.second.handlers[Forward] = answer
+    context.proxy.ways[1].open.clear()
+    gevent.spawn_later(ms / 1000, context.proxy.mend)
+    context.asked = gevent.spawn(
+        context.first.request, context.peer, create_forward(), ANSWER_S * 1000
+    )
+
+
+@when("the second node stops within {seconds:d} s as soon as it has answered")
+def stop_second(context, seconds: int) -> None:
+    """Stop the links of the second node."""
+    assert context.answered.wait(SEND_S), "it was not asked"
+    context.second.stop(seconds * 1000)
+
+
+@then("the first node gets the whole answer")
+def check_whole(context) -> None:
+    """Check the size of the answer."""
+    answer = context.asked.get(timeout=ANSWER_S)
+    assert len(answer.body) == context.size, len(answer.body)
+
+
 @when("the proxy takes no more bytes")
 def stop_reading(context) -> None:
     """Hold up what goes to the second node."""
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -42,6 +42,7 @@
 LATE_MS = 200
 NODE_HEADER = "Knapweedrock-Node"
 BACKLOG = 1024
+STOP_POLL_S = 0.02
 
 log = Logger("links")
 
@@ -89,9 +90,12 @@
         self._server.start()
         self._watcher = gevent.spawn(self._watch)
 
-    def stop(self) -> None:
-        """Close the listener and all links."""
+    def stop(self, timeout_ms: float = 0) -> None:
+        """Close the listener, and all links once the last answers were taken."""
         self._server.close()
+        end_ns = self._clock.now_ns() + int(timeout_ms * NS_PER_MS)
+        while self._owes_answers() and self._clock.now_ns() < end_ns:
+            gevent.sleep(STOP_POLL_S)
         for connection in list(self.accepted):
             connection.shut_down()
 
@@ -147,6 +151,12 @@
             link = self._connect(peer, timeout_ms)
         return link.request(message, timeout_ms, cancels, leaves)
 
+    def _owes_answers(self) -> bool:
+        """Tell whether answers are not ready or not sent yet."""
+        if any(session.running for session in self._sessions.values()):
+            return True
+        return self.count_unsent() > 0
+
     def _connect(self, peer: str, timeout_ms: float) -> Link:
         if self._ended:
             raise LinkError(Code.PEER_UNREACHABLE, "the node has ended")
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -56,6 +56,8 @@
 STOP_POLL_S = 0.05
 # Time in which the last callers get their answers.
 ENDING_S = 0.1
+# Time in which peers take the last answers.
+LAST_SEND_MS = 300
 
 log = Logger("node")
 
@@ -214,7 +216,8 @@
         self.gateway.closing = True
         while self.clock.now_ns() < end_ns and self.gateway.in_flight:
             gevent.sleep(STOP_POLL_S)
-        self.links.stop()
+        left_ms = (end_ns - self.clock.now_ns()) / NS_PER_MS
+        self.links.stop(max(left_ms, 0) + LAST_SEND_MS)
         log.info("node stopped", id=self.settings.node_id)
 
     def _is_watcher(self) -> bool:
