--- a/knapweedrock/mesh/facts.py
+++ b/knapweedrock/mesh/facts.py
@@ -1,6 +1,6 @@
 """What the coordinator knows of a service's targets when it decides on their keys."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from knapweedrock.mesh.messages import Member, Row, RowLoad
@@ -37,7 +37,8 @@
     # the time between two.
     beats_ms: dict[str, float] = {}
     interval_ms: float = 1000.0
-    given: Collection[Given] = ()
+    # What each node was given a moment ago.
+    given: Mapping[str, list[Given]] = {}
 
 
 def list_fit(facts: Facts) -> list[Member]:
--- a/knapweedrock/mesh/measures.py
+++ b/knapweedrock/mesh/measures.py
@@ -4,9 +4,9 @@
 """
 
 from bisect import bisect_left, bisect_right
+from operator import attrgetter
 
 from knapweedrock.mesh.facts import KEYS, Facts, Given, list_fit
-from knapweedrock.mesh.holds import overlaps
 from knapweedrock.mesh.messages import Row, RowLoad
 
 # Load of a row below which it is not cut.
@@ -14,6 +14,8 @@
 # Load that stands for all keys of a service where none is measured.
 IDLE_LOAD = 1.0
 
+get_end = attrgetter("end")
+
 
 def measure_loads(rows: list[Row], facts: Facts) -> dict[str, float]:
     """Measure the load of each fit member, rows on their way to it included."""
@@ -33,11 +35,10 @@
     load = IDLE_LOAD * (row.end - row.start + 1) / KEYS
     for known in list_overlapping(row, facts):
         load += measure_part(row, known)
-    expected = sum(
-        given.load * count_common(row, given) / (given.end - given.start + 1)
-        for given in facts.given
-        if given.node_id == row.node_id and overlaps(row, given)
-    )
+    expected = 0.0
+    for given in facts.given.get(row.node_id, ()):
+        width = given.end - given.start + 1
+        expected += given.load * count_common(row, given) / width
     return max(load, expected)
 
 
@@ -46,6 +47,8 @@
 
     The cuts of a measured row divide its load into equal parts.
     """
+    if row.start <= known.start and known.end <= row.end:
+        return known.load
     edges = [known.start, *known.cuts, known.end + 1]
     part = known.load / (len(edges) - 1)
     load = 0.0
@@ -61,10 +64,11 @@
 
 def list_overlapping(row: Row, facts: Facts) -> list[RowLoad]:
     """List the measured loads of a row's node that lie at the row's keys."""
-    known = facts.loads.get(row.node_id, ())
-    first = bisect_left(known, row.start, key=lambda item: item.end)
-    after = bisect_right(known, row.end, key=lambda item: item.start)
-    return list(known[first:after])
+    known = facts.loads.get(row.node_id, [])
+    first = after = bisect_left(known, row.start, key=get_end)
+    while after < len(known) and known[after].start <= row.end:
+        after += 1
+    return known[first:after]
 
 
 def count_common(row: Row, other: Given) -> int:
--- a/knapweedrock/mesh/planning.py
+++ b/knapweedrock/mesh/planning.py
@@ -46,7 +46,7 @@
         if now_ms - self._relieved_ms < RELIEF_MS:
             return rows
         self._relieved_ms = now_ms
-        facts = facts._replace(given=self._list_given(now_ms))
+        facts = facts._replace(given=self._group_given(now_ms))
         marked = relieve_full(rows, facts)
         if now_ms - self._levelled_ms >= BALANCE_MS:
             self._levelled_ms = now_ms
@@ -81,10 +81,11 @@
             moving = Moving(row.start, row.end, row.next_node, load, now_ms)
             self._moving.append(moving)
 
-    def _list_given(self, now_ms: float) -> list[Given]:
-        """List what was given of late; it counts less the longer ago that was."""
+    def _group_given(self, now_ms: float) -> dict[str, list[Given]]:
+        """Group by node what was given of late; it counts less as time passes."""
         self._given = [g for g in self._given if now_ms - g[1] < GIVEN_MS]
-        return [
-            given._replace(load=given.load * (1 - (now_ms - at_ms) / GIVEN_MS))
-            for given, at_ms in self._given
-        ]
+        found: dict[str, list[Given]] = {}
+        for given, at_ms in self._given:
+            load = given.load * (1 - (now_ms - at_ms) / GIVEN_MS)
+            found.setdefault(given.node_id, []).append(given._replace(load=load))
+        return found
