Let each process own the ports that it hands out

Cause: processes began at different ports but walked on into each other's, and only what was bound at that moment was passed over.

A port whose node is down, while its mesh goes on, is worse, and silent: the coordinator goes on pushing its board to that address, the other run's node takes the board for its own, turns to the foreign coordinator and never settles.

A process now takes blocks of 100 ports, and owns one by binding its first port as long as it lives: no other process can bind that, and the system frees it however the process ends. Ports within a block go to nobody else, also while nobody listens on them.

--- /dev/null
+++ b/features/support/takers.py
@@ -0,0 +1,18 @@
+"""A process that is handed addresses, shows their ports and stays."""
+
+import json
+import signal
+import sys
+
+from knapweedrock.emulator.addresses import create_address
+
+
+def main() -> None:
+    """Print the ports of as many addresses as the first argument says."""
+    ports = [create_address().port for _ in range(int(sys.argv[1]))]
+    print(json.dumps(ports), flush=True)
+    signal.pause()
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedrock/emulator/addresses.py
+++ b/knapweedrock/emulator/addresses.py
@@ -1,34 +1,75 @@
-"""Free loopback addresses for stand-ins and the nodes beside them."""
+"""Free loopback addresses for stand-ins and the nodes beside them.
+
+A process owns the ports that it hands out until it ends: that of a node that is down
+goes to no other process, whose node would get what is meant for the first one.
+"""
 
 import itertools
 import os
 import socket
+from collections.abc import Iterator
+from contextlib import suppress
 
 from knapweedrock.checker import Address
 
+HOST = "127.0.0.1"
+FIRST_PORT = 10_000
 # Below the ports that the system gives to outgoing connections.
 LAST_PORT = 32_000
-FIRST_PORT = 10_000
-# Processes that run at the same time begin to look at different ports.
-PROCESSES = 200
-PORTS_A_PROCESS = 100
+BLOCK_PORTS = 100
+BLOCKS = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
 
-_first = FIRST_PORT + os.getpid() % PROCESSES * PORTS_A_PROCESS
-PORTS = itertools.cycle(range(_first, LAST_PORT))
+# Bound to the first port of each block that this process owns.
+_locks: list[socket.socket] = []
 
 
 def find_free_port() -> int:
-    """Find a port on which nobody listens and that no connection takes."""
-    for port in itertools.islice(PORTS, LAST_PORT - _first):
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+    """Find a port of this process on which nobody listens."""
+    for port in itertools.islice(_ports, LAST_PORT - FIRST_PORT):
+        with suppress(OSError), bind(port):
             return port
     raise OSError("no free port")
 
 
 def create_address() -> Address:
     """Create a free loopback address."""
-    return Address("127.0.0.1", find_free_port())
+    return Address(HOST, find_free_port())
+
+
+def bind(port: int) -> socket.socket:
+    """Bind a port that nobody else can bind then; raises `OSError`."""
+    sock = socket.socket()
+    try:
+        sock.bind((HOST, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def list_ports() -> Iterator[int]:
+    """List the ports of new blocks, and where none is left those of the own ones."""
+    owned: list[int] = []
+    for block in take_blocks():
+        owned += block
+        yield from block
+    yield from itertools.cycle(owned)
+
+
+def take_blocks() -> Iterator[range]:
+    """Take the blocks of ports that no other process owns, one at a time.
+
+    Processes begin at different blocks: what one has left running may go on a while.
+    """
+    for number in range(BLOCKS):
+        block = (os.getpid() + number) % BLOCKS
+        first = FIRST_PORT + block * BLOCK_PORTS
+        try:
+            lock = bind(first)
+        except OSError:
+            continue
+        _locks.append(lock)
+        yield range(first + 1, first + BLOCK_PORTS)
+
+
+_ports = list_ports()
