Let a session that begins anew call nothing unseen

What came before a session is not known now. Scenario: failed before, with all four numbers as unseen.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -60,6 +60,12 @@
     And the answer to 2 is sent again
     And nothing of its former connection is taken
 
+  # Guards against orders that run twice as a session that was forgotten knows nothing.
+  Scenario: A session that begins anew calls nothing unseen that may have run before
+    Given a session that has taken no requests yet
+    When the sender resumes and awaits 1, 2, 3 and 9
+    Then nothing is known of any of them, and none counts as unseen
+
   Scenario: Answers are kept for a while, and not more than a VM bears
     Given answers of 1000000 bytes that are kept
     When 20 of them are sent at once
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -275,6 +275,18 @@
         context.session.note(number)
 
 
+@given("a session that has taken no requests yet")
+def give_new_session(context) -> None:
+    """Create a session whose peer may have sent requests before."""
+    context.session = Session("peer/1", AnswerCache(FakeClock()))
+
+
+@then("nothing is known of any of them, and none counts as unseen")
+def check_unknown(context) -> None:
+    """Check what the sender is told."""
+    assert context.resumed == Resumed([], context.awaited), context.resumed
+
+
 @given("1 is at work, 2 was answered and the answer of 3 is not kept any more")
 def give_states(context) -> None:
     """Put the requests in three states."""
--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -69,12 +69,14 @@
         self.sender = sender
         self.connection: Connection | None = None
         self.running: dict[int, gevent.Greenlet] = {}
-        self._last = 0
+        # The highest number that has come; none in a session that begins: what came
+        # before is not known.
+        self._last: int | None = None
         self._answers = answers
 
     def note(self, number: int) -> None:
         """Note that a request has come."""
-        self._last = max(self._last, number)
+        self._last = max(self._last or 0, number)
 
     def resume(self, connection: Connection, awaited: Collection[int]) -> Resumed:
         """Go on over a new connection with what the peer still awaits.
@@ -86,8 +88,8 @@
             former.shut_down()
         for number in self.running.keys() - set(awaited):
             self.cancel(number)
-        unseen = [number for number in awaited if number > self._last]
-        unknown = [n for n in awaited if n <= self._last and not self._knows(n)]
+        unseen = [number for number in awaited if self._is_unseen(number)]
+        unknown = [n for n in awaited if n not in unseen and not self._knows(n)]
         return Resumed(unseen, unknown)
 
     def list_answers(self, numbers: Collection[int]) -> list[Frame]:
@@ -106,5 +108,8 @@
         for number in list(self.running):
             self.cancel(number)
 
+    def _is_unseen(self, number: int) -> bool:
+        return self._last is not None and number > self._last
+
     def _knows(self, number: int) -> bool:
         return number in self.running or bool(self.list_answers([number]))
