End links whose other end confirms nothing for 5 s

The system ends such connections after 5 s now (TCP_USER_TIMEOUT), on both sides. That a node refused anything for this was not seen in a log. Scenario: no limit was set before.

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -86,3 +86,8 @@
     When the second node answers 8000000 bytes, which the proxy takes 500 ms later
     And the second node stops within 2 s as soon as it has answered
     Then the first node gets the whole answer
+
+  # Guards against links that count as full for good after a VM was lost with bytes unsent.
+  Scenario: A connection whose bytes nobody confirms ends
+    Given two nodes that are linked through a proxy
+    Then both ends of the link end if nobody confirms their bytes for 5 s
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -1,5 +1,6 @@
 """Steps about requests whose link to another node is in trouble."""
 
+import socket
 from unittest import mock
 
 import gevent
@@ -356,3 +357,15 @@
     kept = [n for n in numbers if context.cache.find("peer/1", n) is not None]
     assert 0 < len(kept) <= count, kept
     assert kept == list(numbers)[-len(kept) :], kept
+
+
+@then("both ends of the link end if nobody confirms their bytes for {seconds:d} s")
+def check_user_timeout(context, seconds: int) -> None:
+    """Check the limit that the system keeps for each connection."""
+    (link,) = context.first._links.values()
+    (accepted,) = context.second.accepted
+    for connection in (link._connection, accepted):
+        limit_ms = connection._sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        assert limit_ms == seconds * 1000, limit_ms
--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -20,7 +20,7 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
-from knapweedrock.sockets import disable_delay
+from knapweedrock.sockets import disable_delay, limit_unconfirmed
 
 MAX_FRAME_BYTES = 16 << 20
 RECEIVE_BYTES = 64 << 10
@@ -184,6 +184,7 @@
         sock = socket.create_connection((uri.host, uri.port))
         try:
             disable_delay(sock)
+            limit_unconfirmed(sock)
             connection = Connection(sock, protocol)
             connection.open(request)
         except WebSocketException as error:
@@ -198,6 +199,7 @@
 def accept(sock: socket.socket, check: Check) -> tuple[Connection, Request]:
     """Accept a connection; raises `OSError` where it came to nothing."""
     disable_delay(sock)
+    limit_unconfirmed(sock)
     connection = Connection(sock, ServerProtocol(max_size=MAX_FRAME_BYTES))
     timeout = TimeoutError("no request in time")
     try:
--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -8,12 +8,20 @@
 
 from knapweedrock.timers import Alarm
 
+# Time in which the other end has to confirm bytes that were sent.
+UNCONFIRMED_MS = 5000
+
 
 def disable_delay(sock: socket.socket) -> None:
     """Send small writes at once instead of waiting for an acknowledgement."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def limit_unconfirmed(sock: socket.socket) -> None:
+    """End a connection whose other end confirms nothing any more."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS)
+
+
 def send_whole(
     sock: gevent_socket.socket, data: bytes, timeout_s: float | None = None
 ) -> None:
