--- /dev/null
+++ b/features/steps/mesh_reconnects.py
@@ -0,0 +1,315 @@
+"""Steps about connections between nodes that come late, end twice or are refused."""
+
+from unittest import mock
+
+import gevent
+from behave import given, then, when
+
+from features.support.mesh_builders import create_forward
+from features.support.mesh_harness import Mesh
+from features.support.mesh_proxied import (
+    PATIENT_MS,
+    ProxiedMesh,
+    create_patient_document,
+)
+from knapweedrock.clock import create_clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.emulator.addresses import create_address
+from knapweedrock.errors import LinkError
+from knapweedrock.mesh.connections import Connection, dial
+from knapweedrock.mesh.exchanges import Exchanges
+from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
+from knapweedrock.mesh.gateway import Gateway
+from knapweedrock.mesh.http import AnswerParser
+from knapweedrock.mesh.links import NODE_HEADER, ORPHAN_S, Links
+from knapweedrock.mesh.messages import Forward, Forwarded, Resume, Resumed
+
+SENDER = "first/1"
+DIAL_MS = 1000
+ANSWER_S = 8.0
+SETTLE_S = 0.3
+
+
+def create_answer(size: int = 0) -> Forwarded:
+    """Create a whole answer."""
+    return Forwarded(0, 200, [], bytes(size), "", 0.0, 0.0)
+
+
+@given("a node that other nodes dial")
+def give_node(context) -> None:
+    """Start the links of one node, whose requests take long."""
+    context.links = Links("second/1", create_address(), create_clock(), Counters())
+    context.links.start()
+    context.add_cleanup(context.links.abort)
+    context.began, context.ended = [], []
+
+    def work(_sender, message) -> Forwarded:
+        context.began.append(message.path)
+        try:
+            gevent.sleep(ANSWER_S)
+        finally:
+            context.ended.append(message.path)
+        return create_answer()
+
+    context.links.handlers[Forward] = work
+
+
+def open_connection(context) -> Connection:
+    """Dial the node as another one does."""
+    address = "{}:{}".format(*context.links.address)
+    connection = dial(address, {NODE_HEADER: SENDER}, DIAL_MS)
+    context.add_cleanup(connection.close)
+    return connection
+
+
+def send(connection: Connection, number: int, message) -> None:
+    """Send a request."""
+    connection.send(encode_frame(Frame(number, False, message)))
+
+
+@when("a node opens two connections and only the second one gets through")
+def open_two(context) -> None:
+    """Open both; what is sent on the first one is still on its way."""
+    context.first, context.second = open_connection(context), open_connection(context)
+    send(context.second, 0, Resume([]))
+
+
+@when("the node is told that request 7 never came")
+def tell_unseen(context) -> None:
+    """Resume on a third connection: the second one was lost after request 6."""
+    send(context.second, 6, create_forward(path="/6"))
+    gevent.sleep(SETTLE_S)
+    third = open_connection(context)
+    send(third, 8, Resume([6, 7]))
+    with gevent.Timeout(ANSWER_S):
+        frame = decode_frame(next(third.receive()))
+    assert frame.message == Resumed([7], []), frame
+
+
+@when("request 9 is at work")
+def begin(context) -> None:
+    """Send a request on the second connection."""
+    send(context.second, 9, create_forward(path="/9"))
+    gevent.sleep(SETTLE_S)
+    assert context.began == ["/9"], context.began
+
+
+@when("what it sent on the first connection comes after all")
+def come_late(context) -> None:
+    """Let the bytes of the first connection arrive."""
+    send(context.first, 0, Resume([]))
+    send(context.first, 7, create_forward(path="/7"))
+    gevent.sleep(SETTLE_S)
+
+
+@then("request 7 does not run")
+def check_not_run(context) -> None:
+    """Check which requests have begun."""
+    assert "/7" not in context.began, context.began
+
+
+@then("request 9 is still at work")
+def check_at_work(context) -> None:
+    """Check that nothing was cut."""
+    assert not context.ended, context.ended
+
+
+@when("a request of {seconds:d} s is at work")
+def begin_long(context, seconds: int) -> None:
+    """Send a request that outlives its connection."""
+
+    def work(_sender, _message) -> Forwarded:
+        gevent.sleep(seconds)
+        return create_answer()
+
+    ask(context, work)
+
+
+def ask(context, work) -> None:
+    """Send a kept request to the second node."""
+    context.second.handlers[Forward] = work
+    context.asked = gevent.spawn(
+        context.first.request,
+        context.peer,
+        create_forward(),
+        ANSWER_S * 1000,
+        cancels=True,
+    )
+    gevent.sleep(SETTLE_S / 3)
+
+
+@when("the connection is reset, and again 1.8 s later with no way through for 0.6 s")
+def reset_twice(context) -> None:
+    """Lose the connection twice; the second time it takes 0.6 s to come back."""
+    context.proxy.reset()
+    gevent.sleep(1.8)
+    for way in context.proxy.ways:
+        way.open.clear()
+    context.proxy.reset()
+    gevent.spawn_later(0.6, context.proxy.mend)
+
+
+@when("the second node has answered, held up for 1.5 s, and listens no longer")
+def answer_last(context) -> None:
+    """Stop the second node while its answer is on its way."""
+    context.proxy.ways[1].open.clear()
+    gevent.spawn_later(1.5, context.proxy.mend)
+    ask(context, lambda _sender, _message: create_answer(1000))
+    # The proxy accepts what the node would refuse, as its listener is closed.
+    context.proxy._server.close()
+    gevent.spawn(context.second.stop, 3000)
+
+
+@then("the request is answered")
+def check_answered(context) -> None:
+    """Wait for the answer."""
+    answer = context.asked.get(timeout=ANSWER_S)
+    assert answer.status == 200, answer
+
+
+@when("a request is lost, and the word of it comes 1.2 s after the next connection")
+def lose_request(context) -> None:
+    """Silence the open connection, and hold up the answer to what resumes it."""
+    context.proxy.silence()
+    links = context.second
+    resume = links._resume
+
+    def resume_slowly(session, connection, frame) -> None:
+        if frame.message.awaited:
+            context.proxy.ways[1].open.clear()
+            gevent.spawn_later(1.2, context.proxy.mend)
+        resume(session, connection, frame)
+
+    links._resume = resume_slowly
+    ask(context, lambda _sender, _message: create_answer())
+
+
+@then("the request fails as not handled within {seconds:d} s")
+def check_not_handled(context, seconds: int) -> None:
+    """Wait for the refusal."""
+    try:
+        context.asked.get(timeout=seconds)
+    except LinkError as error:
+        assert error.code == Code.PEER_UNREACHABLE, error
+    except gevent.Timeout as error:
+        raise AssertionError("it still waits") from error
+    else:
+        raise AssertionError("it was answered")
+
+
+@when("a node asks for {size:d} bytes and never reads them")
+def ask_unread(context, size: int) -> None:
+    """Ask for a large answer on a connection that nobody reads."""
+    context.links.handlers[Forward] = lambda _sender, _message: create_answer(size)
+    connection = open_connection(context)
+    send(connection, 0, Resume([]))
+    send(connection, 1, create_forward())
+    gevent.sleep(SETTLE_S)
+    assert context.links.count_unsent() > 0
+
+
+@then("nothing waits for it any more after {seconds:d} s")
+def check_dropped(context, seconds: int) -> None:
+    """Look at what counts against the VM's link."""
+    gevent.sleep(seconds)
+    assert context.links.count_unsent() == 0, context.links.count_unsent()
+
+
+@given("a gateway whose target takes 1 connection")
+def give_gateway(context) -> None:
+    """Create a gateway with one connection in use."""
+    context.node = mock.MagicMock()
+    context.gateway = Gateway.__new__(Gateway)
+    exchanges = Exchanges(create_address(), create_clock(), Counters())
+    exchanges.limit = 1
+    context.gateway.exchanges = exchanges
+    context.gateway._node = context.node
+    context.gateway._target = context.node.target
+    context.node.target.silent = False
+
+
+@when("the target is probed while a request is at it")
+def probe_busy(context) -> None:
+    """Probe it with its only connection in use."""
+    context.gateway.exchanges._open = 1
+    context.gateway.probe()
+
+
+@then("the target does not count as silent")
+def check_not_silent(context) -> None:
+    """Check what the probe noted."""
+    assert context.node.target.silent is False
+
+
+@given("a mesh of 2 nodes with targets that any caller may use")
+def give_unkeyed(context) -> None:
+    """Start an entry and two nodes with targets of a service without keys."""
+    context.mesh = UnkeyedMesh()
+    context.add_cleanup(context.mesh.stop)
+    context.mesh.start()
+
+
+class UnkeyedMesh(ProxiedMesh):
+    """One entry and two nodes beside targets without keys, behind proxies."""
+
+    def __init__(self) -> None:
+        Mesh.__init__(self, 1, 2)
+        self.configure(create_patient_document())
+        self.proxies = {}
+        self.places = [self._put_proxy(place) for place in self.places]
+
+
+@when("the link to the first target is held up for 1.2 s of the 1.5 s that it works")
+def hold_up_first(context) -> None:
+    """Hold the link up while it works; the other target takes longer."""
+    mesh = context.mesh
+    for place in mesh.places:
+        place.holder.work_ms = 1500.0
+    data, context.attempt_id = mesh.encode("/list/1", None, "GET", b"", PATIENT_MS)
+    context.connection = mesh.open("node-0")
+    context.connection.send(data, 5)
+    mesh.wait_until(lambda: any(p.holder.requests for p in mesh.places))
+    context.place = next(p for p in mesh.places if p.holder.requests)
+    for place in mesh.places:
+        if place is not context.place:
+            place.holder.work_ms = 5000.0
+    proxy = mesh.proxies[context.place.settings.node_id]
+    for way in proxy.ways:
+        way.open.clear()
+    gevent.spawn_later(1.2, proxy.mend)
+
+
+@then("the caller gets the first target's answer within {seconds:d} s")
+def check_first(context, seconds: int) -> None:
+    """Read the answer."""
+    with gevent.Timeout(seconds, AssertionError("no answer by then")):
+        answer = context.connection.read(AnswerParser(), ANSWER_S)
+    assert answer.status == 200, answer
+
+
+@when("a node's session ends while its next connection is open but unused")
+def end_session(context) -> None:
+    """Open two connections and end the used one for longer than a session stays."""
+    used, context.second = open_connection(context), open_connection(context)
+    send(used, 0, Resume([]))
+    gevent.sleep(SETTLE_S)
+    used.close()
+    gevent.sleep(ORPHAN_S + SETTLE_S)
+
+
+@when("request 9 is at work on that connection, and the node resumes on another one")
+def resume_elsewhere(context) -> None:
+    """Use the open connection, then go on over a third one."""
+    send(context.second, 8, Resume([]))
+    begin(context)
+    third = open_connection(context)
+    send(third, 10, Resume([9]))
+    with gevent.Timeout(ANSWER_S):
+        context.resumed = decode_frame(next(third.receive())).message
+
+
+@then("the node is told that request 9 is known")
+def check_known(context) -> None:
+    """Check what the node was told."""
+    assert context.resumed == Resumed([], []), context.resumed
