Take connections between nodes in the order in which they were opened

Each connection resumes under a number of its own, and older ones are not taken; a session is found when its connection resumes, and is kept for a minute after its peer was lost, as what it has seen says which requests never came; only a peer without any connection is given up when it refuses; the word of what never came is taken whenever it comes. The steps of two features number their requests to resume; their checks are as before, and one step no longer counts work of another scenario.

--- a/features/steps/mesh_reconnects.py
+++ b/features/steps/mesh_reconnects.py
@@ -22,8 +22,9 @@
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.gateway import Gateway
 from knapweedrock.mesh.http import AnswerParser
-from knapweedrock.mesh.links import NODE_HEADER, ORPHAN_S, Links
+from knapweedrock.mesh.links import NODE_HEADER, Links
 from knapweedrock.mesh.messages import Forward, Forwarded, Resume, Resumed
+from knapweedrock.mesh.sessions import ORPHAN_S
 
 SENDER = "first/1"
 DIAL_MS = 1000
@@ -42,14 +43,15 @@
     context.links = Links("second/1", create_address(), create_clock(), Counters())
     context.links.start()
     context.add_cleanup(context.links.abort)
-    context.began, context.ended = [], []
+    # Work of this scenario may end while the next one runs.
+    began, ended = context.began, context.ended = [], []
 
     def work(_sender, message) -> Forwarded:
-        context.began.append(message.path)
+        began.append(message.path)
         try:
             gevent.sleep(ANSWER_S)
         finally:
-            context.ended.append(message.path)
+            ended.append(message.path)
         return create_answer()
 
     context.links.handlers[Forward] = work
@@ -72,7 +74,7 @@
 def open_two(context) -> None:
     """Open both; what is sent on the first one is still on its way."""
     context.first, context.second = open_connection(context), open_connection(context)
-    send(context.second, 0, Resume([]))
+    send(context.second, 2, Resume([]))
 
 
 @when("the node is told that request 7 never came")
@@ -98,7 +100,7 @@
 @when("what it sent on the first connection comes after all")
 def come_late(context) -> None:
     """Let the bytes of the first connection arrive."""
-    send(context.first, 0, Resume([]))
+    send(context.first, 1, Resume([]))
     send(context.first, 7, create_forward(path="/7"))
     gevent.sleep(SETTLE_S)
 
@@ -175,11 +177,11 @@
     links = context.second
     resume = links._resume
 
-    def resume_slowly(session, connection, frame) -> None:
+    def resume_slowly(sender, connection, frame):
         if frame.message.awaited:
             context.proxy.ways[1].open.clear()
             gevent.spawn_later(1.2, context.proxy.mend)
-        resume(session, connection, frame)
+        return resume(sender, connection, frame)
 
     links._resume = resume_slowly
     ask(context, lambda _sender, _message: create_answer())
@@ -203,8 +205,8 @@
     """Ask for a large answer on a connection that nobody reads."""
     context.links.handlers[Forward] = lambda _sender, _message: create_answer(size)
     connection = open_connection(context)
-    send(connection, 0, Resume([]))
-    send(connection, 1, create_forward())
+    send(connection, 1, Resume([]))
+    send(connection, 2, create_forward())
     gevent.sleep(SETTLE_S)
     assert context.links.count_unsent() > 0
 
@@ -292,7 +294,7 @@
 def end_session(context) -> None:
     """Open two connections and end the used one for longer than a session stays."""
     used, context.second = open_connection(context), open_connection(context)
-    send(used, 0, Resume([]))
+    send(used, 1, Resume([]))
     gevent.sleep(SETTLE_S)
     used.close()
     gevent.sleep(ORPHAN_S + SETTLE_S)
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -36,8 +36,6 @@
 # For a VM that may only be slow to answer, and on which requests are at work.
 REDIAL_TIMEOUT_MS = 1000
 DIAL_PAUSE_MS = 150
-# Time in which a peer whose connection has ended may come back to its requests.
-ORPHAN_S = 2.0
 # Delay of the event loop from which on it is logged.
 LATE_MS = 200
 NODE_HEADER = "Knapweedrock-Node"
@@ -203,7 +201,7 @@
         self._counters.count("dials_failed")
         link = self._links.get(peer)
         if is_refused and link is not None:
-            link.close("no process listens")
+            link.note_refused()
 
     def _put(self, peer: str, connection: Connection) -> Link:
         """Use a new connection to a peer, and return its link."""
@@ -269,47 +267,56 @@
             self._counters.count("accepts_failed")
             return
         sender = request.headers[NODE_HEADER]
-        session = self._sessions.get(sender)
-        if session is None:
-            session = self._sessions[sender] = Session(sender, self._answers)
         self.accepted.add(connection)
         try:
-            self._read_requests(session, connection)
+            self._read_requests(sender, connection)
         except LinkError as error:
             log.warning("bad frame", sender=sender, reason=error.detail)
         except OSError as error:
             log.debug("link ended", sender=sender, reason=error)
         finally:
             self.accepted.discard(connection)
-            if session.connection in (connection, None):
-                session.connection = None
-                gevent.spawn_later(ORPHAN_S, self._end_orphan, session)
             connection.close()
+            if sender in self._sessions:
+                self._sessions[sender].lose(connection, self._clock.now_ns())
 
-    def _read_requests(self, session: Session, connection: Connection) -> None:
+    def _read_requests(self, sender: str, connection: Connection) -> None:
         """Take the requests of a connection until it ends or another follows it."""
-        began = False
+        session: Session | None = None
         for data in connection.receive():
             frame = decode_frame(data)
-            if isinstance(frame.message, Resume):
-                began = True
-                self._resume(session, connection, frame)
-                continue
-            if not began:
-                raise LinkError(Code.BAD_FRAME, "expected to resume first")
-            if session.connection is not connection:
+            if session is None:
+                session = self._resume(sender, connection, frame)
+            elif session.connection is connection:
+                self._take(session, connection, frame)
+            if session is None or session.connection is not connection:
                 return
-            self._take(session, connection, frame)
 
-    def _resume(self, session: Session, connection: Connection, frame: Frame) -> None:
+    def _resume(
+        self, sender: str, connection: Connection, frame: Frame
+    ) -> Session | None:
+        """Go on with a peer over a connection; None where a newer one was used."""
+        if not isinstance(frame.message, Resume):
+            raise LinkError(Code.BAD_FRAME, "expected to resume first")
+        session = self._find_session(sender)
+        if not session.may_resume(frame.number):
+            return None
         awaited = frame.message.awaited
         if session.running:
-            log.info("link resumed", sender=session.sender, awaited=len(awaited))
-        resumed = session.resume(connection, awaited)
-        session.note(frame.number)
+            log.info("link resumed", sender=sender, awaited=len(awaited))
+        resumed = session.resume(connection, frame.number, awaited)
         self._answer(connection, Frame(frame.number, True, resumed))
         for answer in session.list_answers(awaited):
             self._answer(connection, answer)
+        return session
+
+    def _find_session(self, sender: str) -> Session:
+        """Find the session of a peer's process; those of ended ones are forgotten."""
+        now_ns = self._clock.now_ns()
+        for other, session in list(self._sessions.items()):
+            if session.is_over(now_ns):
+                del self._sessions[other]
+        return self._sessions.setdefault(sender, Session(sender, self._answers))
 
     def _take(self, session: Session, connection: Connection, frame: Frame) -> None:
         session.note(frame.number)
@@ -323,17 +330,6 @@
             task = gevent.spawn(self._handle, session, frame)
             session.running[frame.number] = task
 
-    def _end_orphan(self, session: Session) -> None:
-        """End the work of a peer that did not come back."""
-        if session.connection is not None:
-            return
-        if session.running:
-            requests = len(session.running)
-            log.info("link ended with work", sender=session.sender, requests=requests)
-        session.end()
-        if self._sessions.get(session.sender) is session:
-            del self._sessions[session.sender]
-
     def _handle(self, session: Session, frame: Frame) -> None:
         try:
             answer = self.handlers[type(frame.message)](session.sender, frame.message)
--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import gevent
+from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.mesh.connections import Connection
@@ -13,10 +14,16 @@
 
 # Time for which an answer is kept that may have been lost with its connection.
 ANSWER_KEPT_MS = 4000
+# Time in which a peer whose connection has ended may come back to its requests.
+ORPHAN_S = 2.0
+# Time after which nothing that was sent before is on its way any more.
+FORGET_MS = 60_000
 MAX_KEPT_BYTES = 8 << 20
 # What an answer takes beside its body.
 ANSWER_BYTES = 1000
 
+log = Logger("links")
+
 
 class KeptAnswer(NamedTuple):
     """An answer that was sent at `sent_ns`."""
@@ -72,26 +79,62 @@
         # The highest number that has come; none in a session that begins: what came
         # before is not known.
         self._last: int | None = None
+        # Number of the last request to resume, and when its connection was lost.
+        self._resumed = 0
+        self._lost_ns = 0
+        self._orphaned: gevent.Greenlet | None = None
         self._answers = answers
 
     def note(self, number: int) -> None:
         """Note that a request has come."""
         self._last = max(self._last or 0, number)
 
-    def resume(self, connection: Connection, awaited: Collection[int]) -> Resumed:
-        """Go on over a new connection with what the peer still awaits.
+    def may_resume(self, number: int) -> bool:
+        """Tell whether a connection is newer than those that were resumed on."""
+        return number > self._resumed
+
+    def resume(
+        self, connection: Connection, number: int, awaited: Collection[int]
+    ) -> Resumed:
+        """Go on over a newer connection with what the peer still awaits.
 
-        Nothing that still comes on the former connection is taken.
+        `number` is that of the request to resume. Nothing that still comes on former
+        connections is taken.
         """
         former, self.connection = self.connection, connection
         if former is not None:
             former.shut_down()
+        if self._orphaned is not None:
+            self._orphaned.kill(block=False)
+        self._resumed = number
         for number in self.running.keys() - set(awaited):
             self.cancel(number)
         unseen = [number for number in awaited if self._is_unseen(number)]
         unknown = [n for n in awaited if n not in unseen and not self._knows(n)]
+        self.note(number)
         return Resumed(unseen, unknown)
 
+    def lose(self, connection: Connection, now_ns: int) -> None:
+        """End all work unless the peer comes back from a lost connection in time."""
+        if connection is not self.connection:
+            return
+        self.connection = None
+        self._lost_ns = now_ns
+        self._orphaned = gevent.spawn_later(ORPHAN_S, self._end_orphaned)
+
+    def is_over(self, now_ns: int) -> bool:
+        """Tell whether the peer was lost for so long that it has given up itself."""
+        if self.connection is not None:
+            return False
+        return now_ns - self._lost_ns > FORGET_MS * NS_PER_MS
+
+    def _end_orphaned(self) -> None:
+        self._orphaned = None
+        if self.running:
+            requests = len(self.running)
+            log.info("link ended with work", sender=self.sender, requests=requests)
+        self.end()
+
     def list_answers(self, numbers: Collection[int]) -> list[Frame]:
         """List the answers that are ready."""
         found = (self._answers.find(self.sender, number) for number in numbers)
