End a connection that takes none of its bytes for 5 s

A peer that stays connected and reads nothing left its answers unsent for good, which count as waiting for the VM's link.

--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -21,10 +21,13 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
 from knapweedrock.sockets import disable_delay, limit_unconfirmed
+from knapweedrock.timers import Alarm
 
 MAX_FRAME_BYTES = 16 << 20
 RECEIVE_BYTES = 64 << 10
 HANDSHAKE_TIMEOUT_MS = 1000
+# Time in which the other end has to take some of the bytes that wait for it.
+UNTAKEN_S = 5.0
 CONTROL_FRAMES = frozenset({Opcode.CLOSE, Opcode.PING, Opcode.PONG})
 
 log = Logger("links")
@@ -159,7 +162,8 @@
         """Send the rest, and what comes to it meanwhile."""
         try:
             while data:
-                sent = self._sock.send(data)
+                with Alarm(UNTAKEN_S):
+                    sent = self._sock.send(data)
                 self._note_taken(sent)
                 data = data[sent:] or memoryview(
                     b"".join(self._protocol.data_to_send())
