Don't take a target for silent whose connections are all in use

The probe of a target needs a connection of its own; where all are in use it was refused on this side, and the target counted as silent: it got nothing more and its keys moved. Scenario (mesh_reconnects): failed before.

--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -356,6 +356,9 @@
             node.membership.report_soon()
             return
         except KnapweedrockError as error:
+            if error.code is Code.OVERLOADED:
+                # All connections are in use: the target is busy.
+                return
             if not target.silent and target.name:
                 log.warning("target is silent", reason=error.detail)
                 target.silent = True
