--- a/knapweedrock/mesh/calls.py
+++ b/knapweedrock/mesh/calls.py
@@ -34,6 +34,10 @@
         """Tell whether it was answered or has failed."""
         return self._result.ready()
 
+    def get_result(self) -> AsyncResult:
+        """Return what is ready once it was answered or has failed."""
+        return self._result
+
     def answer(self, message: Any) -> None:
         """Take the answer."""
         self._result.set(message)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -3,6 +3,7 @@
 import random
 from typing import TYPE_CHECKING
 
+import gevent
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
@@ -138,27 +139,66 @@
         self._find_budget(job).count_request()
         try:
             result = self._send_until_settled(job, progress)
-            if not is_good(result):
-                result = self._await_open(job, progress) or result
+            if progress.open:
+                result = self._await_first(job, progress, result)
         finally:
             for call in progress.open:
                 call.cancel()
         return settle(result, progress)
 
-    def _await_open(self, job: Job, progress: Progress) -> Forwarded | None:
-        """Wait for the answers of attempts that may still come."""
-        for call in progress.open:
-            try:
-                result = call.wait(self._find_left_ms(job) + LINK_MARGIN_MS)
-            except LinkError as error:
-                log.debug("attempt not answered", reason=error.detail)
+    def _await_first(
+        self, job: Job, progress: Progress, result: Forwarded | None
+    ) -> Forwarded:
+        """Return the first good answer: of open attempts, or of those that follow.
+
+        `result` is that of the attempts so far; None where more may follow.
+        """
+        follower = None
+        if result is None:
+            follower = gevent.spawn(self._send_until_settled, job, progress, True)
+        try:
+            return self._find_first(job, progress, follower) or result
+        finally:
+            if follower is not None:
+                follower.kill(block=False)
+
+    def _find_first(
+        self, job: Job, progress: Progress, follower: gevent.Greenlet | None
+    ) -> Forwarded | None:
+        """Wait for a good answer; return the follower's result where none comes."""
+        found = None
+        looked: set[Call] = set()
+        while left := [call for call in progress.open if call not in looked]:
+            results = {call.get_result(): call for call in left}
+            awaited = list(results)
+            if follower is not None and found is None:
+                awaited.append(follower)
+            timeout_s = max(self._find_left_ms(job) + LINK_MARGIN_MS, 0) / 1000
+            ready = gevent.wait(awaited, timeout=timeout_s, count=1)
+            if not ready:
+                break
+            if ready[0] is follower:
+                found = follower.get()
+                if is_good(found):
+                    break
                 continue
-            if is_good(result):
-                return result
-        return None
+            call = results[ready[0]]
+            looked.add(call)
+            answer = read_answer(call)
+            if answer is not None and is_good(answer):
+                return answer
+        if follower is not None and found is None:
+            found = follower.get()
+        return found
 
-    def _send_until_settled(self, job: Job, progress: Progress) -> Forwarded:
-        """Send a request to one target after the other, as long as that helps."""
+    def _send_until_settled(
+        self, job: Job, progress: Progress, follows: bool = False
+    ) -> Forwarded | None:
+        """Send a request to one target after the other, as long as that helps.
+
+        Return None where an attempt is left open and another may follow it, unless
+        this `follows` it itself.
+        """
         while True:
             remaining_ms = self._find_left_ms(job)
             if remaining_ms < LEAST_MS:
@@ -174,6 +214,8 @@
                 self._note_result(member, result)
             if not self._goes_on(job, progress, member, result):
                 return result
+            if progress.open and not follows:
+                return None
 
     def _goes_on(
         self, job: Job, progress: Progress, member: Member | None, result: Forwarded
@@ -388,6 +430,15 @@
             node.decisions.note_failure("request failed", attempt_id, describe)
 
 
+def read_answer(call: Call) -> Forwarded | None:
+    """Return the answer to an attempt that is over; None where there is none."""
+    try:
+        return call.wait(0)
+    except LinkError as error:
+        log.debug("attempt not answered", reason=error.detail)
+        return None
+
+
 def is_good(result: Forwarded) -> bool:
     """Tell whether a target has answered without an error of its own."""
     return result.code == Code.DONE and result.status < SERVER_ERROR
