End an exchange within its time, and bound all that an answer brings

Callers waited beyond their deadlines, and a node could take all the memory of its VM and stand still, where a target (or its health page) sent bytes without end or slowly. The time was given to each receive and not to the whole; only the body was bounded (64 MiB, a list entry for each chunk), not heads, trailers, extensions of chunks and interim answers; and data that was always there was read without a turn for others, so that no timer went off. A switch of protocols (101) raised an error that nothing caught.

Now one alarm holds for the whole answer, and each piece is received after a turn of the event loop. What came by the end is still taken, in one receive of 1 MiB at most. All that brings no body counts against 32 KiB; bodies are kept in one buffer of 4 MiB at most, eight times the largest of targets: 18 at once on a VM of 200 MB take 72 MB.

Evidence: mesh_endless sends from a process of its own, for 2.5 s. An answer that had come while the process was busy beyond the end was thrown away. Answers that end within the time, slow or in small chunks, were and are taken whole.

--- /dev/null
+++ b/features/mesh_endless.feature
@@ -0,0 +1,62 @@
+Feature: Bytes that do not end cost no more than their time and a few MB
+  # Guards against exchanges that outlive their time, since each receive began it anew,
+  # against heads that take the memory of their VM, and against an event loop that
+  # stands still while data is always there.
+  Scenario Outline: An exchange ends in time where a target sends <bytes> without end
+    Given a sender of <bytes> without end
+    When a request of 600 ms is sent to that sender
+    Then it ends as one that may have run, at most 500 ms after its time
+    And at most 6 MB were taken meanwhile
+    And others waited at most 250 ms for their turn
+    And its connection is not kept
+
+    Examples:
+      | bytes                 |
+      | headers               |
+      | one header            |
+      | a status line         |
+      | chunks of one byte    |
+      | a body without length |
+      | a chunk's extension   |
+      | trailers              |
+      | one trailer           |
+      | interim answers       |
+      | slow interim answers  |
+      | a slow head           |
+      | a slow body           |
+      | another protocol      |
+
+  # Guards against a bound that cuts off what a sound target sends.
+  Scenario Outline: <answer> within the request's time is taken whole
+    Given a target that sends <answer>
+    When a request of 3000 ms is sent to that target
+    Then its whole answer is returned
+
+    Examples:
+      | answer                                  |
+      | an answer a piece each 100 ms           |
+      | 1000000 bytes in chunks of 10 bytes     |
+      | 3000000 bytes of known length           |
+      | 40 interim answers before its own       |
+      | a head of 16000 bytes                   |
+
+  # Guards against a deadline that throws away what has come while the process was busy.
+  Scenario: An answer that is there when the time is over is taken
+    Given a target that sends 3000 bytes of known length
+    When a request of 200 ms is sent to that target while the process stands still for 400 ms
+    Then its whole answer is returned
+
+  # Guards against a health probe that never ends, so that the target counts as alive.
+  Scenario Outline: A target whose health page sends <bytes> without end is silent
+    Given a mesh of 1 keyed targets
+    And a sender of <bytes> without end
+    When its node asks that sender for its target's health
+    Then the target is taken for silent at most 500 ms after the probe's time
+    And at most 6 MB were taken meanwhile
+    And others waited at most 250 ms for their turn
+
+    Examples:
+      | bytes           |
+      | headers         |
+      | interim answers |
+      | a slow head     |
--- /dev/null
+++ b/features/steps/mesh_endless.py
@@ -0,0 +1,245 @@
+"""Steps about bytes that do not end, from targets, stores and callers."""
+
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+import gevent
+from behave import given, then, when
+from gevent import socket, subprocess
+
+from features.support import endless
+from features.support.servers import start_socket_server
+from knapweedrock.checker import parse_address
+from knapweedrock.clock import create_clock
+from knapweedrock.codes import Code
+from knapweedrock.counters import Counters
+from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
+from knapweedrock.mesh.gateway import PROBE_TIMEOUT_S
+
+MB = 1_000_000
+TURN_S = 0.005
+PIECE_S = 0.1
+HEAD = endless.HEAD
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+class Measures:
+    """What a piece of work took: time, memory at its peak, turns of others."""
+
+    def __init__(self) -> None:
+        self.took_s = 0.0
+        self.peak_bytes = 0
+        self.longest_wait_s = 0.0
+
+
+@contextmanager
+def measure(context) -> Iterator[None]:
+    """Measure what is done in the block."""
+    measures = context.measures = Measures()
+
+    def take_turns() -> None:
+        while True:
+            began_s = time.monotonic()
+            gevent.sleep(TURN_S)
+            waited_s = time.monotonic() - began_s
+            measures.longest_wait_s = max(measures.longest_wait_s, waited_s)
+
+    others = gevent.spawn(take_turns)
+    gevent.sleep(TURN_S)
+    tracemalloc.start()
+    began_s = time.monotonic()
+    try:
+        yield
+    finally:
+        measures.took_s = time.monotonic() - began_s
+        _, measures.peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        gevent.sleep(2 * TURN_S)
+        others.kill()
+
+
+def start_sender(context, *arguments: str) -> subprocess.Popen:
+    """Start a process that sends without end, and end it with the scenario."""
+    command = [sys.executable, endless.__file__, *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+
+    def end() -> None:
+        process.kill()
+        process.wait()
+        process.stdout.close()
+
+    context.add_cleanup(end)
+    return process
+
+
+@given("a sender of {kind} without end")
+def give_sender(context, kind: str) -> None:
+    """Start a server whose answers do not end."""
+    process = start_sender(context, kind)
+    context.address = ("127.0.0.1", int(process.stdout.readline()))
+
+
+def send_slowly(sock: socket.socket) -> bytes:
+    """Send an answer in pieces with pauses and return its body."""
+    sock.sendall(HEAD)
+    for piece in (
+        b"Content-Le",
+        b"ngth: 5\r\n",
+        b"\r\n",
+        *(b"%d" % n for n in range(5)),
+    ):
+        gevent.sleep(PIECE_S)
+        sock.sendall(piece)
+    return b"01234"
+
+
+def send_chunks(sock: socket.socket) -> bytes:
+    """Send an answer in small chunks and return its body."""
+    chunk = b"a\r\n0123456789\r\n"
+    sock.sendall(HEAD + endless.CHUNKED + chunk * 100_000 + b"0\r\n\r\n")
+    return b"0123456789" * 100_000
+
+
+def send_sized(sock: socket.socket, size: int, before: bytes = HEAD) -> bytes:
+    """Send an answer with a body of a size and return the body."""
+    body = b"a" * size
+    sock.sendall(before + b"Content-Length: %d\r\n\r\n" % size + body)
+    return body
+
+
+ANSWERS: dict[str, Callable[[socket.socket], bytes]] = {
+    "an answer a piece each 100 ms": send_slowly,
+    "1000000 bytes in chunks of 10 bytes": send_chunks,
+    "3000000 bytes of known length": lambda sock: send_sized(sock, 3_000_000),
+    "3000 bytes of known length": lambda sock: send_sized(sock, 3000),
+    "40 interim answers before its own": lambda sock: send_sized(
+        sock, 9, INTERIM * 40 + HEAD
+    ),
+    "a head of 16000 bytes": lambda sock: send_sized(
+        sock, 9, HEAD + b"X-Long: " + b"a" * 16_000 + b"\r\n"
+    ),
+}
+
+
+@given("a target that sends {kind}")
+def give_sound_target(context, kind: str) -> None:
+    """Start a target whose answer ends."""
+
+    def answer(sock: socket.socket, _address: tuple) -> None:
+        while sock.recv(endless.READ_BYTES):
+            context.body = ANSWERS[kind](sock)
+
+    context.address = tuple(parse_address(start_socket_server(context, answer)))
+
+
+def send_request(context, timeout_ms: int) -> None:
+    """Send a request to a target."""
+    context.timeout_s = timeout_ms / 1000
+    context.exchanges = Exchanges(context.address, create_clock(), Counters())
+    context.answer = context.error = None
+    try:
+        context.answer = context.exchanges.run(
+            "GET", "/x", [("host", "t")], b"", "a1", context.timeout_s
+        )
+    except BrokenExchangeError as error:
+        context.error = error
+
+
+@when("a request of {timeout_ms:d} ms is sent to that sender")
+def send_measured(context, timeout_ms: int) -> None:
+    """Send a request and measure what it takes."""
+    with measure(context):
+        send_request(context, timeout_ms)
+
+
+@when("a request of {timeout_ms:d} ms is sent to that target")
+def send_to_sound(context, timeout_ms: int) -> None:
+    """Send a request to a target whose answer ends."""
+    send_request(context, timeout_ms)
+
+
+@when(
+    "a request of {timeout_ms:d} ms is sent to that target while the process stands "
+    "still for {still_ms:d} ms"
+)
+def send_standing_still(context, timeout_ms: int, still_ms: int) -> None:
+    """Let the answer come while nothing in the process runs but its sender."""
+    run = gevent.spawn(send_request, context, timeout_ms)
+
+    def stand_still() -> None:
+        """Give nobody a turn once the answer has been sent."""
+        while not hasattr(context, "body"):
+            gevent.sleep(0)
+        block(still_ms / 1000)
+
+    gevent.spawn(stand_still)
+    run.join(5)
+
+
+def block(seconds: float) -> None:
+    """Keep this thread busy, without a turn for others."""
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        pass
+
+
+@when("its node asks that sender for its target's health")
+def probe_sender(context) -> None:
+    """Put the sender in the place of the target, and let the node ask it."""
+    context.node = next(iter(context.mesh.nodes.values()))
+    gateway = context.node.gateway
+    gateway.exchanges.drop_idle()
+    gateway.exchanges.address = context.address
+    with measure(context):
+        gateway.probe()
+        # Its next heartbeat makes it heard again.
+        context.was_silent = context.node.target.silent
+
+
+@then("the target is taken for silent at most {slack_ms:d} ms after the probe's time")
+def check_silent(context, slack_ms: int) -> None:
+    """Check what the node made of the target, and when."""
+    assert context.was_silent
+    took_s = context.measures.took_s
+    assert took_s <= PROBE_TIMEOUT_S + slack_ms / 1000, took_s
+
+
+@then("it ends as one that may have run, at most {slack_ms:d} ms after its time")
+def check_given_up(context, slack_ms: int) -> None:
+    """Check the code and the time of the failure."""
+    assert context.measures.took_s <= context.timeout_s + slack_ms / 1000, (
+        context.measures.took_s
+    )
+    assert context.error is not None, str(context.answer)[:200]
+    may_have_run = (Code.ANSWER_LOST, Code.ANSWER_TRUNCATED)
+    assert context.error.code in may_have_run, context.error
+
+
+@then("at most {limit:d} MB were taken meanwhile")
+def check_memory(context, limit: int) -> None:
+    """Check the peak of the memory that was taken."""
+    found = context.measures.peak_bytes / MB
+    assert found <= limit, f"{found:.1f} MB"
+
+
+@then("others waited at most {limit_ms:d} ms for their turn")
+def check_turns(context, limit_ms: int) -> None:
+    """Check how long other tasks of the process had to wait."""
+    found_ms = context.measures.longest_wait_s * 1000
+    assert found_ms <= limit_ms, f"{found_ms:.0f} ms"
+
+
+@then("its connection is not kept")
+def check_not_kept(context) -> None:
+    """Check that no connection stayed open."""
+    assert context.exchanges._open == 0, context.exchanges._open
+
+
+@then("its whole answer is returned")
+def check_whole(context) -> None:
+    """Check the body that was returned."""
+    assert context.answer is not None, context.error
+    assert context.answer.body == context.body, len(context.answer.body)
--- /dev/null
+++ b/features/support/endless.py
@@ -0,0 +1,144 @@
+"""Program that sends bytes without end on a connection, from a process of its own.
+
+A sender in the process under test would share its event loop, and so never have data
+ready all the time. As a script it takes the name of what it sends, and the port that it
+dials; without a port it listens on one, which it prints. It ends by itself after some
+seconds, so that a test that fails takes little memory.
+"""
+
+import contextlib
+import select
+import socket
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+SENDING_S = 2.5
+READ_BYTES = 65536
+SLOW_S = 0.1
+FIRST_READ_S = 0.4
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+REQUEST = b"POST /order/1 HTTP/1.1\r\nHost: mesh.example\r\n"
+GET = b"GET / HTTP/1.1\r\nHost: mesh.example\r\n\r\n"
+
+
+class Script(NamedTuple):
+    """Bytes that are sent once, and bytes that are sent again and again.
+
+    Times are in seconds: before each repeated piece, and before the first read.
+    """
+
+    first: bytes
+    repeated: bytes
+    pause_s: float = 0.0
+    read_pause_s: float = 0.0
+
+
+def repeat(unit: bytes) -> bytes:
+    """Repeat some bytes into a piece that is sent at once."""
+    return unit * (READ_BYTES // len(unit))
+
+
+SCRIPTS = {
+    # Of targets and stores.
+    "headers": Script(HEAD, repeat(b"a: b\r\n")),
+    "one header": Script(HEAD + b"X-Long: ", repeat(b"a")),
+    "a status line": Script(b"HTTP/1.1 200 ", repeat(b"a")),
+    "chunks of one byte": Script(HEAD + CHUNKED, repeat(b"1\r\na\r\n")),
+    "a body without length": Script(HEAD + b"\r\n", repeat(b"a")),
+    "a chunk's extension": Script(HEAD + CHUNKED + b"1;", repeat(b"a")),
+    "trailers": Script(HEAD + CHUNKED + b"1\r\na\r\n0\r\n", repeat(b"a: b\r\n")),
+    "one trailer": Script(HEAD + CHUNKED + b"1\r\na\r\n0\r\nX: ", repeat(b"a")),
+    "interim answers": Script(b"", repeat(b"HTTP/1.1 102 Processing\r\n\r\n")),
+    "slow interim answers": Script(b"", b"HTTP/1.1 102 Processing\r\n\r\n", SLOW_S),
+    "a slow head": Script(HEAD + b"X-Long: ", b"a", SLOW_S),
+    "a slow body": Script(HEAD + b"Content-Length: 1000\r\n\r\n", b"a", SLOW_S),
+    "a slow body, once it has read": Script(
+        HEAD + b"Content-Length: 1000\r\n\r\n", b"a", SLOW_S, FIRST_READ_S
+    ),
+    "another protocol": Script(
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+        b"Connection: upgrade\r\n\r\n",
+        repeat(b"a"),
+    ),
+    # Of callers.
+    "requests' headers": Script(REQUEST, repeat(b"a: b\r\n")),
+    "one header of a request": Script(REQUEST + b"X-Long: ", repeat(b"a")),
+    "a slow head of a request": Script(REQUEST + b"X-Long: ", b"a", SLOW_S),
+    "a body in chunks of one byte": Script(REQUEST + CHUNKED, repeat(b"1\r\na\r\n")),
+    "trailers of a request": Script(
+        REQUEST + CHUNKED + b"1\r\na\r\n0\r\n", repeat(b"a: b\r\n")
+    ),
+    "one trailer of a request": Script(
+        REQUEST + CHUNKED + b"1\r\na\r\n0\r\nX: ", repeat(b"a")
+    ),
+    "a slow body of a request": Script(
+        REQUEST + b"Content-Length: 1000\r\n\r\n", b"a", SLOW_S
+    ),
+    "bytes that are no request": Script(b"\0\1garbage", repeat(b"a")),
+    "whole requests": Script(GET, repeat(GET)),
+    "a head of 20000 bytes in one piece": Script(
+        REQUEST + b"X-Long: " + b"a" * 20_000 + b"\r\n\r\n", b""
+    ),
+}
+
+
+def send_script(sock: socket.socket, script: Script) -> bytes:
+    """Send until the other end closes or the time is over; return its first bytes."""
+    end_s = time.monotonic() + SENDING_S
+    received = b""
+    data = script.first or script.repeated
+    while time.monotonic() < end_s:
+        readable, writable, _ = select.select(
+            [sock], [sock] if data else [], [], SLOW_S
+        )
+        if readable:
+            piece = sock.recv(READ_BYTES)
+            if not piece:
+                break
+            received = received or piece
+        if writable:
+            data = data[sock.send(data) :]
+            if not data:
+                data = script.repeated
+                time.sleep(script.pause_s)
+    return received
+
+
+def answer_request(sock: socket.socket, script: Script) -> None:
+    """Take the head of a request, and answer it without end."""
+    with sock, contextlib.suppress(OSError):
+        time.sleep(script.read_pause_s)
+        sock.recv(READ_BYTES)
+        sock.setblocking(False)
+        send_script(sock, script)
+
+
+def listen(script: Script) -> None:
+    """Answer every connection until the process is ended."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    print(listener.getsockname()[1], flush=True)
+    while True:
+        sock, _ = listener.accept()
+        task = threading.Thread(target=answer_request, args=(sock, script), daemon=True)
+        task.start()
+
+
+def call(script: Script, port: int) -> None:
+    """Dial a port, send without end, and print the first line that came back."""
+    with socket.create_connection(("127.0.0.1", port)) as sock:
+        sock.setblocking(False)
+        try:
+            received = send_script(sock, script)
+        except OSError as error:
+            received = repr(error).encode()
+    print(received.partition(b"\r\n")[0].decode("latin-1"), flush=True)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 2:
+        call(SCRIPTS[sys.argv[1]], int(sys.argv[2]))
+    else:
+        listen(SCRIPTS[sys.argv[1]])
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -7,15 +7,26 @@
 import httptools
 from gevent import socket
 
-from knapweedrock.sockets import disable_delay, receive_within, send_whole
+from knapweedrock.sockets import (
+    disable_delay,
+    receive_next,
+    receive_ready,
+    send_whole,
+)
+from knapweedrock.timers import Alarm
 
 # Header of a body in JSON.
 JSON = [("Content-Type", "application/json")]
 RECEIVE_BYTES = 65536
+# Taken at the end of the time, where more may be there than one piece.
+LAST_RECEIVE_BYTES = 1 << 20
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
 BODILESS = frozenset({204, 304})
-MAX_ANSWER_BYTES = 64 << 20
+# Of one answer, with the interim ones before it and all that is no body.
+MAX_HEAD_BYTES = 32 << 10
+# Eight times the largest bodies of targets; a VM of 200 MB may take 18 at once.
+MAX_ANSWER_BYTES = 4 << 20
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -75,23 +86,30 @@
     A `bodiless` answer ends with its head, whatever length it tells.
     """
 
-    def __init__(self, bodiless: bool = False) -> None:
+    def __init__(
+        self, bodiless: bool = False, max_body_bytes: int = MAX_ANSWER_BYTES
+    ) -> None:
         self._bodiless = bodiless
+        self._max_body_bytes = max_body_bytes
         self.answers: list[Answer] = []
         self.began = False
         self.extra = False
+        self._head_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises `MalformedMessageError`."""
         self.began = True
+        body_bytes = len(self._body)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.answers:
                 raise MalformedMessageError(str(error)) from error
             self.extra = True
+        if not self.answers and len(self._body) == body_bytes:
+            self._count_head(len(data))
 
     def finish(self) -> None:
         """Complete an answer that ends with its connection."""
@@ -100,12 +118,18 @@
 
     def _reset(self) -> None:
         self._headers: Headers = []
-        self._chunks: list[bytes] = []
-        self._size = 0
+        self._header_bytes = 0
+        self._body = bytearray()
         self._has_head = False
         self._is_framed = False
         self._is_closing = False
 
+    def _count_head(self, size: int) -> None:
+        """Count bytes of the connection that brought no body."""
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError("the answer's head is too large")
+
     def on_message_begin(self) -> None:
         """Start an answer."""
         if self.answers:
@@ -113,7 +137,10 @@
         self._reset()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
+        """Take one header, or one that follows the body."""
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError("the answer's head is too large")
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -129,10 +156,9 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body."""
-        self._size += len(data)
-        if self._size > MAX_ANSWER_BYTES:
+        if len(self._body) + len(data) > self._max_body_bytes:
             raise MalformedMessageError("the answer is too large")
-        self._chunks.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Take the end of an answer."""
@@ -146,8 +172,9 @@
 
     def _add(self, reusable: bool) -> None:
         status = self._parser.get_status_code()
-        body = b"".join(self._chunks)
+        body = bytes(self._body)
         self.answers.append(Answer(status, self._headers, body, reusable))
+        self._head_bytes = 0
         self._has_head = False
 
 
@@ -238,19 +265,27 @@
         send_whole(self.sock, data, max(timeout_s, MIN_TIMEOUT_S))
 
     def read(self, parser: AnswerParser, timeout_s: float) -> Answer:
-        """Read until the parser has an answer; raises `OSError`."""
-        while not parser.answers:
-            data = receive_within(
-                self.sock, RECEIVE_BYTES, max(timeout_s, MIN_TIMEOUT_S)
-            )
-            if not data:
-                parser.finish()
-                if parser.answers:
-                    break
-                raise ConnectionError("the connection was closed before the answer")
-            parser.feed(data)
+        """Read until the parser has an answer; raises `OSError`.
+
+        The time is for the whole answer, in however many pieces it comes.
+        """
+        if not parser.answers:
+            self._read_within(parser, max(timeout_s, MIN_TIMEOUT_S))
         return parser.answers.pop(0)
 
+    def _read_within(self, parser: AnswerParser, timeout_s: float) -> None:
+        try:
+            with Alarm(timeout_s):
+                while not parser.answers:
+                    take_piece(parser, receive_next(self.sock, RECEIVE_BYTES))
+        except TimeoutError:
+            # What came while others had their turn is taken all the same.
+            data = receive_ready(self.sock, LAST_RECEIVE_BYTES)
+            if data is not None:
+                take_piece(parser, data)
+            if not parser.answers:
+                raise
+
     def is_clean(self) -> bool:
         """Tell whether the idle connection is open and nothing came on it."""
         try:
@@ -268,6 +303,19 @@
         self.sock.close()
 
 
+def take_piece(parser: AnswerParser, data: bytes) -> None:
+    """Parse a received piece, empty at the end of the connection.
+
+    Raises `MalformedMessageError`, and `ConnectionError` for an end without an answer.
+    """
+    if data:
+        parser.feed(data)
+        return
+    parser.finish()
+    if not parser.answers:
+        raise ConnectionError("the connection was closed before the answer")
+
+
 def dial(address: tuple[str, int], timeout_s: float) -> Connection:
     """Open a connection whose silent end is noticed; raises `OSError`."""
     sock = socket.create_connection(address, timeout=max(timeout_s, MIN_TIMEOUT_S))
--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -40,3 +40,24 @@
             get_hub().wait(sock._read_event)
             with suppress(BlockingIOError):
                 return sock._sock.recv(size)
+
+
+def receive_ready(sock: gevent_socket.socket, size: int) -> bytes | None:
+    """Receive what has come, empty at its end, None for nothing; raises `OSError`."""
+    try:
+        return sock._sock.recv(size)
+    except BlockingIOError:
+        return None
+
+
+def receive_next(sock: gevent_socket.socket, size: int) -> bytes:
+    """Receive some data, empty at its end, after a turn of the event loop.
+
+    Others get their turn and alarms go off also while data is always there. Raises
+    `OSError`; the time is the business of the one who calls.
+    """
+    while True:
+        get_hub().wait(sock._read_event)
+        data = receive_ready(sock, size)
+        if data is not None:
+            return data
