End a call of the store within its time, sending included

A node waited for the store up to twice the time of a call, as its sending and its answer each got all that was left after the dial; and a watch took what 64 MiB of a broken answer bring. The time that is left is now found anew before the answer is read, and an answer takes 16 MiB at most: a watch may bring many objects of 1 MB, so the 4 MiB of targets are too few. A page of a listing has 4 s as a whole, since 1 MB takes longer than the 1 s of a call on a link of 8 Mbit/s; the 1 s bounds its silence, as it did before. Reasons in logs name the bound that an answer broke.

Evidence: mesh_endless.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -60,3 +60,49 @@
       | headers         |
       | interim answers |
       | a slow head     |
+
+  # Guards against a node that waits for the store beyond the time of a call, or that a
+  # store takes down with an answer that does not end.
+  Scenario Outline: A call ends in time where the store sends <bytes> without end
+    Given a sender of <bytes> without end
+    When an object of that store is read within 600 ms
+    Then the call fails, at most 500 ms after its time
+    And at most 24 MB were taken meanwhile
+    And others waited at most 250 ms for their turn
+
+    Examples:
+      | bytes                 |
+      | headers               |
+      | one trailer           |
+      | chunks of one byte    |
+      | a body without length |
+      | interim answers       |
+      | a slow head           |
+      | a slow body           |
+
+  # Guards against a listing that never ends, and one that a slow link cuts off.
+  Scenario: A listing may take longer than a call, but not longer than its time
+    Given a sender of a slow body without end
+    When a kind of that store is listed within 600 ms
+    Then the call fails, at most 500 ms after its time
+    Given a target that sends a listing in 1500 ms
+    When a kind of that store is listed
+    Then the listing is whole
+
+  # Guards against a store that answers nothing and holds up its clients for long.
+  Scenario: A listing of a silent store ends after the time of a call
+    Given a target that sends nothing at all
+    When a kind of that store is listed within 3000 ms
+    Then the call fails, 1000 ms to 1500 ms after its start
+
+  # Guards against a time that is given to the sending of a call and again to its answer.
+  Scenario: A call to a store that reads late and answers slowly ends in time
+    Given a sender of a slow body, once it has read without end
+    When an object of 24000000 bytes is written to that store within 1000 ms
+    Then the call fails, at most 500 ms after its time
+
+  # Guards against a bound that cuts off what the store may hold.
+  Scenario: A large answer of the store is taken whole
+    Given a store and a client of it
+    When 8 objects of 1000000 bytes are written, and watched from before
+    Then the watch shows all of them whole
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -16,13 +16,19 @@
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
+from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
 from knapweedrock.mesh.gateway import PROBE_TIMEOUT_S
+from knapweedrock.platform.store import Listing, Store, Stored
 
 MB = 1_000_000
 TURN_S = 0.005
 PIECE_S = 0.1
 HEAD = endless.HEAD
+LISTING = (
+    '{"items":[{"metadata":{"name":"one","revision":3},"specification":7}],'
+    '"atRevision":5}'
+)
 INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
 
 
@@ -110,8 +116,21 @@
     return body
 
 
+def send_listing(sock: socket.socket) -> bytes:
+    """Send a listing of the store in 15 pieces."""
+    body = LISTING.encode()
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+    step = -(-len(body) // 15)
+    for start in range(0, len(body), step):
+        gevent.sleep(PIECE_S)
+        sock.sendall(body[start : start + step])
+    return body
+
+
 ANSWERS: dict[str, Callable[[socket.socket], bytes]] = {
     "an answer a piece each 100 ms": send_slowly,
+    "a listing in 1500 ms": send_listing,
+    "nothing at all": lambda _sock: b"",
     "1000000 bytes in chunks of 10 bytes": send_chunks,
     "3000000 bytes of known length": lambda sock: send_sized(sock, 3_000_000),
     "3000 bytes of known length": lambda sock: send_sized(sock, 3000),
@@ -243,3 +262,88 @@
     """Check the body that was returned."""
     assert context.answer is not None, context.error
     assert context.answer.body == context.body, len(context.answer.body)
+
+
+def call_store(context, timeout_ms: int, call: Callable[[Store], object]) -> None:
+    """Make a call of the store and measure what it takes."""
+    context.timeout_s = timeout_ms / 1000
+    context.error = None
+    store = Store(context.address, create_clock(), Counters())
+    with measure(context):
+        try:
+            call(store)
+        except PlatformError as error:
+            context.error = error
+
+
+@when("an object of that store is read within {timeout_ms:d} ms")
+def read_object(context, timeout_ms: int) -> None:
+    """Read an object of a store whose answer does not end."""
+    call_store(
+        context, timeout_ms, lambda store: store.get("kind", "name", context.timeout_s)
+    )
+
+
+@when("an object of {size:d} bytes is written to that store within {timeout_ms:d} ms")
+def write_object(context, size: int, timeout_ms: int) -> None:
+    """Write more than the system takes before the store reads."""
+    value = "a" * size
+    call_store(
+        context,
+        timeout_ms,
+        lambda store: store.create("kind", "name", value, context.timeout_s),
+    )
+
+
+@when("a kind of that store is listed within {timeout_ms:d} ms")
+def list_within(context, timeout_ms: int) -> None:
+    """List a kind in a time."""
+    call_store(
+        context, timeout_ms, lambda store: store.list_kind("kind", context.timeout_s)
+    )
+
+
+@when("a kind of that store is listed")
+def list_slow(context) -> None:
+    """List a kind in the usual time."""
+    store = Store(context.address, create_clock(), Counters())
+    context.listing = store.list_kind("kind")
+
+
+@then("the listing is whole")
+def check_listing(context) -> None:
+    """Check what was listed."""
+    assert context.listing == Listing([Stored("one", 3, 7)], 5), context.listing
+
+
+@then("the call fails, {least_ms:d} ms to {most_ms:d} ms after its start")
+def check_call_time(context, least_ms: int, most_ms: int) -> None:
+    """Check that the call failed, and when."""
+    assert context.error is not None
+    took_ms = context.measures.took_s * 1000
+    assert least_ms <= took_ms <= most_ms, took_ms
+
+
+@then("the call fails, at most {slack_ms:d} ms after its time")
+def check_call_failed(context, slack_ms: int) -> None:
+    """Check that the call failed, and when."""
+    assert context.error is not None
+    took_s = context.measures.took_s
+    assert took_s <= context.timeout_s + slack_ms / 1000, took_s
+
+
+@when("{count:d} objects of {size:d} bytes are written, and watched from before")
+def watch_large(context, count: int, size: int) -> None:
+    """Watch changes that come in one large answer."""
+    before = context.client.list_kind("large").revision
+    context.values = {f"name-{number}": "a" * size for number in range(count)}
+    for name, value in context.values.items():
+        context.objects.write("large", name, value)
+    context.changes = context.client.watch("large", before, 1.0).changes
+
+
+@then("the watch shows all of them whole")
+def check_watched(context) -> None:
+    """Check the values of the changes."""
+    found = {change.item.name: change.item.value for change in context.changes}
+    assert found == context.values, [len(value) for value in found.values()]
--- a/features/support/endless.py
+++ b/features/support/endless.py
@@ -17,7 +17,8 @@
 SENDING_S = 2.5
 READ_BYTES = 65536
 SLOW_S = 0.1
-FIRST_READ_S = 0.4
+FIRST_READ_S = 0.8
+QUIET_S = 0.05
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 REQUEST = b"POST /order/1 HTTP/1.1\r\nHost: mesh.example\r\n"
@@ -108,10 +109,12 @@
 
 
 def answer_request(sock: socket.socket, script: Script) -> None:
-    """Take the head of a request, and answer it without end."""
+    """Take a request, and answer it without end."""
     with sock, contextlib.suppress(OSError):
         time.sleep(script.read_pause_s)
         sock.recv(READ_BYTES)
+        while select.select([sock], [], [], QUIET_S)[0] and sock.recv(READ_BYTES):
+            pass
         sock.setblocking(False)
         send_script(sock, script)
 
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -106,7 +106,9 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.answers:
-                raise MalformedMessageError(str(error)) from error
+                # The parser's own words for a bound say only where it was.
+                reason = str(error.__context__ or error)
+                raise MalformedMessageError(reason) from error
             self.extra = True
         if not self.answers and len(self._body) == body_bytes:
             self._count_head(len(data))
@@ -264,20 +266,26 @@
         """Send the bytes of a request; raises `OSError`."""
         send_whole(self.sock, data, max(timeout_s, MIN_TIMEOUT_S))
 
-    def read(self, parser: AnswerParser, timeout_s: float) -> Answer:
+    def read(
+        self, parser: AnswerParser, timeout_s: float, silence_s: float | None = None
+    ) -> Answer:
         """Read until the parser has an answer; raises `OSError`.
 
-        The time is for the whole answer, in however many pieces it comes.
+        The time is for the whole answer, in however many pieces it comes; a silence
+        that is given is for each of them.
         """
+        timeout_s = max(timeout_s, MIN_TIMEOUT_S)
         if not parser.answers:
-            self._read_within(parser, max(timeout_s, MIN_TIMEOUT_S))
+            self._read_within(parser, timeout_s, silence_s or timeout_s)
         return parser.answers.pop(0)
 
-    def _read_within(self, parser: AnswerParser, timeout_s: float) -> None:
+    def _read_within(
+        self, parser: AnswerParser, timeout_s: float, silence_s: float
+    ) -> None:
         try:
             with Alarm(timeout_s):
                 while not parser.answers:
-                    take_piece(parser, receive_next(self.sock, RECEIVE_BYTES))
+                    take_piece(parser, self._receive(timeout_s, silence_s))
         except TimeoutError:
             # What came while others had their turn is taken all the same.
             data = receive_ready(self.sock, LAST_RECEIVE_BYTES)
@@ -286,6 +294,13 @@
             if not parser.answers:
                 raise
 
+    def _receive(self, timeout_s: float, silence_s: float) -> bytes:
+        """Receive a piece, at whose silence the time ends sooner than the whole."""
+        if silence_s >= timeout_s:
+            return receive_next(self.sock, RECEIVE_BYTES)
+        with Alarm(silence_s):
+            return receive_next(self.sock, RECEIVE_BYTES)
+
     def is_clean(self) -> bool:
         """Tell whether the idle connection is open and nothing came on it."""
         try:
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -20,9 +20,13 @@
 )
 
 CALL_TIMEOUT_S = 1.0
+# A page of 1 MB takes longer than a call on a slow link, but is not silent.
+LIST_TIMEOUT_S = 4.0
 DIAL_TIMEOUT_S = 0.7
 WATCH_MARGIN_S = 2.0
 RETRY_PAUSE_S = 0.1
+# Of one answer; a page has about 1 MB, a watch may bring many objects of 1 MB.
+MAX_ANSWER_BYTES = 16 << 20
 
 
 class Stored(NamedTuple):
@@ -97,12 +101,16 @@
             return None
         return decode_object(decode_body(answer))
 
-    def list_kind(self, kind: str, timeout_s: float = CALL_TIMEOUT_S) -> Listing:
-        """Read all objects of a kind, page by page."""
+    def list_kind(self, kind: str, timeout_s: float = LIST_TIMEOUT_S) -> Listing:
+        """Read all objects of a kind, page by page, each within the time.
+
+        A store that is silent for the time of a call is given up before.
+        """
         items: list[Stored] = []
         query = ""
         while True:
-            answer = self._call("GET", f"/objects/{kind}{query}", None, timeout_s)
+            path = f"/objects/{kind}{query}"
+            answer = self._call("GET", path, None, timeout_s, CALL_TIMEOUT_S)
             if answer.status == 404:
                 return Listing([], 0)
             page = decode_body(answer)
@@ -162,7 +170,7 @@
         data = msgspec.json.encode(body)
         end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
         while True:
-            left_s = (end_ns - self._clock.now_ns()) / NS_PER_S
+            left_s = self._find_left_s(end_ns)
             try:
                 answer = self._call(method, path, data, min(left_s, CALL_TIMEOUT_S))
             except PlatformError:
@@ -178,7 +186,12 @@
             raise ConflictError(current)
 
     def _call(
-        self, method: str, path: str, data: bytes | None, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        data: bytes | None,
+        timeout_s: float,
+        silence_s: float | None = None,
     ) -> Answer:
         """Make one call; raises `PlatformError` unless it was answered."""
         self._counters.count("store_calls", method=method)
@@ -190,9 +203,9 @@
         connection = None
         try:
             connection = self._take(min(timeout_s, DIAL_TIMEOUT_S))
-            left_s = (end_ns - self._clock.now_ns()) / NS_PER_S
-            connection.send(message, left_s)
-            answer = connection.read(AnswerParser(), left_s)
+            connection.send(message, self._find_left_s(end_ns))
+            parser = AnswerParser(max_body_bytes=MAX_ANSWER_BYTES)
+            answer = connection.read(parser, self._find_left_s(end_ns), silence_s)
         except (OSError, MalformedMessageError) as error:
             if connection is not None:
                 connection.close()
@@ -205,6 +218,9 @@
         self._keep(connection, answer)
         return self._check(answer)
 
+    def _find_left_s(self, end_ns: int) -> float:
+        return (end_ns - self._clock.now_ns()) / NS_PER_S
+
     def _check(self, answer: Answer) -> Answer:
         if answer.status == 429:
             self._counters.count("store_calls_failed", reason="429")
