Count as head only what comes without a body since its last byte

The bound on heads counted every piece without a byte of a body, so an answer whose target sends the sizes of its chunks on their own was given up after 32 KiB of sizes. Each byte of a body now starts the count anew; what takes memory without end (a head, a trailer, interim answers) has no body in between.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -37,6 +37,7 @@
       | an answer a piece each 100 ms           |
       | 1000000 bytes in chunks of 10 bytes     |
       | 3000000 bytes of known length           |
+      | chunks whose sizes come apart           |
       | 40 interim answers before its own       |
       | a head of 16000 bytes                   |
 
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -24,6 +24,7 @@
 MB = 1_000_000
 TURN_S = 0.005
 PIECE_S = 0.1
+APART_S = 0.002
 HEAD = endless.HEAD
 LISTING = (
     '{"items":[{"metadata":{"name":"one","revision":3},"specification":7}],'
@@ -109,6 +110,16 @@
     return b"0123456789" * 100_000
 
 
+def send_apart(sock: socket.socket) -> bytes:
+    """Send the sizes of chunks, 50000 bytes with what extends them, on their own."""
+    sock.sendall(HEAD + endless.CHUNKED)
+    for piece in [b"1;" + b"x" * 1000 + b"\r\n", b"a\r\n"] * 50:
+        gevent.sleep(APART_S)
+        sock.sendall(piece)
+    sock.sendall(b"0\r\n\r\n")
+    return b"a" * 50
+
+
 def send_sized(sock: socket.socket, size: int, before: bytes = HEAD) -> bytes:
     """Send an answer with a body of a size and return the body."""
     body = b"a" * size
@@ -132,6 +143,7 @@
     "a listing in 1500 ms": send_listing,
     "nothing at all": lambda _sock: b"",
     "1000000 bytes in chunks of 10 bytes": send_chunks,
+    "chunks whose sizes come apart": send_apart,
     "3000000 bytes of known length": lambda sock: send_sized(sock, 3_000_000),
     "3000 bytes of known length": lambda sock: send_sized(sock, 3000),
     "40 interim answers before its own": lambda sock: send_sized(
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -110,7 +110,9 @@
                 reason = str(error.__context__ or error)
                 raise MalformedMessageError(reason) from error
             self.extra = True
-        if not self.answers and len(self._body) == body_bytes:
+        if len(self._body) > body_bytes:
+            self._head_bytes = 0
+        elif not self.answers:
             self._count_head(len(data))
 
     def finish(self) -> None:
@@ -127,7 +129,7 @@
         self._is_closing = False
 
     def _count_head(self, size: int) -> None:
-        """Count bytes of the connection that brought no body."""
+        """Count bytes that brought no body since the last one that did."""
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES:
             raise MalformedMessageError("the answer's head is too large")
