Hold callers to the time and size of a whole request

A caller that sent a byte at a time held a connection for ever, since headerTimeoutMs began anew with each receive. A head beyond maxHeaderBytes was taken where it came in one piece; trailers were not bounded at all; a body in chunks of one byte took ten times its size; and a caller whose requests are always there kept the event loop to itself.

The time of a head now counts from its first piece, a body may be silent as long as a head may take, and a request has 60 s as a whole (64 MiB at 9 Mbit/s). Headers are counted as they are parsed, trailers with them; bytes that bring no body are counted since the last one that did. Each piece is received after a turn of the event loop, and what came by the end of the time is still taken, once. `finish_sending` reads the same way. The idle timeout is as it was.

Evidence: mesh_endless.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -107,3 +107,48 @@
     Given a store and a client of it
     When 8 objects of 1000000 bytes are written, and watched from before
     Then the watch shows all of them whole
+
+  # Guards against callers that hold a connection for ever, a byte at a time, that take
+  # the memory of a node, or leave no turn to others.
+  Scenario Outline: A caller that sends <bytes> without end is refused in time
+    Given a listener whose callers have 600 ms for a head and 2000 ms for a request
+    When a caller sends <bytes> to it without end
+    Then the caller is answered with <status> and gone within 3000 ms
+    And at most 6 MB were taken meanwhile
+    And others waited at most 250 ms for their turn
+    And nothing was served
+
+    Examples:
+      | bytes                              | status |
+      | requests' headers                  | 431    |
+      | one header of a request            | 431    |
+      | a target of a request              | 431    |
+      | a head of 20000 bytes in one piece | 431    |
+      | trailers of a request              | 431    |
+      | one trailer of a request           | 431    |
+      | a body in chunks of one byte       | 413    |
+      | bytes that are no request          | 400    |
+      | a slow head of a request           | 408    |
+      | a slow body of a request           | 408    |
+
+  # Guards against a caller whose requests are always there, so that others wait.
+  Scenario: Requests that come without end leave others their turn
+    Given a listener whose callers have 600 ms for a head and 2000 ms for a request
+    When a caller sends whole requests to it without end
+    Then its requests were served
+    And others waited at most 250 ms for their turn
+
+  # Guards against limits that cut off callers who keep within them.
+  Scenario Outline: A caller that sends <request> is served
+    Given a listener whose callers have 600 ms for a head and 2000 ms for a request
+    When a caller sends <request>
+    Then it is answered with 200 and the listener got its body whole
+
+    Examples:
+      | request                                        |
+      | a head of 16000 bytes in one piece             |
+      | a head in 4 pieces, one each 100 ms            |
+      | a body in 8 pieces, one each 100 ms            |
+      | a body of 1000000 bytes in chunks of 10 bytes  |
+      | a body whose chunks' sizes come apart          |
+      | two requests, the second 800 ms after the first |
--- a/features/support/endless.py
+++ b/features/support/endless.py
@@ -67,6 +67,7 @@
     # Of callers.
     "requests' headers": Script(REQUEST, repeat(b"a: b\r\n")),
     "one header of a request": Script(REQUEST + b"X-Long: ", repeat(b"a")),
+    "a target of a request": Script(b"GET /", repeat(b"a")),
     "a slow head of a request": Script(REQUEST + b"X-Long: ", b"a", SLOW_S),
     "a body in chunks of one byte": Script(REQUEST + CHUNKED, repeat(b"1\r\na\r\n")),
     "trailers of a request": Script(
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -1,6 +1,7 @@
 """Connections of callers: requests read one after the other, answered in order."""
 
 import socket as system_socket
+import time
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -14,18 +15,30 @@
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.departures import CallerGoneError, DepartureWatch
 from knapweedrock.mesh.http import (
+    MIN_TIMEOUT_S,
     RECEIVE_BYTES,
     Headers,
+    HeadTooLargeError,
     MalformedMessageError,
     Request,
     RequestParser,
     encode_answer,
     encode_head_answer,
 )
-from knapweedrock.sockets import disable_delay, receive_within, send_whole
+from knapweedrock.sockets import (
+    disable_delay,
+    receive_next,
+    receive_ready,
+    send_whole,
+)
+from knapweedrock.timers import Alarm
 
 BACKLOG = 2048
 SEND_TIMEOUT_S = 10.0
+# For a whole request with its body; 64 MiB take as long at 9 Mbit/s.
+REQUEST_TIMEOUT_S = 60.0
+# Time for a caller that is turned away to read its answer.
+FINISH_TIMEOUT_S = 1.0
 # Time in which connections that wait are accepted.
 ACCEPT_S = 0.01
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -157,26 +170,21 @@
     def _read(self, sock: socket.socket, parser: RequestParser) -> Request | None:
         """Read the next request; None where the connection ends."""
         limits = self._find_limits()
+        parser.max_head_bytes = limits.max_header_bytes
+        began_s = time.monotonic()
         while not parser.requests:
-            try:
-                data = self._receive(sock, parser, limits)
-            except TimeoutError:
-                if not parser.is_idle():
-                    self._refuse(sock, 408)
+            was_idle = parser.is_idle()
+            wait_s = find_wait_s(parser, limits, began_s)
+            data = self._receive(sock, was_idle, wait_s)
+            if data == b"" or (data is None and was_idle):
                 return None
-            if not data:
-                return None
-            try:
-                parser.feed(data)
-            except MalformedMessageError as error:
-                log.info("malformed request", reason=error)
-                self._refuse(sock, 400)
-                return None
-            if parser.head_bytes > limits.max_header_bytes and parser.in_head:
-                self._refuse(sock, 431)
-                return None
-            if parser.body_bytes > limits.max_body_bytes:
-                self._refuse(sock, 413)
+            if was_idle:
+                began_s = time.monotonic()
+            status = take_piece(parser, data, limits)
+            if not status and wait_s <= 0 and not parser.requests:
+                status = 408
+            if status:
+                self._refuse(sock, status)
                 return None
             if parser.in_body and parser.expects_continue:
                 parser.expects_continue = False
@@ -184,14 +192,17 @@
         return parser.requests.pop(0)
 
     def _receive(
-        self, sock: socket.socket, parser: RequestParser, limits: Limits
-    ) -> bytes:
-        is_idle = parser.is_idle()
-        wait_ms = limits.idle_timeout_ms if is_idle else limits.header_timeout_ms
+        self, sock: socket.socket, is_idle: bool, wait_s: float
+    ) -> bytes | None:
+        """Receive a piece, empty at the end of the connection, None for no piece."""
         if is_idle:
             self._idle.add(sock)
         try:
-            return receive_within(sock, RECEIVE_BYTES, wait_ms / 1000)
+            with Alarm(max(wait_s, MIN_TIMEOUT_S)):
+                return receive_next(sock, RECEIVE_BYTES)
+        except TimeoutError:
+            # What came while others had their turn is taken all the same.
+            return receive_ready(sock, RECEIVE_BYTES)
         finally:
             self._idle.discard(sock)
 
@@ -200,6 +211,37 @@
         finish_sending(sock)
 
 
+def find_wait_s(parser: RequestParser, limits: Limits, began_s: float) -> float:
+    """Find how long the next piece may take, for a request that began at a time.
+
+    A body may be silent as long as a head may take as a whole.
+    """
+    if parser.is_idle():
+        return limits.idle_timeout_ms / 1000
+    header_s = limits.header_timeout_ms / 1000
+    spent_s = time.monotonic() - began_s
+    if parser.in_head:
+        return header_s - spent_s
+    return min(header_s, REQUEST_TIMEOUT_S - spent_s)
+
+
+def take_piece(parser: RequestParser, data: bytes | None, limits: Limits) -> int:
+    """Parse a piece, None for one that did not come in time.
+
+    Returns the status of the refusal, 0 where the request may go on.
+    """
+    if data is None:
+        return 408
+    try:
+        parser.feed(data)
+    except HeadTooLargeError:
+        return 431
+    except MalformedMessageError as error:
+        log.info("malformed request", reason=error)
+        return 400
+    return 413 if parser.body_bytes > limits.max_body_bytes else 0
+
+
 def encode_reply(request: Request, reply: Reply, closes: bool) -> bytes:
     """Encode the answer to a request."""
     status, headers, body = reply.status, reply.headers, reply.body
@@ -220,8 +262,8 @@
     """Let the other end read all before the connection is closed."""
     with suppress(OSError):
         sock.shutdown(system_socket.SHUT_WR)
-        with gevent.Timeout(1.0, False):
-            while sock.recv(RECEIVE_BYTES):
+        with Alarm(FINISH_TIMEOUT_S):
+            while receive_next(sock, RECEIVE_BYTES):
                 pass
 
 
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -22,6 +22,8 @@
 LAST_RECEIVE_BYTES = 1 << 20
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
+# The colon and the end of a header's line.
+HEADER_MARK_BYTES = 3
 BODILESS = frozenset({204, 304})
 # Of one answer, with the interim ones before it and all that is no body.
 MAX_HEAD_BYTES = 32 << 10
@@ -53,6 +55,10 @@
     """Bytes that are not a message of the protocol."""
 
 
+class HeadTooLargeError(MalformedMessageError):
+    """More bytes than a head may have, or as many that bring no body."""
+
+
 class Answer(NamedTuple):
     """A whole answer; `reusable` tells whether its connection can go on."""
 
@@ -183,25 +189,33 @@
 
 
 class RequestParser:
-    """Collects the requests of one caller's connection."""
+    """Collects the requests of one caller's connection.
+
+    A head has `max_head_bytes` at most.
+    """
 
     def __init__(self) -> None:
+        self.max_head_bytes = MAX_HEAD_BYTES
         self.requests: list[Request] = []
         self.in_head = False
         self.in_body = False
-        self.head_bytes = 0
         self.body_bytes = 0
         self.expects_continue = False
+        # Bytes since the last piece that ended a request or brought some of a body.
+        self._bare_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises `MalformedMessageError`."""
-        if not self.in_body:
-            self.head_bytes += len(data)
+        self._bare_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error.__context__, HeadTooLargeError):
+                raise error.__context__ from None
             raise MalformedMessageError(str(error)) from error
+        if self._bare_bytes > self.max_head_bytes:
+            raise HeadTooLargeError("too many bytes without a body")
 
     def is_idle(self) -> bool:
         """Tell whether no request has begun."""
@@ -212,17 +226,25 @@
         self.in_head = True
         self.body_bytes = 0
         self.expects_continue = False
+        self._head_bytes = 0
         self._target: list[bytes] = []
         self._headers: Headers = []
         self._fields: dict[str, str] = {}
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self.max_head_bytes:
+            raise HeadTooLargeError("the request's head is too large")
 
     def on_url(self, data: bytes) -> None:
         """Take a piece of the request target."""
+        self._count_head(len(data))
         self._target.append(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header."""
+        """Take one header, or one that follows the body."""
+        self._count_head(len(name) + len(value) + HEADER_MARK_BYTES)
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
         self._headers.append((key, text))
@@ -237,20 +259,21 @@
     def on_body(self, data: bytes) -> None:
         """Take a piece of the body."""
         self.body_bytes += len(data)
-        self._chunks.append(data)
+        self._bare_bytes = 0
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Take the end of a request."""
         self.in_head = False
         self.in_body = False
-        self.head_bytes = 0
+        self._bare_bytes = 0
         self.requests.append(
             Request(
                 self._parser.get_method().decode("latin-1"),
                 b"".join(self._target).decode("latin-1"),
                 self._headers,
                 self._fields,
-                b"".join(self._chunks),
+                bytes(self._body),
                 bool(self._parser.should_keep_alive()),
             )
         )
--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -1,13 +1,10 @@
 """Socket options that every connection gets."""
 
 import socket
-from contextlib import suppress
 
 from gevent import get_hub
 from gevent import socket as gevent_socket
 
-from knapweedrock.timers import Alarm
-
 
 def disable_delay(sock: socket.socket) -> None:
     """Send small writes at once instead of waiting for an acknowledgement."""
@@ -31,17 +28,6 @@
         sock.sendall(memoryview(data)[sent:])
 
 
-def receive_within(sock: gevent_socket.socket, size: int, timeout_s: float) -> bytes:
-    """Receive some data, empty at its end; raises `OSError`."""
-    with suppress(BlockingIOError):
-        return sock._sock.recv(size)
-    with Alarm(timeout_s):
-        while True:
-            get_hub().wait(sock._read_event)
-            with suppress(BlockingIOError):
-                return sock._sock.recv(size)
-
-
 def receive_ready(sock: gevent_socket.socket, size: int) -> bytes | None:
     """Receive what has come, empty at its end, None for nothing; raises `OSError`."""
     try:
