End a command that reads a page of a broken node within its time

A command of operators hung, and filled its machine, at a node that sends without end: its client reads data that is always there without a turn of the event loop, so that the timeout around it never goes off, and bounds nothing. Commands read with the mesh's own reader now, which gives a turn with each piece, in 5 s as a whole and 16 MiB at most.

Evidence: mesh_endless, a page read within 600 ms.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -152,3 +152,19 @@
       | a body of 1000000 bytes in chunks of 10 bytes  |
       | a body whose chunks' sizes come apart          |
       | two requests, the second 800 ms after the first |
+
+  # Guards against a command that hangs, or fills its machine, at a broken node.
+  Scenario Outline: A command that reads <bytes> from a node ends in time
+    Given a sender of <bytes> without end
+    When a page of that node is read within 600 ms
+    Then it fails with code <code>, at most 500 ms after its time
+    And at most 40 MB were taken meanwhile
+
+    Examples:
+      | bytes                 | code |
+      | headers               | 208  |
+      | one header            | 208  |
+      | chunks of one byte    | 208  |
+      | a body without length | 208  |
+      | interim answers       | 208  |
+      | a slow body           | 208  |
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -14,18 +14,19 @@
 from features.support import endless
 from features.support.endless import CHUNKED, GET, REQUEST
 from features.support.servers import start_socket_server
-from knapweedrock.checker import parse_address
+from knapweedrock.checker import Address, parse_address
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
-from knapweedrock.errors import PlatformError
+from knapweedrock.errors import LinkError, PlatformError
 from knapweedrock.mesh import callers
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
 from knapweedrock.mesh.gateway import PROBE_TIMEOUT_S
 from knapweedrock.mesh.http import AnswerParser, Request, dial
+from knapweedrock.operators import client
 from knapweedrock.platform.store import Listing, Store, Stored
 
 MB = 1_000_000
@@ -482,3 +483,27 @@
     """Check the answer and the body that was read."""
     assert context.status == status, context.status
     assert context.served[-1] == context.body, context.served[-1][:100]
+
+
+@when("a page of that node is read within {timeout_ms:d} ms")
+def read_page(context, timeout_ms: int) -> None:
+    """Read a page as the commands of operators do."""
+    context.timeout_s = timeout_ms / 1000
+    context.error = None
+    with (
+        mock.patch.object(client, "TIMEOUT_S", context.timeout_s),
+        measure(context),
+    ):
+        try:
+            client.fetch(Address(*context.address), "/status")
+        except LinkError as error:
+            context.error = error
+
+
+@then("it fails with code {code:d}, at most {slack_ms:d} ms after its time")
+def check_page_failed(context, code: int, slack_ms: int) -> None:
+    """Check the code and the time of the failure."""
+    took_s = context.measures.took_s
+    assert took_s <= context.timeout_s + slack_ms / 1000, took_s
+    assert context.error is not None
+    assert context.error.code == Code(code), context.error
--- a/knapweedrock/http_client.py
+++ b/knapweedrock/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client for callers and operators: no delayed writes, no hidden retries."""
+"""HTTP client for callers and tests: no delayed writes, no hidden retries."""
 
 from http.client import HTTPException
 
--- a/knapweedrock/operators/client.py
+++ b/knapweedrock/operators/client.py
@@ -9,9 +9,16 @@
 from knapweedrock.checker import Address
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
+from knapweedrock.mesh.http import (
+    AnswerParser,
+    MalformedMessageError,
+    dial,
+    encode_request,
+)
 
 TIMEOUT_S = 5.0
+# Of one page; a dump of a large mesh has some MB.
+MAX_PAGE_BYTES = 16 << 20
 
 
 def fetch_first(addresses: Iterable[Address], target: str) -> dict[str, Any]:
@@ -51,18 +58,27 @@
 
 def fetch(address: Address, target: str) -> tuple[int, bytes]:
     """Send one request once and read the whole answer, or raise by code."""
-    client = create_client(str(address), TIMEOUT_S)
     try:
         with gevent.Timeout(TIMEOUT_S):
-            response = client.request("GET", target)
-            return response.status_code, bytes(response.read())
+            return exchange(address, target)
     except ConnectionRefusedError as error:
         raise LinkError(Code.PEER_UNREACHABLE, f"{address}: {error}") from None
-    except (*EXCHANGE_ERRORS, gevent.Timeout) as error:
+    except (OSError, MalformedMessageError, gevent.Timeout) as error:
         detail = f"{address}: {error or 'no answer in time'}"
         raise LinkError(Code.PEER_LOST, detail) from None
+
+
+def exchange(address: Address, target: str) -> tuple[int, bytes]:
+    """Send one request on a connection of its own and read the whole answer."""
+    connection = dial((address.host, address.port), TIMEOUT_S)
+    try:
+        headers = [("Host", str(address)), ("Connection", "close")]
+        connection.send(encode_request("GET", target, headers, b""), TIMEOUT_S)
+        parser = AnswerParser(max_body_bytes=MAX_PAGE_BYTES)
+        answer = connection.read(parser, TIMEOUT_S)
     finally:
-        client.close()
+        connection.close()
+    return answer.status, answer.body
 
 
 def decode_answer(address: Address, content: bytes) -> dict[str, Any]:
