Give a turn with each receive on a link, so that a handshake ends in time

A node stood still at a dialled link whose other end refuses with a body of small chunks without end: data that is always there was read without a turn of the event loop, so that the 400 ms of the dial never went off, and the library takes ever longer for each chunk of a refusal. Links now receive after a turn, and 4 KiB at once in the handshake. Heads of handshakes were bounded by the library already, and its times are for the whole.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -168,3 +168,34 @@
       | a body without length | 208  |
       | interim answers       | 208  |
       | a slow body           | 208  |
+
+  # Guards against a peer, or another program at its address, at whose answer a node
+  # stands still.
+  Scenario Outline: A link is not opened where <bytes> come without end
+    Given a sender of <bytes> without end
+    When a link to that sender is dialled within 400 ms
+    Then it is not opened, at most 500 ms after its time
+    And at most 6 MB were taken meanwhile
+
+    Examples:
+      | bytes                 |
+      | headers               |
+      | one header            |
+      | chunks of one byte    |
+      | a body without length |
+      | a slow head           |
+      | a slow body           |
+
+  Scenario Outline: A listener for links turns <bytes> without end away
+    Given a listener for links
+    When that listener gets <bytes> without end
+    Then its handshake fails within 1500 ms
+    And at most 6 MB were taken meanwhile
+    And others waited at most 250 ms for their turn
+
+    Examples:
+      | bytes                   |
+      | requests' headers       |
+      | one header of a request |
+      | a target of a request   |
+      | a slow head of a request |
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -10,6 +10,7 @@
 import gevent
 from behave import given, then, when
 from gevent import socket, subprocess
+from gevent.server import StreamServer
 
 from features.support import endless
 from features.support.endless import CHUNKED, GET, REQUEST
@@ -20,7 +21,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import LinkError, PlatformError
-from knapweedrock.mesh import callers
+from knapweedrock.mesh import callers, connections
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
@@ -507,3 +508,60 @@
     assert took_s <= context.timeout_s + slack_ms / 1000, took_s
     assert context.error is not None
     assert context.error.code == Code(code), context.error
+
+
+@given("a listener for links")
+def give_link_listener(context) -> None:
+    """Start a listener that takes links as a node does."""
+    context.handshakes = []
+
+    def take(sock: socket.socket, _address: tuple) -> None:
+        began_s = time.monotonic()
+        try:
+            connections.accept(sock, lambda *_: None)
+            failed = False
+        except OSError:
+            failed = True
+        context.handshakes.append((failed, time.monotonic() - began_s))
+
+    context.server = StreamServer(create_address(), take)
+    context.server.start()
+    context.add_cleanup(context.server.stop, 0)
+
+
+@when("a link to that sender is dialled within {timeout_ms:d} ms")
+def dial_link(context, timeout_ms: int) -> None:
+    """Dial a link at an address where no node answers."""
+    context.timeout_s = timeout_ms / 1000
+    context.error = None
+    address = "{}:{}".format(*context.address)
+    with measure(context):
+        try:
+            connections.dial(address, {}, timeout_ms)
+        except OSError as error:
+            context.error = error
+
+
+@when("that listener gets {kind} without end")
+def send_to_links(context, kind: str) -> None:
+    """Let a process send to the listener for links."""
+    with measure(context):
+        caller = start_sender(context, kind, str(context.server.server_port))
+        while caller.poll() is None or not context.handshakes:
+            gevent.sleep(TURN_S)
+
+
+@then("it is not opened, at most {slack_ms:d} ms after its time")
+def check_not_opened(context, slack_ms: int) -> None:
+    """Check that the dial failed, and when."""
+    took_s = context.measures.took_s
+    assert took_s <= context.timeout_s + slack_ms / 1000, took_s
+    assert context.error is not None
+
+
+@then("its handshake fails within {limit_ms:d} ms")
+def check_handshake(context, limit_ms: int) -> None:
+    """Check how the handshake ended, and when."""
+    [(failed, took_s)] = context.handshakes
+    assert failed
+    assert took_s * 1000 <= limit_ms, took_s
--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -19,10 +19,12 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
-from knapweedrock.sockets import disable_delay, send_whole
+from knapweedrock.sockets import disable_delay, receive_next, send_whole
 
 MAX_FRAME_BYTES = 16 << 20
 RECEIVE_BYTES = 64 << 10
+# Taken at once; the library is slow at a refusal whose body has many small chunks.
+HANDSHAKE_BYTES = 4 << 10
 HANDSHAKE_TIMEOUT_MS = 1000
 CONTROL_FRAMES = frozenset({Opcode.CLOSE, Opcode.PING, Opcode.PONG})
 
@@ -104,16 +106,16 @@
     def _receive_first(self) -> Event:
         """Receive the first event, which is the other end's handshake."""
         while not self._events:
-            is_open = self._receive_events()
+            is_open = self._receive_events(HANDSHAKE_BYTES)
             if self._protocol.handshake_exc is not None:
                 raise self._protocol.handshake_exc
             if not is_open:
                 raise ConnectionError("closed in the handshake")
         return self._events.pop(0)
 
-    def _receive_events(self) -> bool:
+    def _receive_events(self, size: int = RECEIVE_BYTES) -> bool:
         """Receive some bytes; tell whether more may follow."""
-        data = self._sock.recv(RECEIVE_BYTES)
+        data = receive_next(self._sock, size)
         if not data:
             return False
         self.received += len(data)
