Lease for three intervals of heartbeats at least

Cause: a target ends keyed work with 500 once the hold has run out under which the work began, whatever was granted since. With leases of 3 s and heartbeats each 1.5 s work has as little as 1 s; a twentieth of the orders took longer. Each has used a slot for 1.2 to 2.8 s, and orders are not asked for again.

Ruled out: lost leases and late heartbeats (the node's own count of the hold had 1.2 to 1.7 s left), moves of the key, calls that failed.

What it costs: the keys of a VM that is lost without a word have no owner for 1.5 s more where heartbeats come each 1.5 s.

--- a/features/mesh_holds.feature
+++ b/features/mesh_holds.feature
@@ -73,3 +73,14 @@
     And nothing is reported as unheld
     When its target, which holds nothing, sends a heartbeat
     Then the row is reported as unheld
+
+  # Guards against work that ends with an error as the hold under which it began runs out
+  Scenario Outline: Work that begins at any time may take longer than heartbeats are apart
+    Given heartbeats of a target that come each <apart> ms
+    When its node is leased rights 400 ms before a heartbeat
+    Then work that begins just before the next one has <work> ms until its hold runs out
+
+    Examples:
+      | apart | work |
+      | 870   | 1300 |
+      | 1500  | 2250 |
--- a/features/steps/mesh_holds.py
+++ b/features/steps/mesh_holds.py
@@ -9,6 +9,7 @@
     create_row,
     create_span,
 )
+from knapweedrock.mesh.coordinator import find_lease_ms
 from knapweedrock.mesh.holds import Holds
 
 MAX_HOLD_MS = 10_000
@@ -205,3 +206,24 @@
 def send_first_half(context) -> None:
     """Send a heartbeat that lists the first half alone."""
     beat(context, held=(create_span(context.whole._replace(end=49)),))
+
+
+@given("heartbeats of a target that come each {apart_ms:d} ms")
+def give_interval(context, apart_ms: int) -> None:
+    """Set how far heartbeats are apart."""
+    context.apart_ms = apart_ms
+
+
+@when("its node is leased rights {ms:d} ms before a heartbeat")
+def lease_before(context, ms: int) -> None:
+    """Lease the rights that the coordinator gives, and let a heartbeat come."""
+    give_node(context, find_lease_ms(context.apart_ms))
+    context.clock.pass_ms(ms)
+    beat(context)
+
+
+@then("work that begins just before the next one has {ms:d} ms until its hold runs out")
+def check_left(context, ms: int) -> None:
+    """Check what is left of the hold when the next heartbeat is due."""
+    left_ms = context.reply.hold_ms - context.apart_ms
+    assert left_ms >= ms, left_ms
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -25,9 +25,12 @@
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
 
-# Length of the leases that nodes get; short, as the keys of a VM that is gone without
-# a word move once its lease has run out.
+# Least length of the leases that nodes get; short, as the keys of a VM that is gone
+# without a word move once its lease has run out.
 LEASE_MS = 3000
+# Intervals of heartbeats in a lease at least: work is bound to the hold under which it
+# began, which may be that of the heartbeat before.
+LEASE_INTERVALS = 3
 # Longest leases that a former coordinator may have given, from when its term ended.
 FORMER_LEASE_MS = OUTAGE_MS - TERM_MS
 LEASE_MARGIN_MS = 150
@@ -142,8 +145,10 @@
         """Note that a node was heard, and return the length of its lease in ms."""
         known = self._heard.get(name, Heard(0, 0))
         outage_ms = self.term.get_outage_ms()
-        # No key can move while the store is away: leases are to outlast that.
-        lease_ms = outage_ms if self.term.is_store_away() else LEASE_MS
+        lease_ms = find_lease_ms(self._node.settings.heartbeat_interval_ms)
+        if self.term.is_store_away():
+            # No key can move while the store is away: leases are to outlast that.
+            lease_ms = outage_ms
         if not self.term.may_lease(name):
             # A successor may count on it that the node has none.
             lease_ms = 0
@@ -387,3 +392,9 @@
     return member._replace(
         target=known.target, instance=known.instance, slots=known.slots, state=state
     )
+
+
+def find_lease_ms(heartbeat_interval_ms: int) -> int:
+    """Find the length of leases for targets with this interval of heartbeats."""
+    wanted_ms = max(LEASE_MS, LEASE_INTERVALS * heartbeat_interval_ms)
+    return min(wanted_ms, FORMER_LEASE_MS)
