Pace long answers on a VM's link, so that short ones pass

Cause: a service's answers of 90 KB take a link of 5.5 Mbit/s for 0.13 s each and two thirds of it in all. Handed over whole they fill the link's queue, and short answers on other connections wait for them, refusals as well. A call of a run for a short answer took 382 ms of which its target took 100 and its queue 34; the run holds its own slot for so long. Targets of the calling service had all slots in use, by estimate a third of the time for the way of such answers.

Ruled out: the processors (0.04 of a core), the queue beside the called target, the target's own time.

A link of unknown bandwidth is not paced, and messages of requests are not: only answers.

--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -3,7 +3,7 @@
 One task reads a connection, straight from its socket; any task may send on it.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from socket import SHUT_RDWR
 
@@ -19,6 +19,7 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
+from knapweedrock.mesh.pacing import Pacer
 from knapweedrock.sockets import disable_delay, send_whole
 
 MAX_FRAME_BYTES = 16 << 20
@@ -38,17 +39,25 @@
         self.received = 0
         # Bytes that wait for the other end to take them.
         self.unsent = 0
+        # Shares the VM's link among its connections, where that is wanted.
+        self.pacer: Pacer | None = None
         self._protocol = protocol
         self._sending = False
         self._events: list[Event] = []
 
     def send(self, data: bytes) -> None:
         """Send a frame whole; raises `OSError`."""
+        self.unsent += len(data)
         try:
+            if self.pacer is not None:
+                self.pacer.wait_turn(len(data))
             self._protocol.send_binary(data)
         except InvalidState as error:
+            self._note_sent(len(data))
             raise ConnectionError(str(error)) from error
-        self.unsent += len(data)
+        except BaseException:
+            self._note_sent(len(data))
+            raise
         self._flush()
 
     def receive(self) -> Iterator[bytes]:
@@ -124,6 +133,13 @@
             self._flush()
         return not protocol.close_expected()
 
+    def _cut(self, data: bytes) -> Iterable[bytes | memoryview]:
+        return (data,) if self.pacer is None else self.pacer.cut(data)
+
+    def _note_sent(self, size: int) -> None:
+        # The bytes of frames' heads are sent as well, but not counted before.
+        self.unsent = max(0, self.unsent - size)
+
     def _flush(self) -> None:
         """Send what the protocol has to send, unless another task is about it.
 
@@ -134,9 +150,9 @@
         self._sending = True
         try:
             while pieces := self._protocol.data_to_send():
-                data = b"".join(pieces)
-                send_whole(self._sock, data)
-                self.unsent = max(0, self.unsent - len(data))
+                for data in self._cut(b"".join(pieces)):
+                    send_whole(self._sock, data)
+                    self._note_sent(len(data))
         except BaseException:
             self.shut_down()
             raise
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -11,7 +11,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.headers import HOP_HEADERS
-from knapweedrock.mesh.admission import INNER_RANK, Admission
+from knapweedrock.mesh.admission import INNER_RANK, MAX_KINDS, Admission
 from knapweedrock.mesh.exchanges import (
     BrokenExchangeError,
     Exchanges,
@@ -22,6 +22,7 @@
 from knapweedrock.mesh.loads import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded
 from knapweedrock.mesh.news import News
+from knapweedrock.mesh.pacing import BYTES_MS_A_MBPS
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
@@ -41,8 +42,8 @@
 HEALTHY = 200
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
-# Bytes that a link of 1 Mbit/s takes in a millisecond.
-BYTES_MS_A_MBPS = 125.0
+# Weight of one answer in the usual size of its route's.
+SIZE_WEIGHT = 0.05
 # Time until a silent target is heard again, or its keys have another owner.
 SILENT_RETRY_MS = 2000
 # Time before the end of a node in which its targets' last answers are passed on.
@@ -84,6 +85,8 @@
         self._counters = counters
         self._tell_crash = tell_crash
         self._target = node.target
+        # Usual size of answers of each route.
+        self._answer_bytes: dict[str, float] = {}
         self._queue_ms = node.histograms.create("queue_ms")
         self._service_ms = node.histograms.create("service_ms")
         address = node.settings.target
@@ -196,7 +199,13 @@
             raise
 
     def _check_link(self, request: Forward) -> None:
-        """Refuse where answers wait for the VM's link longer than the caller hopes."""
+        """Refuse where answers wait for the VM's link longer than the caller hopes.
+
+        Short answers pass the long ones that wait.
+        """
+        usual_bytes = self._answer_bytes.get(request.route)
+        if usual_bytes is not None and not self._node.links.pacer.is_long(usual_bytes):
+            return
         drain_ms = self.find_drain_ms()
         patience_ms = self.admission.find_patience_ms(
             request.objective_ms, request.remaining_ms, request.route
@@ -318,8 +327,15 @@
         if not is_sound(answer):
             raise KnapweedrockError(Code.ANSWER_TRUNCATED, "not the target's answer")
         self.suspects.clear(fingerprint)
+        self._note_size(request.route, len(answer.body))
         return self._create_done(request, answer)
 
+    def _note_size(self, route: str, size: int) -> None:
+        if route not in self._answer_bytes and len(self._answer_bytes) >= MAX_KINDS:
+            self._answer_bytes.clear()
+        usual = self._answer_bytes.get(route, size)
+        self._answer_bytes[route] = usual + (size - usual) * SIZE_WEIGHT
+
     def _create_done(self, request: Forward, answer: Answer) -> Forwarded:
         dropped = HOP_HEADERS - {LENGTH} if request.method == "HEAD" else HOP_HEADERS
         headers = [p for p in answer.headers if p[0].lower() not in dropped]
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -29,6 +29,7 @@
     encode_frame,
 )
 from knapweedrock.mesh.messages import Cancel, Done, Failed, Probe
+from knapweedrock.mesh.pacing import Pacer
 from knapweedrock.timers import Alarm
 
 DIAL_TIMEOUT_MS = 400
@@ -163,11 +164,14 @@
         address: tuple[str, int],
         clock: Clock,
         counters: Counters,
+        link_mbps: float = 0.0,
     ) -> None:
         self.node_id = node_id
         self.address = address
         self.handlers: dict[type, Handler] = {Probe: lambda _sender, _message: Done()}
         self.accepted: set[Connection] = set()
+        # Shares the VM's link among answers to all peers.
+        self.pacer = Pacer(link_mbps, clock)
         self._clock = clock
         self._counters = counters
         self._links: dict[str, Link] = {}
@@ -284,6 +288,7 @@
             return
         sender = request.headers[NODE_HEADER]
         self.accepted.add(connection)
+        connection.pacer = self.pacer
         running: dict[int, gevent.Greenlet] = {}
         try:
             for data in connection.receive():
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -79,7 +79,7 @@
         listen = settings.peer_listen or settings.peer
         # A restarted VM has another clock, so senders are told apart by processes.
         sender = f"{settings.node_id}/{self.process}"
-        self.links = Links(sender, listen, clock, self.counters)
+        self.links = Links(sender, listen, clock, self.counters, settings.link_mbps)
         self.transit = Transit(clock)
         self.store = Store(settings.store, clock, self.counters)
         self.follower = Follower(self.store, self._note_configuration, self._is_watcher)
--- a/knapweedrock/sockets.py
+++ b/knapweedrock/sockets.py
@@ -15,7 +15,7 @@
 
 
 def send_whole(
-    sock: gevent_socket.socket, data: bytes, timeout_s: float | None = None
+    sock: gevent_socket.socket, data: bytes | memoryview, timeout_s: float | None = None
 ) -> None:
     """Send all of the data; raises `OSError`.
 
