Let a node that stops wait until its link has taken its answers

Cause: a node that stops closed its links once its target had no request left. With paced answers long ones may wait for their turn then, and were lost. Found by reading, not by a play.

The new scenario fails without the change and passes with it.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -97,6 +97,12 @@
     When a node stops within 1 s while a request waits at another one
     Then the request is answered with status 504 before the node has ended
 
+  # Guards against answers that are lost as their node ends before the link took them
+  Scenario: A node that stops sends the answers that wait for its link
+    Given a mesh in which the VM of a target without keys has a link of 2 Mbit/s
+    When its target has answered 4 requests with 25 KB each, and its node stops
+    Then each of them gets its whole answer
+
   Scenario: A node that stops gives its target no more than the time that is left
     Given a mesh of 2 keyed targets
     When a node has 2000 ms left before it ends and gets a request that may take 6000 ms
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -343,6 +343,42 @@
     node.abort()
 
 
+@given("a mesh in which the VM of a target without keys has a link of {mbps:d} Mbit/s")
+def give_slow_link(context, mbps: int) -> None:
+    """Start a mesh of two targets, one of them beside a node with a slow link."""
+    context.mesh = Mesh(1, 1)
+    context.add_cleanup(context.mesh.stop)
+    place = context.mesh.places[1]
+    settings = place.settings._replace(link_mbps=float(mbps))
+    context.mesh.places[1] = place._replace(settings=settings)
+    context.mesh.start()
+
+
+@when(
+    "its target has answered {count:d} requests with {size:d} KB each,"
+    " and its node stops"
+)
+def stop_with_answers(context, count: int, size: int) -> None:
+    """Stop a node while its link still has answers to take."""
+    mesh = context.mesh
+    holder = mesh.places[1].holder
+    holder.padding = bytes(size * 1000)
+    context.calls = [
+        gevent.spawn(mesh.call, "node-0", f"/list/{number}") for number in range(count)
+    ]
+    ran = len(holder.runs) + count
+    mesh.wait_until(lambda: len(holder.runs) >= ran)
+    end_process(mesh.nodes.pop("node-1"))
+
+
+@then("each of them gets its whole answer")
+def check_whole_answers(context) -> None:
+    """Check what the callers got."""
+    size = len(context.mesh.places[1].holder.padding)
+    answers = [call.get(timeout=ANSWER_S) for call in context.calls]
+    assert all(a.status == 200 and len(a.body) > size for a in answers), answers
+
+
 @then("the request is answered before the node has ended")
 def check_answered(context) -> None:
     """Read the answer once the node has had the time to end."""
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -85,6 +85,8 @@
         self.zone = zone
         self.slots = 8
         self.work_ms = 5.0
+        # Bytes that each answer has beside what it tells.
+        self.padding = b""
         self.keyed = True
         self.cold_ms = 0.0
         self.silent_heartbeats = False
@@ -227,7 +229,7 @@
         headers = [(ATTEMPT_ID, attempt_id), (SIGNATURE, f"signed-{attempt_id}")]
         if self._random.random() < self.lost_share:
             raise ConnectionResetError("the answer is lost")
-        return Reply(200, headers, f"{attempt_id} {key}".encode())
+        return Reply(200, headers, f"{attempt_id} {key}".encode() + self.padding)
 
     def _beat(self) -> None:
         exchanges: Exchanges | None = None
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -211,11 +211,15 @@
             self.callers.end_requests()
             gevent.sleep(ENDING_S)
         self.gateway.closing = True
-        while self.clock.now_ns() < end_ns and self.gateway.in_flight:
+        while self.clock.now_ns() < end_ns and self._owes_answers():
             gevent.sleep(STOP_POLL_S)
         self.links.stop()
         log.info("node stopped", id=self.settings.node_id)
 
+    def _owes_answers(self) -> bool:
+        """Tell whether peers wait for answers of the target, or for bytes of them."""
+        return bool(self.gateway.in_flight or self.links.count_unsent())
+
     def _is_watcher(self) -> bool:
         return self.coordinator.term.leading or self.membership.is_watcher()
 
