--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -3,12 +3,13 @@
 One task reads a connection, straight from its socket; any task may send on it.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 from socket import SHUT_RDWR
 
 import gevent
 from gevent import socket
+from logbook import Logger
 from websockets.client import ClientProtocol
 from websockets.exceptions import InvalidState, WebSocketException
 from websockets.frames import Opcode
@@ -20,13 +21,15 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
 from knapweedrock.mesh.pacing import Pacer
-from knapweedrock.sockets import disable_delay, send_whole
+from knapweedrock.sockets import disable_delay
 
 MAX_FRAME_BYTES = 16 << 20
 RECEIVE_BYTES = 64 << 10
 HANDSHAKE_TIMEOUT_MS = 1000
 CONTROL_FRAMES = frozenset({Opcode.CLOSE, Opcode.PING, Opcode.PONG})
 
+log = Logger("links")
+
 Check = Callable[[ServerProtocol, Request], Response | None]
 
 
@@ -46,19 +49,17 @@
         self._events: list[Event] = []
 
     def send(self, data: bytes) -> None:
-        """Send a frame whole; raises `OSError`."""
+        """Send a frame without waiting for the other end; raises `OSError`.
+
+        A frame that has to wait its turn on the VM's link is left to a task.
+        """
         self.unsent += len(data)
-        try:
-            if self.pacer is not None:
-                self.pacer.wait_turn(len(data))
-            self._protocol.send_binary(data)
-        except InvalidState as error:
-            self._note_sent(len(data))
-            raise ConnectionError(str(error)) from error
-        except BaseException:
-            self._note_sent(len(data))
-            raise
-        self._flush()
+        if self._is_long(data):
+            gevent.spawn(self._send_in_turn, data)
+            return
+        if self.pacer is not None:
+            self.pacer.wait_turn(len(data))
+        self._send_now(data)
 
     def receive(self) -> Iterator[bytes]:
         """Yield the data of each frame until the connection ends.
@@ -133,32 +134,74 @@
             self._flush()
         return not protocol.close_expected()
 
-    def _cut(self, data: bytes) -> Iterable[bytes | memoryview]:
-        return (data,) if self.pacer is None else self.pacer.cut(data)
+    def _send_now(self, data: bytes) -> None:
+        try:
+            self._protocol.send_binary(data)
+        except InvalidState as error:
+            raise ConnectionError(str(error)) from error
+        self._flush()
+
+    def _send_in_turn(self, data: bytes) -> None:
+        self.pacer.wait_turn(len(data))
+        try:
+            self._send_now(data)
+        except OSError as error:
+            log.debug("connection broken", reason=error)
 
-    def _note_sent(self, size: int) -> None:
-        # The bytes of frames' heads are sent as well, but not counted before.
-        self.unsent = max(0, self.unsent - size)
+    def _is_long(self, data: bytes | memoryview) -> bool:
+        return self.pacer is not None and self.pacer.is_long(len(data))
 
     def _flush(self) -> None:
-        """Send what the protocol has to send, unless another task is about it.
+        """Send what the protocol has to send, unless a task is about it.
 
-        A frame that was cut short ends the connection.
+        What the system does not take at once is left to a task: one who sends may have
+        less time than the other end takes to read.
         """
         if self._sending:
             return
-        self._sending = True
+        while pieces := self._protocol.data_to_send():
+            data = b"".join(pieces)
+            sent = 0 if self._is_long(data) else self._send_at_once(data)
+            if sent < len(data):
+                self._sending = True
+                gevent.spawn(self._drain, memoryview(data)[sent:])
+                return
+
+    def _send_at_once(self, data: bytes) -> int:
+        """Send what the system takes now; a broken connection is ended."""
         try:
-            while pieces := self._protocol.data_to_send():
-                for data in self._cut(b"".join(pieces)):
-                    send_whole(self._sock, data)
-                    self._note_sent(len(data))
-        except BaseException:
+            sent = self._sock._sock.send(data)
+        except BlockingIOError:
+            return 0
+        except OSError:
             self.shut_down()
             raise
+        self._note_taken(sent)
+        return sent
+
+    def _drain(self, data: memoryview) -> None:
+        """Send the rest, and what comes to it meanwhile."""
+        try:
+            while data:
+                pieces = (data,) if self.pacer is None else self.pacer.cut(data)
+                for piece in pieces:
+                    self._send_piece(piece)
+                data = memoryview(b"".join(self._protocol.data_to_send()))
+        except OSError as error:
+            log.debug("connection broken", reason=error)
+            self.shut_down()
         finally:
             self._sending = False
 
+    def _send_piece(self, piece: memoryview) -> None:
+        while piece:
+            sent = self._sock.send(piece)
+            self._note_taken(sent)
+            piece = piece[sent:]
+
+    def _note_taken(self, size: int) -> None:
+        self.unsent = max(0, self.unsent - size)
+
 
 def dial(address: str, headers: dict[str, str], timeout_ms: float) -> Connection:
     """Open a connection; raises `OSError`."""
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -56,6 +56,8 @@
 STOP_POLL_S = 0.05
 # Time in which the last callers get their answers.
 ENDING_S = 0.1
+# Time in which peers take the last answers.
+LAST_SEND_MS = 300
 
 log = Logger("node")
 
@@ -79,7 +81,9 @@
         listen = settings.peer_listen or settings.peer
         # A restarted VM has another clock, so senders are told apart by processes.
         sender = f"{settings.node_id}/{self.process}"
-        self.links = Links(sender, listen, clock, self.counters, settings.link_mbps)
+        lateness = self.histograms.create("loop_late_ms")
+        mbps = settings.link_mbps
+        self.links = Links(sender, listen, clock, self.counters, lateness, mbps)
         self.transit = Transit(clock)
         self.store = Store(settings.store, clock, self.counters)
         self.follower = Follower(self.store, self._note_configuration, self._is_watcher)
@@ -211,15 +215,12 @@
             self.callers.end_requests()
             gevent.sleep(ENDING_S)
         self.gateway.closing = True
-        while self.clock.now_ns() < end_ns and self._owes_answers():
+        while self.clock.now_ns() < end_ns and self.gateway.in_flight:
             gevent.sleep(STOP_POLL_S)
-        self.links.stop()
+        left_ms = (end_ns - self.clock.now_ns()) / NS_PER_MS
+        self.links.stop(max(left_ms, 0) + LAST_SEND_MS)
         log.info("node stopped", id=self.settings.node_id)
 
-    def _owes_answers(self) -> bool:
-        """Tell whether peers wait for answers of the target, or for bytes of them."""
-        return bool(self.gateway.in_flight or self.links.count_unsent())
-
     def _is_watcher(self) -> bool:
         return self.coordinator.term.leading or self.membership.is_watcher()
 
--- a/knapweedrock/mesh/pacing.py
+++ b/knapweedrock/mesh/pacing.py
@@ -59,7 +59,7 @@
                 heapq.heapify(self._waiting)
             raise
 
-    def cut(self, data: bytes) -> Iterator[memoryview]:
+    def cut(self, data: bytes | memoryview) -> Iterator[memoryview]:
         """Yield data in slices, each when the link has taken those before."""
         whole = memoryview(data)
         if not self.is_long(len(whole)):
