Let requests get slots by the rank of their routes

Cause: calls of a target and callers' requests come from the same address, that of the VM. All were taken for calls of a run, which came before all else, so the priority of routes had no effect: counted in a trial, each request of each route was marked as a call. Nothing that is documented tells a call from a caller's request, so the mark is gone; the operators' priority decides, which puts the calls here with the more urgent half.

Ruled out: the form of the calls' ids, which no page promises.

The scenario "Calls of requests that run come before all new work" fed a rank that no request can have any more; "An urgent request passes those that wait longer" checks the same order with ranks of routes. The new scenario "Callers on the target's own VM ..." goes through the router.

--- a/features/mesh_admission.feature
+++ b/features/mesh_admission.feature
@@ -35,10 +35,16 @@
     When requests of 900 ms fill it and one of a short kind hopes for 800 ms
     Then the short one gets a slot
 
-  Scenario: Calls of requests that run come before all new work
+  Scenario: An urgent request passes those that wait longer
     Given admission to a target of 2 slots whose work takes 50 ms
-    When the slots are taken and a request and then a call wait
-    Then the call gets the first slot
+    When the slots are taken and one of the others and then an urgent request wait
+    Then the urgent request gets the first slot
+
+  # Guards against ranks without effect, as callers and targets share their VM's address
+  Scenario: Callers on the target's own VM get slots by the rank of their routes
+    Given a node whose target has 1 slot, with routes of rank 1 and 2
+    When the slot is taken and 3 requests of rank 2 and then 3 of rank 1 wait
+    Then the target runs those of rank 1 first
 
   Scenario: A request that nobody waits for any more leaves the queue
     Given admission to a target of 1 slots whose work takes 50 ms
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -115,7 +115,7 @@
     """Create a route with two parts."""
     parts = (Part("one", first), Part("two", second))
     context.route = Route("r", "h", "/", True, 1000, 300, 1, parts, 2)
-    context.jobs = Jobs("orders", "127.0.0.1", FakeClock())
+    context.jobs = Jobs("orders", FakeClock())
 
 
 @when("a request is sent to it")
--- /dev/null
+++ b/features/steps/mesh_ranks.py
@@ -0,0 +1,41 @@
+"""Steps about the ranks of requests at a node."""
+
+import gevent
+from behave import given, then, when
+
+from features.support.lone_node import LoneNode
+
+WORK_MS = 10.0
+
+
+@given(
+    "a node whose target has {slots:d} slot, with routes of rank {first:d} and {last:d}"
+)
+def start_lone_node(context, slots: int, first: int, last: int) -> None:
+    """Create a node with routes that are named after their ranks."""
+    routes = {f"rank-{rank}": rank for rank in (first, last)}
+    context.lone = LoneNode(slots, WORK_MS, routes)
+
+
+@when(
+    "the slot is taken and {later:d} requests of rank {last:d}"
+    " and then {sooner:d} of rank {first:d} wait"
+)
+def queue_up(context, later: int, last: int, sooner: int, first: int) -> None:
+    """Send the less urgent requests first, then the urgent ones."""
+    ranks = [last] * (1 + later) + [first] * sooner
+    tasks = []
+    for rank in ranks:
+        tasks.append(context.lone.call(f"rank-{rank}"))
+        gevent.sleep(0)
+    gevent.joinall(tasks, timeout=5)
+    context.sent_ranks = ranks
+
+
+@then("the target runs those of rank {first:d} first")
+def check_order(context, first: int) -> None:
+    """Check that only the request that took the slot ran before the urgent ones."""
+    ran = context.lone.ran
+    assert len(ran) == len(context.sent_ranks), ran
+    assert ran[1:] == sorted(ran[1:]), ran
+    assert ran[1] == f"rank-{first}", ran
--- /dev/null
+++ b/features/support/lone_node.py
@@ -0,0 +1,61 @@
+"""A node without a network, whose target takes requests in this process."""
+
+import gevent
+import msgspec
+
+from features.support.mesh_builders import (
+    OTHER_SERVICE,
+    create_document,
+    create_heartbeat,
+    create_settings,
+)
+from knapweedrock.clock import create_clock
+from knapweedrock.emulator.addresses import create_address
+from knapweedrock.mesh.http import Answer, Request
+from knapweedrock.mesh.messages import Board, PublishConfiguration
+from knapweedrock.mesh.node import Node
+from knapweedrock.platform.headers import ATTEMPT_ID, SIGNATURE
+
+HOST = "mesh.example"
+
+
+class LoneNode:
+    """A node of a service without keys, and the paths that its target has run."""
+
+    def __init__(self, slots: int, work_ms: float, routes: dict[str, int]) -> None:
+        """Take the priority of each route by its name."""
+        settings = create_settings(0, create_address(), create_address(), OTHER_SERVICE)
+        self.node = Node(settings, create_clock())
+        self.node.follower.take_pushed(create_push(routes))
+        heartbeat = create_heartbeat(settings.node_id, service=OTHER_SERVICE)
+        self.node.target.take(heartbeat._replace(slots=slots))
+        member = self.node.membership.describe()
+        self.node.take_board(Board(1, 1, "", {member.node_id: member}, {}))
+        self.node.gateway.admission.service_ms = work_ms
+        self.node.gateway.exchanges.run = self._run
+        self.ran: list[str] = []
+        self._work_s = work_ms / 1000
+
+    def call(self, route: str) -> gevent.Greenlet:
+        """Send a request from a caller on the target's own VM."""
+        fields = {"host": HOST, ATTEMPT_ID: f"a{len(self.ran)}"}
+        target = f"/{route}/"
+        request = Request("GET", target, list(fields.items()), fields, b"", True)
+        own_ip = self.node.settings.caller[0]
+        return gevent.spawn(self.node.router.serve, request, own_ip)
+
+    def _run(self, _method: str, path: str, *_rest) -> Answer:
+        self.ran.append(path.strip("/"))
+        gevent.sleep(self._work_s)
+        return Answer(200, [(SIGNATURE, "signed")], b"", True)
+
+
+def create_push(routes: dict[str, int]) -> PublishConfiguration:
+    """Create the news of a configuration with routes of some priorities."""
+    route = create_document()["routes"]["list"]
+    named = {
+        name: {**route, "pathPrefix": f"/{name}/", "priority": priority}
+        for name, priority in routes.items()
+    }
+    document = msgspec.json.encode(create_document(routes=named))
+    return PublishConfiguration(1, document, [], 1)
--- a/features/support/mesh_builders.py
+++ b/features/support/mesh_builders.py
@@ -121,7 +121,6 @@
         objective_ms=500.0,
         priority=1,
         idempotent=True,
-        inner=False,
     )
     return message._replace(**changes)
 
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -13,8 +13,6 @@
 from knapweedrock.errors import RefusalError
 from knapweedrock.timers import Alarm
 
-# Calls of requests that run already come before all new work.
-INNER_RANK = -1
 SERVICE_WEIGHT = 0.05
 FIRST_SERVICE_MS = 100.0
 # Time of service to expect of a kind that was not served yet, as a share of its
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -11,7 +11,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.headers import HOP_HEADERS
-from knapweedrock.mesh.admission import INNER_RANK, MAX_KINDS, Admission
+from knapweedrock.mesh.admission import MAX_KINDS, Admission
 from knapweedrock.mesh.exchanges import (
     BrokenExchangeError,
     Exchanges,
@@ -187,11 +187,13 @@
 
     def _wait_for_slot(self, request: Forward) -> None:
         """Take a slot; what is refused counts as load that the keys would bring."""
-        rank = INNER_RANK if request.inner else request.priority
         self._check_link(request)
         try:
             self.admission.acquire(
-                rank, request.objective_ms, request.remaining_ms, request.route
+                request.priority,
+                request.objective_ms,
+                request.remaining_ms,
+                request.route,
             )
         except RefusalError:
             if request.key >= 0:
--- a/knapweedrock/mesh/jobs.py
+++ b/knapweedrock/mesh/jobs.py
@@ -22,8 +22,8 @@
 class Job(NamedTuple):
     """A request on its route; the key is -1 where the service has none.
 
-    `inner` marks a call that a target made for a request it runs. `objective_ns` is
-    when its answer is due, `end_ns` when nobody waits for it any more.
+    `objective_ns` is when its answer is due, `end_ns` when nobody waits for it any
+    more.
     """
 
     request: Request
@@ -31,7 +31,6 @@
     service: Service
     key: int
     headers: Headers
-    inner: bool
     end_ns: int
     objective_ns: int
 
@@ -39,19 +38,14 @@
 class Jobs:
     """Makes jobs of the requests that enter at one node."""
 
-    def __init__(self, service: str, own_ip: str, clock: Clock) -> None:
-        """Name the service and the IP of the node's own target."""
+    def __init__(self, service: str, clock: Clock) -> None:
+        """Name the service of the node's own target."""
         self._service = service
-        self._own_ip = own_ip
         self._clock = clock
         self._turns: dict[str, int] = {}
 
     def create(
-        self,
-        configuration: Configuration,
-        route: Route,
-        request: Request,
-        address: str,
+        self, configuration: Configuration, route: Route, request: Request
     ) -> Job:
         """Create the job of a request; raises `BAD_REQUEST` or `UNKNOWN_SERVICE`."""
         now_ns = self._clock.now_ns()
@@ -67,7 +61,6 @@
             service,
             read_key(request) if service.keyed else -1,
             [*pass_headers(request), (CALLER, self._service)],
-            address == self._own_ip,
             now_ns + int(min(remaining_ms, route.timeout_ms) * NS_PER_MS),
             now_ns + int((route.objective_ms - used_ms) * NS_PER_MS),
         )
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -164,8 +164,7 @@
     """A caller's request on its way to the node beside a target.
 
     `key` is -1 where the service has no keys; the times are what was left when it
-    was sent, at `sent_ns` of the sender's clock. `inner` marks a call that a target
-    made for a request it runs; `route` names the request's route.
+    was sent, at `sent_ns` of the sender's clock. `route` names the request's route.
     """
 
     service: str
@@ -178,7 +177,6 @@
     objective_ms: float
     priority: int
     idempotent: bool
-    inner: bool
     sent_ns: int = 0
     route: str = ""
 
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -98,7 +98,7 @@
         self._counters = counters
         self._budgets: dict[str, RetryBudget] = {}
         settings = node.settings
-        self._jobs = Jobs(settings.service, settings.caller[0], clock)
+        self._jobs = Jobs(settings.service, clock)
         self._latencies = node.histograms.create("request_ms")
 
     def set_budget(self, ratio: float, slack: float) -> None:
@@ -106,8 +106,8 @@
         for budget in self._budgets.values():
             budget.change(ratio, slack)
 
-    def serve(self, request: Request, address: str) -> Reply:
-        """Answer one request of a caller at an address."""
+    def serve(self, request: Request, _address: str) -> Reply:
+        """Answer one request of a caller."""
         configuration = self._node.configuration
         if configuration is None:
             return create_refusal(Code.CONFIG_STALE, START_RETRY_AFTER_MS)
@@ -116,7 +116,7 @@
             self._counters.count("requests_unrouted")
             return create_refusal(Code.NO_RULE, 0)
         try:
-            job = self._jobs.create(configuration, route, request, address)
+            job = self._jobs.create(configuration, route, request)
         except KnapweedrockError as error:
             return create_refusal(error.code, 0)
         began_ns = self._clock.now_ns()
@@ -282,7 +282,6 @@
             round(objective_ms, 1),
             job.route.priority,
             job.route.idempotent,
-            job.inner,
             route=job.route.name,
         )
         peer = self.chooser.find_peer(member)
