--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -30,6 +30,7 @@
 from knapweedrock.mesh.link import WATCH_INTERVAL_S, Link
 from knapweedrock.mesh.messages import Cancel, Done, Probe, Resume
 from knapweedrock.mesh.metrics import Histogram
+from knapweedrock.mesh.pacing import Pacer
 from knapweedrock.mesh.sessions import AnswerCache, Session
 
 DIAL_TIMEOUT_MS = 400
@@ -64,11 +65,14 @@
         clock: Clock,
         counters: Counters,
         lateness: Histogram | None = None,
+        link_mbps: float = 0.0,
     ) -> None:
         self.node_id = node_id
         self.address = address
         self.handlers: dict[type, Handler] = {Probe: lambda _sender, _message: Done()}
         self.accepted: set[Connection] = set()
+        # Shares the VM's link among answers to all peers.
+        self.pacer = Pacer(link_mbps, clock)
         self._clock = clock
         self._counters = counters
         self._lateness = lateness or Histogram()
@@ -268,6 +272,7 @@
             return
         sender = request.headers[NODE_HEADER]
         self.accepted.add(connection)
+        connection.pacer = self.pacer
         try:
             self._read_requests(sender, connection)
         except LinkError as error:
