--- a/knapweedrock/mesh/link.py
+++ b/knapweedrock/mesh/link.py
@@ -22,7 +22,7 @@
 # connection may take the place of one that hangs.
 LEAVE_AFTER_MS = 900
 WATCH_INTERVAL_S = 0.1
-# A VM that was not reached for so long has lost its lease.
+# Time after which what waits for a VM that can't be reached is given up.
 GIVE_UP_MS = 3500
 # Time in which the peer may be told that an answer is not awaited any more.
 CANCEL_TIMEOUT_MS = 3000
