--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -271,7 +271,7 @@
     context.cache = AnswerCache(FakeClock())
     context.session = Session("peer/1", context.cache)
     context.former = mock.Mock()
-    context.session.resume(context.former, [], 0)
+    context.session.resume(context.former, [])
     for number in range(first, last + 1):
         context.session.note(number)
 
@@ -299,7 +299,7 @@
 def resume_session(context) -> None:
     """Resume over another connection."""
     context.awaited = [1, 2, 3, 9]
-    context.resumed = context.session.resume(mock.Mock(), context.awaited, 10)
+    context.resumed = context.session.resume(mock.Mock(), context.awaited)
 
 
 @then("9 never came and nothing is known of 3")
--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -41,10 +41,6 @@
         self.received = 0
         # Bytes that wait for the other end to take them.
         self.unsent = 0
-        # The process that dialled it, where this end has accepted it.
-        self.sender = ""
-        # What still comes once this end has ended it is not to be taken.
-        self.ended = False
         self._protocol = protocol
         self._sending = False
         self._events: list[Event] = []
@@ -84,7 +80,6 @@
         Its reader wakes up and closes the socket: closed here, the event loop would
         still watch its descriptor and abort the process.
         """
-        self.ended = True
         with suppress(OSError):
             self._sock.shutdown(SHUT_RDWR)
 
--- a/knapweedrock/mesh/link.py
+++ b/knapweedrock/mesh/link.py
@@ -14,7 +14,7 @@
 from knapweedrock.mesh.calls import Call
 from knapweedrock.mesh.connections import Connection
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
-from knapweedrock.mesh.messages import Cancel, Failed, Probe, Resume, Resumed
+from knapweedrock.mesh.messages import Cancel, Failed, Probe, Resume
 
 PROBE_AFTER_MS = 300
 SILENCE_LIMIT_MS = 750
@@ -22,6 +22,7 @@
 # connection may take the place of one that hangs.
 LEAVE_AFTER_MS = 900
 WATCH_INTERVAL_S = 0.1
+RESUME_TIMEOUT_MS = 2000
 # A VM that was not reached for so long has lost its lease.
 GIVE_UP_MS = 3500
 # Time in which the peer may be told that an answer is not awaited any more.
@@ -63,10 +64,6 @@
         """Tell whether requests can be sent now."""
         return self._connection is not None and not self.silent and not self.closed
 
-    def has_connection(self) -> bool:
-        """Tell whether there is a connection, silent or not."""
-        return self._connection is not None
-
     def request(
         self, message: Any, timeout_ms: float, cancels: bool, leaves: bool = False
     ) -> Any:
@@ -94,10 +91,12 @@
         self.received_ns = self.asked_ns = self._clock.now_ns()
         self._received = connection.received
         awaited = list(self.pending)
-        number = next(self._numbers) if awaited else 0
-        self._send(Frame(number, False, Resume(awaited)))
+        call = Call(next(self._numbers) if awaited else 0)
+        self._send(Frame(call.number, False, Resume(awaited)))
         if awaited:
             self._counters.count("links_resumed")
+            self.pending[call.number] = call
+            gevent.spawn(self._take_resumed, call)
         gevent.spawn(self._read_answers, connection)
 
     def close(self, reason: str) -> None:
@@ -228,11 +227,15 @@
         finally:
             self.pending.pop(call.number, None)
 
-    def _take_resumed(self, resumed: Resumed) -> None:
-        """Fail the requests that the peer does not answer any more.
-
-        That stays true on whatever connection the peer tells it.
-        """
+    def _take_resumed(self, call: Call) -> None:
+        """Fail the requests that the peer does not answer any more."""
+        try:
+            resumed = call.wait(RESUME_TIMEOUT_MS)
+        except LinkError as error:
+            log.info("link not resumed", peer=self.peer, reason=error.detail)
+            return
+        finally:
+            self.pending.pop(call.number, None)
         for number in resumed.unseen:
             self._fail(number, Code.PEER_UNREACHABLE, "it never came")
         for number in resumed.unknown:
@@ -257,9 +260,6 @@
     def _take(self, connection: Connection, frame: Frame) -> None:
         if connection is self._connection:
             self.received_ns = self._clock.now_ns()
-        if isinstance(frame.message, Resumed):
-            self._take_resumed(frame.message)
-            return
         call = self.pending.get(frame.number)
         if call is None or not frame.is_answer:
             return
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -92,10 +92,10 @@
 
     def stop(self, timeout_ms: float = 0) -> None:
         """Close the listener, and all links once the last answers were taken."""
+        self._server.close()
         end_ns = self._clock.now_ns() + int(timeout_ms * NS_PER_MS)
         while self._owes_answers() and self._clock.now_ns() < end_ns:
             gevent.sleep(STOP_POLL_S)
-        self._server.close()
         for connection in list(self.accepted):
             connection.shut_down()
 
@@ -202,7 +202,7 @@
         self._down[peer] = Down(since_ns, is_refused)
         self._counters.count("dials_failed")
         link = self._links.get(peer)
-        if is_refused and link is not None and not link.has_connection():
+        if is_refused and link is not None:
             link.close("no process listens")
 
     def _put(self, peer: str, connection: Connection) -> Link:
@@ -269,58 +269,44 @@
             self._counters.count("accepts_failed")
             return
         sender = request.headers[NODE_HEADER]
-        connection.sender = sender
+        session = self._sessions.get(sender)
+        if session is None:
+            session = self._sessions[sender] = Session(sender, self._answers)
         self.accepted.add(connection)
         try:
-            self._read_requests(sender, connection)
+            self._read_requests(session, connection)
         except LinkError as error:
             log.warning("bad frame", sender=sender, reason=error.detail)
         except OSError as error:
             log.debug("link ended", sender=sender, reason=error)
         finally:
             self.accepted.discard(connection)
-            session = self._sessions.get(sender)
-            if session is not None and session.connection is connection:
-                lost = session.lose()
-                gevent.spawn_later(ORPHAN_S, self._end_orphan, session, lost)
+            if session.connection in (connection, None):
+                session.connection = None
+                gevent.spawn_later(ORPHAN_S, self._end_orphan, session)
             connection.close()
 
-    def _read_requests(self, sender: str, connection: Connection) -> None:
+    def _read_requests(self, session: Session, connection: Connection) -> None:
         """Take the requests of a connection until it ends or another follows it."""
-        session = None
+        began = False
         for data in connection.receive():
-            if connection.ended:
-                return
             frame = decode_frame(data)
             if isinstance(frame.message, Resume):
-                session = self._find_session(sender)
-                self._end_others(sender, connection)
+                began = True
                 self._resume(session, connection, frame)
                 continue
-            if session is None:
+            if not began:
                 raise LinkError(Code.BAD_FRAME, "expected to resume first")
+            if session.connection is not connection:
+                return
             self._take(session, connection, frame)
 
-    def _find_session(self, sender: str) -> Session:
-        session = self._sessions.get(sender)
-        if session is None:
-            session = self._sessions[sender] = Session(sender, self._answers)
-        return session
-
-    def _end_others(self, sender: str, connection: Connection) -> None:
-        """End all other connections of a sender, also those it has not used yet.
-
-        What was sent on them and comes late was called unseen.
-        """
-        for other in list(self.accepted):
-            if other.sender == sender and other is not connection:
-                other.shut_down()
-
     def _resume(self, session: Session, connection: Connection, frame: Frame) -> None:
         awaited = frame.message.awaited
         if session.running:
             log.info("link resumed", sender=session.sender, awaited=len(awaited))
-        resumed = session.resume(connection, awaited, frame.number)
+        resumed = session.resume(connection, awaited)
+        session.note(frame.number)
         self._answer(connection, Frame(frame.number, True, resumed))
         for answer in session.list_answers(awaited):
             self._answer(connection, answer)
@@ -337,9 +323,9 @@
             task = gevent.spawn(self._handle, session, frame)
             session.running[frame.number] = task
 
-    def _end_orphan(self, session: Session, lost: int) -> None:
-        """End the work of a peer that did not come back since its last loss."""
-        if session.connection is not None or session.lost != lost:
+    def _end_orphan(self, session: Session) -> None:
+        """End the work of a peer that did not come back."""
+        if session.connection is not None:
             return
         if session.running:
             requests = len(session.running)
--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -69,8 +69,6 @@
         self.sender = sender
         self.connection: Connection | None = None
         self.running: dict[int, gevent.Greenlet] = {}
-        # How often the peer has lost its connection.
-        self.lost = 0
         # The highest number that has come; none in a session that begins: what came
         # before is not known.
         self._last: int | None = None
@@ -80,19 +78,10 @@
         """Note that a request has come."""
         self._last = max(self._last or 0, number)
 
-    def lose(self) -> int:
-        """Note that the connection is lost, and return how often that was so."""
-        self.connection = None
-        self.lost += 1
-        return self.lost
-
-    def resume(
-        self, connection: Connection, awaited: Collection[int], number: int
-    ) -> Resumed:
+    def resume(self, connection: Connection, awaited: Collection[int]) -> Resumed:
         """Go on over a new connection with what the peer still awaits.
 
-        Nothing that still comes on the former connection is taken. `number` is that of
-        the request to resume.
+        Nothing that still comes on the former connection is taken.
         """
         former, self.connection = self.connection, connection
         if former is not None:
@@ -101,8 +90,6 @@
             self.cancel(number)
         unseen = [number for number in awaited if self._is_unseen(number)]
         unknown = [n for n in awaited if n not in unseen and not self._knows(n)]
-        if self._last is None:
-            self._last = number
         return Resumed(unseen, unknown)
 
     def list_answers(self, numbers: Collection[int]) -> list[Frame]:
