--- a/features/mesh_reconnects.feature
+++ b/features/mesh_reconnects.feature
@@ -58,3 +58,9 @@
     When a node's session ends while its next connection is open but unused
     And request 9 is at work on that connection, and the node resumes on another one
     Then the node is told that request 9 is known
+
+  # Guards against a full link that carries each answer once for every connection.
+  Scenario: Answers that wait for a former connection take no time of the VM's link
+    Given a node whose VM has a link of 5.5 Mbit/s
+    When a node asks for 10 answers of 90000 bytes and resumes twice meanwhile
+    Then it has all answers within 2 s
--- a/features/steps/mesh_reconnects.py
+++ b/features/steps/mesh_reconnects.py
@@ -1,5 +1,7 @@
 """Steps about connections between nodes that come late, end twice or are refused."""
 
+from contextlib import suppress
+from time import monotonic
 from unittest import mock
 
 import gevent
@@ -30,6 +32,7 @@
 DIAL_MS = 1000
 ANSWER_S = 8.0
 SETTLE_S = 0.3
+POLL_S = 0.02
 
 
 def create_answer(size: int = 0) -> Forwarded:
@@ -315,3 +318,46 @@
 def check_known(context) -> None:
     """Check what the node was told."""
     assert context.resumed == Resumed([], []), context.resumed
+
+
+@given("a node whose VM has a link of {mbps:f} Mbit/s")
+def give_paced(context, mbps: float) -> None:
+    """Start the links of a node that paces its answers."""
+    context.links = Links(
+        "second/1", create_address(), create_clock(), Counters(), None, mbps
+    )
+    context.links.start()
+    context.add_cleanup(context.links.abort)
+
+
+@when("a node asks for {count:d} answers of {size:d} bytes and resumes twice meanwhile")
+def ask_paced(context, count: int, size: int) -> None:
+    """Ask for answers that wait their turn, and go on over two more connections."""
+    context.links.handlers[Forward] = lambda _sender, _message: create_answer(size)
+    context.began_s, context.awaited = monotonic(), set(range(2, 2 + count))
+    connection = open_connection(context)
+    send(connection, 1, Resume([]))
+    gevent.spawn(take_answers, connection, context.awaited)
+    for number in sorted(context.awaited):
+        send(connection, number, create_forward())
+    for number in (100, 101):
+        gevent.sleep(SETTLE_S)
+        connection = open_connection(context)
+        send(connection, number, Resume(sorted(context.awaited)))
+        gevent.spawn(take_answers, connection, context.awaited)
+
+
+def take_answers(connection: Connection, awaited: set[int]) -> None:
+    """Take off what has come until the connection ends."""
+    with suppress(OSError, LinkError):
+        for data in connection.receive():
+            awaited.discard(decode_frame(data).number)
+
+
+@then("it has all answers within {seconds:d} s")
+def check_all(context, seconds: int) -> None:
+    """Wait for the last answer."""
+    left_s = context.began_s + seconds - monotonic()
+    with gevent.Timeout(left_s, AssertionError("answers are missing")):
+        while context.awaited:
+            gevent.sleep(POLL_S)
