--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -51,6 +51,8 @@
         self.pacer: Pacer | None = None
         self._protocol = protocol
         self._sending = False
+        # Tasks whose frames wait their turn on the VM's link.
+        self._turns: set[gevent.Greenlet] = set()
         self._events: list[Event] = []
 
     def send(self, data: bytes) -> None:
@@ -60,7 +62,9 @@
         """
         self.unsent += len(data)
         if self._is_long(data):
-            gevent.spawn(self._send_in_turn, data)
+            task = gevent.spawn(self._send_in_turn, data)
+            self._turns.add(task)
+            task.link(self._turns.discard)
             return
         if self.pacer is not None:
             self.pacer.wait_turn(len(data))
@@ -92,6 +96,8 @@
         Its reader wakes up and closes the socket: closed here, the event loop would
         still watch its descriptor and abort the process.
         """
+        for task in list(self._turns):
+            task.kill(block=False)
         with suppress(OSError):
             self._sock.shutdown(SHUT_RDWR)
 
