--- a/features/mesh_pacing.feature
+++ b/features/mesh_pacing.feature
@@ -13,6 +13,12 @@
     Then they leave in the order 40, 20, 30, 60
     And all long answers have left within 320 ms
 
+  # Guards against a long answer that waits without end for those that are shorter
+  Scenario: A long answer is not put off for good
+    Given a link of 5 Mbit/s that is paced
+    When an answer of 120 KB comes beside one of 40 KB each 50 ms for 2100 ms
+    Then the answer of 120 KB has left within 900 ms
+
   # Guards against a turn that is lost with the connection that waits for it
   Scenario: An answer that nobody waits for any more leaves the turn to the next
     Given a link of 5 Mbit/s that is paced
--- a/features/steps/mesh_pacing.py
+++ b/features/steps/mesh_pacing.py
@@ -44,6 +44,27 @@
     gevent.joinall(tasks, timeout=LIMIT_S)
 
 
+@when(
+    "an answer of {long:d} KB comes beside one of {short:d} KB each {pause:d} ms"
+    " for {ms:d} ms"
+)
+def send_beside(context, long: int, short: int, pause: int, ms: int) -> None:
+    """Send one answer while the link is full of shorter ones."""
+    tasks = [context.link.start(short), context.link.start(long)]
+    for _ in range(ms // pause):
+        gevent.sleep(pause / 1000)
+        tasks.append(context.link.start(short))
+    gevent.joinall(tasks, timeout=LIMIT_S)
+
+
+@then("the answer of {kb:d} KB has left within {ms:d} ms")
+def check_one(context, kb: int, ms: int) -> None:
+    """Check how long one answer took."""
+    took = [took_ms for size, took_ms in context.link.left if size == kb]
+    assert took, context.link.left
+    assert took[0] < ms, took
+
+
 @then("every short answer has left within {ms:d} ms")
 def check_short(context, ms: int) -> None:
     """Check how long the short answers took."""
--- a/knapweedrock/mesh/pacing.py
+++ b/knapweedrock/mesh/pacing.py
@@ -8,6 +8,7 @@
 import heapq
 import itertools
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -23,8 +24,17 @@
 SLICE_MS = 20.0
 
 
+class Turn(NamedTuple):
+    """A long message of `size` bytes that waits; the lowest rank comes first."""
+
+    rank_ns: int
+    number: int
+    size: int
+    come: Event
+
+
 class Pacer:
-    """Hands the link to long messages one after the other, the shortest first."""
+    """Hands the link to long messages one after the other, short ones sooner."""
 
     def __init__(self, mbps: float, clock: Clock) -> None:
         """Take the bandwidth of the link, 0 where it is not known."""
@@ -33,7 +43,7 @@
         self._clock = clock
         # When the link has sent all that was handed to it.
         self._free_ns = 0
-        self._waiting: list[tuple[int, int, Event]] = []
+        self._waiting: list[Turn] = []
         self._numbers = itertools.count()
         self._timer: gevent.Greenlet | None = None
 
@@ -48,11 +58,13 @@
         if not self.is_long(size) or (not self._waiting and self._is_free()):
             self._reserve(size)
             return
-        item = (size, next(self._numbers), Event())
+        # One that has waited for as long as it takes longer goes before a shorter one.
+        rank_ns = self._clock.now_ns() + self._find_ns(size)
+        item = Turn(rank_ns, next(self._numbers), size, Event())
         heapq.heappush(self._waiting, item)
         self._wake_later()
         try:
-            item[2].wait()
+            item.come.wait()
         except BaseException:
             if item in self._waiting:
                 self._waiting.remove(item)
@@ -90,8 +102,8 @@
     def _wake(self) -> None:
         self._timer = None
         if self._waiting and self._is_free():
-            size, _, turn = heapq.heappop(self._waiting)
-            self._reserve(size)
-            turn.set()
+            turn = heapq.heappop(self._waiting)
+            self._reserve(turn.size)
+            turn.come.set()
         if self._waiting:
             self._wake_later()
