Leave a silent link only where another target may serve

And a repeat is ended before the attempts that it may have left open are cancelled (shown by reading alone).

--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -15,6 +15,14 @@
       | silent for good     | read  |
       | reset               | order |
 
+  # Guards against a share of the retry budget, and a second run, for nothing.
+  Scenario: A read whose key has no other target is not repeated on a silent link
+    Given a mesh of 2 nodes behind proxies whose targets work for 2000 ms
+    When a read is at work at a target beside another node
+    And the link to that node is held up for 1500 ms
+    Then its caller gets the target's own answer
+    And no repeat was counted at the node where it entered
+
   # Guards against the same at a node that was told to stop.
   Scenario: A link that is held up cuts nothing that entered at a node which stops
     Given a mesh of 2 nodes behind proxies whose targets work for 2000 ms
@@ -91,3 +99,9 @@
   Scenario: A connection whose bytes nobody confirms ends
     Given two nodes that are linked through a proxy
     Then both ends of the link end if nobody confirms their bytes for 5 s
+
+  # Guards against requests that get their time anew once a connection is there.
+  Scenario: A request that waits for a connection ends within its time
+    Given two nodes that are linked through a proxy
+    When a new connection takes some 240 ms and the second node does not answer
+    Then a request with 300 ms fails in time
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -369,3 +369,28 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
         )
         assert limit_ms == seconds * 1000, limit_ms
+
+
+@then("no repeat was counted at the node where it entered")
+def check_no_repeat(context) -> None:
+    """Look at the counters of the entry."""
+    counts = context.mesh.nodes[ENTRY].counters.counts
+    repeats = {name: n for (name, _), n in counts.items() if name.startswith("retries")}
+    assert not repeats, repeats
+
+
+@when("a new connection takes some 240 ms and the second node does not answer")
+def delay_connection(context) -> None:
+    """End the link, and make each way of the next one slow."""
+    (link,) = context.first._links.values()
+    link.close("the scenario closes it")
+    context.second.handlers[Forward] = lambda _sender, _message: gevent.sleep(ANSWER_S)
+    for way in context.proxy.ways:
+        way.delay_s = 0.12
+
+
+@then("a request with {ms:d} ms fails in time")
+def check_in_time(context, ms: int) -> None:
+    """Measure the request."""
+    took_ms = time_request(context, create_forward(), ms)
+    assert took_ms < ms + SLACK_MS / 2, took_ms
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -160,7 +160,8 @@
             return self._find_first(job, progress, follower) or result
         finally:
             if follower is not None:
-                follower.kill(block=False)
+                # It may leave an attempt open until it has ended.
+                follower.kill()
 
     def _find_first(
         self, job: Job, progress: Progress, follower: gevent.Greenlet | None
@@ -339,7 +340,8 @@
                     message,
                     remaining_ms + LINK_MARGIN_MS,
                     cancels=True,
-                    leaves=job.route.idempotent,
+                    # A key has no other target before its owner is given up.
+                    leaves=job.route.idempotent and job.key < 0,
                 )
         except SilentLinkError as error:
             progress.open.append(error.call)
