Count what a request waits for connections and keys in its time

A peer that is only silent is refused at once, to come back soon, and not taken for one that is down; a KeyError of a handler is not taken for a message without one.

--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -126,9 +126,11 @@
         node.decisions.note_failure("delivery failed", attempt_id, describe)
 
     def _deliver(self, request: Forward) -> Forwarded:
-        began_ns = self._clock.now_ns()
         request = self._limit(request)
+        began_ns = self._clock.now_ns()
         self._wait_for_keys(request)
+        request = request.spend((self._clock.now_ns() - began_ns) / NS_PER_MS)
+        began_ns = self._clock.now_ns()
         self._check(request)
         fingerprint = create_fingerprint(
             request.method, request.path, request.key, request.body
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -6,7 +6,7 @@
 
 import itertools
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, NoReturn
 
 import gevent
 from gevent.event import AsyncResult
@@ -148,10 +148,12 @@
         `PEER_LOST` when it may have been, else the code of the refusal. See
         `Link.request` for `cancels` and `leaves`.
         """
+        end_ns = self._clock.now_ns() + int(timeout_ms * NS_PER_MS)
         link = self._links.get(peer)
         if link is None or not link.is_usable():
             link = self._connect(peer, timeout_ms)
-        return link.request(message, timeout_ms, cancels, leaves)
+        left_ms = (end_ns - self._clock.now_ns()) / NS_PER_MS
+        return link.request(message, left_ms, cancels, leaves)
 
     def _owes_answers(self) -> bool:
         """Tell whether answers are not ready or not sent yet."""
@@ -162,6 +164,9 @@
     def _connect(self, peer: str, timeout_ms: float) -> Link:
         if self._ended:
             raise LinkError(Code.PEER_UNREACHABLE, "the node has ended")
+        link = self._links.get(peer)
+        if link is not None and link.silent:
+            raise LinkError(Code.PEER_UNREACHABLE, f"{peer} is silent")
         dialling = self._dialling.get(peer)
         if dialling is not None and peer in self._down:
             raise LinkError(Code.PEER_UNREACHABLE, f"{peer} is down, and dialled again")
@@ -243,7 +248,6 @@
         if link.is_usable():
             self._down.pop(peer, None)
             return
-        self._down.setdefault(peer, Down(self._clock.now_ns(), False))
         failed_ns = self._failed_ns.get(peer, 0)
         paused_ms = (self._clock.now_ns() - failed_ns) / NS_PER_MS
         if peer not in self._dialling and paused_ms > DIAL_PAUSE_MS:
@@ -336,13 +340,11 @@
             session.running[frame.number] = task
 
     def _handle(self, session: Session, frame: Frame) -> None:
+        handler = self.handlers.get(type(frame.message), refuse_unknown)
         try:
-            answer = self.handlers[type(frame.message)](session.sender, frame.message)
+            answer = handler(session.sender, frame.message)
         except KnapweedrockError as error:
             answer = create_failed(error)
-        except KeyError:
-            refused = LinkError(Code.BAD_FRAME, "nobody handles this message")
-            answer = create_failed(refused)
         finally:
             session.running.pop(frame.number, None)
         answered = Frame(frame.number, True, answer)
@@ -357,3 +359,8 @@
             connection.send(data)
         except OSError:
             self._counters.count("answers_unsent")
+
+
+def refuse_unknown(_sender: str, _message: Any) -> NoReturn:
+    """Refuse a message that no handler is for."""
+    raise LinkError(Code.BAD_FRAME, "nobody handles this message")
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -180,6 +180,13 @@
     sent_ns: int = 0
     route: str = ""
 
+    def spend(self, ms: float) -> "Forward":
+        """Take time that has passed off what is left."""
+        return self._replace(
+            remaining_ms=self.remaining_ms - ms,
+            objective_ms=self.objective_ms - ms,
+        )
+
 
 @message(51)
 class Forwarded(NamedTuple):
--- a/knapweedrock/mesh/transit.py
+++ b/knapweedrock/mesh/transit.py
@@ -26,7 +26,4 @@
         least_ns = min(self._least_ns.get(sender, took_ns), took_ns)
         self._least_ns[sender] = least_ns
         late_ms = (took_ns - least_ns) / NS_PER_MS
-        return request._replace(
-            remaining_ms=request.remaining_ms - late_ms,
-            objective_ms=request.objective_ms - late_ms,
-        )
+        return request.spend(late_ms)
