--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -15,7 +15,7 @@
 # Time for which an answer is kept that may have been lost with its connection.
 ANSWER_KEPT_MS = 4000
 # Time in which a peer whose connection has ended may come back to its requests.
-ORPHAN_S = 2.0
+RETURN_S = 2.0
 # Time after which nothing that was sent before is on its way any more.
 FORGET_MS = 60_000
 MAX_KEPT_BYTES = 8 << 20
@@ -78,16 +78,16 @@
         self.running: dict[int, gevent.Greenlet] = {}
         # The highest number that has come; none in a session that begins: what came
         # before is not known.
-        self._last: int | None = None
+        self._last_number: int | None = None
         # Number of the last request to resume, and when its connection was lost.
         self._resumed = 0
         self._lost_ns = 0
-        self._orphaned: gevent.Greenlet | None = None
+        self._ending: gevent.Greenlet | None = None
         self._answers = answers
 
     def note(self, number: int) -> None:
         """Note that a request has come."""
-        self._last = max(self._last or 0, number)
+        self._last_number = max(self._last_number or 0, number)
 
     def may_resume(self, number: int) -> bool:
         """Tell whether a connection is newer than those that were resumed on."""
@@ -104,8 +104,8 @@
         former, self.connection = self.connection, connection
         if former is not None:
             former.shut_down()
-        if self._orphaned is not None:
-            self._orphaned.kill(block=False)
+        if self._ending is not None:
+            self._ending.kill(block=False)
         self._resumed = number
         for number in self.running.keys() - set(awaited):
             self.cancel(number)
@@ -120,7 +120,7 @@
             return
         self.connection = None
         self._lost_ns = now_ns
-        self._orphaned = gevent.spawn_later(ORPHAN_S, self._end_orphaned)
+        self._ending = gevent.spawn_later(RETURN_S, self._end_unclaimed)
 
     def is_over(self, now_ns: int) -> bool:
         """Tell whether the peer was lost for so long that it has given up itself."""
@@ -128,8 +128,8 @@
             return False
         return now_ns - self._lost_ns > FORGET_MS * NS_PER_MS
 
-    def _end_orphaned(self) -> None:
-        self._orphaned = None
+    def _end_unclaimed(self) -> None:
+        self._ending = None
         if self.running:
             requests = len(self.running)
             log.info("link ended with work", sender=self.sender, requests=requests)
@@ -152,7 +152,7 @@
             self.cancel(number)
 
     def _is_unseen(self, number: int) -> bool:
-        return self._last is not None and number > self._last
+        return self._last_number is not None and number > self._last_number
 
     def _knows(self, number: int) -> bool:
         return number in self.running or bool(self.list_answers([number]))
