Give a lost connection up at both ends at the same time

One constant holds for both ends of a connection that both know to be lost; a silent one, of which the peer knows nothing, still has 3.5 s. A node that stops closes its listener after its last answers, so that a peer whose connection breaks meanwhile can come back for its answer.

--- a/features/steps/mesh_reconnects.py
+++ b/features/steps/mesh_reconnects.py
@@ -26,7 +26,7 @@
 from knapweedrock.mesh.http import AnswerParser
 from knapweedrock.mesh.links import NODE_HEADER, Links
 from knapweedrock.mesh.messages import Forward, Forwarded, Resume, Resumed
-from knapweedrock.mesh.sessions import RETURN_S
+from knapweedrock.mesh.sessions import RETURN_MS
 
 SENDER = "first/1"
 DIAL_MS = 1000
@@ -300,7 +300,7 @@
     send(used, 1, Resume([]))
     gevent.sleep(SETTLE_S)
     used.close()
-    gevent.sleep(RETURN_S + SETTLE_S)
+    gevent.sleep(RETURN_MS / 1000 + SETTLE_S)
 
 
 @when("request 9 is at work on that connection, and the node resumes on another one")
--- a/knapweedrock/mesh/link.py
+++ b/knapweedrock/mesh/link.py
@@ -15,6 +15,7 @@
 from knapweedrock.mesh.connections import Connection
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.messages import Cancel, Failed, Probe, Resume, Resumed
+from knapweedrock.mesh.sessions import RETURN_MS
 
 PROBE_AFTER_MS = 300
 SILENCE_LIMIT_MS = 750
@@ -22,7 +23,7 @@
 # connection may take the place of one that hangs.
 LEAVE_AFTER_MS = 900
 WATCH_INTERVAL_S = 0.1
-# Time after which what waits for a VM that can't be reached is given up.
+# Time after which what waits on a silent connection is given up.
 GIVE_UP_MS = 3500
 # Time in which the peer may be told that an answer is not awaited any more.
 CANCEL_TIMEOUT_MS = 3000
@@ -170,7 +171,9 @@
             for call in list(self.pending.values()):
                 call.leave()
         lost_ms = (self._clock.now_ns() - self._lost_ns) / NS_PER_MS
-        if not self.pending or lost_ms > GIVE_UP_MS:
+        # The peer knows of a lost connection, too, and ends the work by then.
+        limit_ms = RETURN_MS if self._connection is None else GIVE_UP_MS
+        if not self.pending or lost_ms > limit_ms:
             self.close("not reached again")
 
     def _fail_others(self, reason: str) -> None:
--- a/knapweedrock/mesh/links.py
+++ b/knapweedrock/mesh/links.py
@@ -94,10 +94,10 @@
 
     def stop(self, timeout_ms: float = 0) -> None:
         """Close the listener, and all links once the last answers were taken."""
-        self._server.close()
         end_ns = self._clock.now_ns() + int(timeout_ms * NS_PER_MS)
         while self._owes_answers() and self._clock.now_ns() < end_ns:
             gevent.sleep(STOP_POLL_S)
+        self._server.close()
         for connection in list(self.accepted):
             connection.shut_down()
 
--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -15,7 +15,7 @@
 # Time for which an answer is kept that may have been lost with its connection.
 ANSWER_KEPT_MS = 4000
 # Time in which a peer whose connection has ended may come back to its requests.
-RETURN_S = 2.0
+RETURN_MS = 2000
 # Time after which nothing that was sent before is on its way any more.
 FORGET_MS = 60_000
 MAX_KEPT_BYTES = 8 << 20
@@ -120,7 +120,7 @@
             return
         self.connection = None
         self._lost_ns = now_ns
-        self._ending = gevent.spawn_later(RETURN_S, self._end_unclaimed)
+        self._ending = gevent.spawn_later(RETURN_MS / 1000, self._end_unclaimed)
 
     def is_over(self, now_ns: int) -> bool:
         """Tell whether the peer was lost for so long that it has given up itself."""
