--- a/features/mesh_links.feature
+++ b/features/mesh_links.feature
@@ -68,6 +68,12 @@
     And the answer to 2 is sent again
     And nothing of its former connection is taken
 
+  # Guards against orders that are called lost as the first word of them was lost.
+  Scenario: What never came is told again to a sender that did not hear of it
+    Given a session that has taken the requests 1 to 4
+    When the sender resumes and awaits 1, 2, 3 and 9, and then once more
+    Then 9 never came, both times
+
   # Guards against orders that run twice as a session that was forgotten knows nothing.
   Scenario: A session that begins anew calls nothing unseen that may have run before
     Given a session that has taken no requests yet
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -302,6 +302,22 @@
     context.resumed = context.session.resume(mock.Mock(), 10, context.awaited)
 
 
+@when("the sender resumes and awaits 1, 2, 3 and 9, and then once more")
+def resume_twice(context) -> None:
+    """Resume over two connections, one after the other."""
+    awaited = [1, 2, 3, 9]
+    context.told = [
+        context.session.resume(mock.Mock(), number, awaited).unseen
+        for number in (10, 11)
+    ]
+
+
+@then("9 never came, both times")
+def check_told_twice(context) -> None:
+    """Check what the sender is told each time."""
+    assert context.told == [[9], [9]], context.told
+
+
 @then("9 never came and nothing is known of 3")
 def check_resumed(context) -> None:
     """Check what the sender is told."""
--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -107,11 +107,12 @@
         if self._ending is not None:
             self._ending.kill(block=False)
         self._resumed = number
-        for number in self.running.keys() - set(awaited):
-            self.cancel(number)
-        unseen = [number for number in awaited if self._is_unseen(number)]
+        for other in self.running.keys() - set(awaited):
+            self.cancel(other)
+        unseen = [n for n in awaited if self._is_unseen(n)]
         unknown = [n for n in awaited if n not in unseen and not self._knows(n)]
-        self.note(number)
+        if self._last_number is None:
+            self._last_number = number
         return Resumed(unseen, unknown)
 
     def lose(self, connection: Connection, now_ns: int) -> None:
