--- a/knapweedrock/mesh/connections.py
+++ b/knapweedrock/mesh/connections.py
@@ -20,11 +20,14 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import LinkError
-from knapweedrock.sockets import disable_delay, limit_unconfirmed
+from knapweedrock.mesh.pacing import Pacer
+from knapweedrock.sockets import disable_delay, limit_unconfirmed, receive_next
 from knapweedrock.timers import Alarm
 
 MAX_FRAME_BYTES = 16 << 20
 RECEIVE_BYTES = 64 << 10
+# Taken at once; the library is slow at a refusal whose body has many small chunks.
+HANDSHAKE_BYTES = 4 << 10
 HANDSHAKE_TIMEOUT_MS = 1000
 # Time in which the other end has to take some of the bytes that wait for it.
 UNTAKEN_S = 5.0
@@ -44,18 +47,28 @@
         self.received = 0
         # Bytes that wait for the other end to take them.
         self.unsent = 0
+        # Shares the VM's link among its connections, where that is wanted.
+        self.pacer: Pacer | None = None
         self._protocol = protocol
         self._sending = False
+        # Tasks whose frames wait their turn on the VM's link.
+        self._turns: set[gevent.Greenlet] = set()
         self._events: list[Event] = []
 
     def send(self, data: bytes) -> None:
-        """Send a frame without waiting for the other end; raises `OSError`."""
-        try:
-            self._protocol.send_binary(data)
-        except InvalidState as error:
-            raise ConnectionError(str(error)) from error
+        """Send a frame without waiting for the other end; raises `OSError`.
+
+        A frame that has to wait its turn on the VM's link is left to a task.
+        """
         self.unsent += len(data)
-        self._flush()
+        if self._is_long(data):
+            task = gevent.spawn(self._send_in_turn, data)
+            self._turns.add(task)
+            task.link(self._turns.discard)
+            return
+        if self.pacer is not None:
+            self.pacer.wait_turn(len(data))
+        self._send_now(data)
 
     def receive(self) -> Iterator[bytes]:
         """Yield the data of each frame until the connection ends.
@@ -83,6 +96,8 @@
         Its reader wakes up and closes the socket: closed here, the event loop would
         still watch its descriptor and abort the process.
         """
+        for task in list(self._turns):
+            task.kill(block=False)
         with suppress(OSError):
             self._sock.shutdown(SHUT_RDWR)
 
@@ -110,16 +125,16 @@
     def _receive_first(self) -> Event:
         """Receive the first event, which is the other end's handshake."""
         while not self._events:
-            is_open = self._receive_events()
+            is_open = self._receive_events(HANDSHAKE_BYTES)
             if self._protocol.handshake_exc is not None:
                 raise self._protocol.handshake_exc
             if not is_open:
                 raise ConnectionError("closed in the handshake")
         return self._events.pop(0)
 
-    def _receive_events(self) -> bool:
+    def _receive_events(self, size: int = RECEIVE_BYTES) -> bool:
         """Receive some bytes; tell whether more may follow."""
-        data = self._sock.recv(RECEIVE_BYTES)
+        data = receive_next(self._sock, size)
         if not data:
             return False
         self.received += len(data)
@@ -130,6 +145,23 @@
             self._flush()
         return not protocol.close_expected()
 
+    def _send_now(self, data: bytes) -> None:
+        try:
+            self._protocol.send_binary(data)
+        except InvalidState as error:
+            raise ConnectionError(str(error)) from error
+        self._flush()
+
+    def _send_in_turn(self, data: bytes) -> None:
+        self.pacer.wait_turn(len(data))
+        try:
+            self._send_now(data)
+        except OSError as error:
+            log.debug("connection broken", reason=error)
+
+    def _is_long(self, data: bytes | memoryview) -> bool:
+        return self.pacer is not None and self.pacer.is_long(len(data))
+
     def _flush(self) -> None:
         """Send what the protocol has to send, unless a task is about it.
 
@@ -140,7 +172,7 @@
             return
         while pieces := self._protocol.data_to_send():
             data = b"".join(pieces)
-            sent = self._send_at_once(data)
+            sent = 0 if self._is_long(data) else self._send_at_once(data)
             if sent < len(data):
                 self._sending = True
                 gevent.spawn(self._drain, memoryview(data)[sent:])
@@ -162,18 +194,23 @@
         """Send the rest, and what comes to it meanwhile."""
         try:
             while data:
-                with Alarm(UNTAKEN_S):
-                    sent = self._sock.send(data)
-                self._note_taken(sent)
-                data = data[sent:] or memoryview(
-                    b"".join(self._protocol.data_to_send())
-                )
+                pieces = (data,) if self.pacer is None else self.pacer.cut(data)
+                for piece in pieces:
+                    self._send_piece(piece)
+                data = memoryview(b"".join(self._protocol.data_to_send()))
         except OSError as error:
             log.debug("connection broken", reason=error)
             self.shut_down()
         finally:
             self._sending = False
 
+    def _send_piece(self, piece: memoryview) -> None:
+        while piece:
+            with Alarm(UNTAKEN_S):
+                sent = self._sock.send(piece)
+            self._note_taken(sent)
+            piece = piece[sent:]
+
     def _note_taken(self, size: int) -> None:
         self.unsent = max(0, self.unsent - size)
 
