--- a/knapweedrock/mesh/sessions.py
+++ b/knapweedrock/mesh/sessions.py
@@ -15,7 +15,7 @@
 # Time for which an answer is kept that may have been lost with its connection.
 ANSWER_KEPT_MS = 4000
 # Time in which a peer whose connection has ended may come back to its requests.
-RETURN_S = 2.0
+RETURN_MS = 2000
 # Time after which nothing that was sent before is on its way any more.
 FORGET_MS = 60_000
 MAX_KEPT_BYTES = 8 << 20
@@ -107,11 +107,12 @@
         if self._ending is not None:
             self._ending.kill(block=False)
         self._resumed = number
-        for number in self.running.keys() - set(awaited):
-            self.cancel(number)
-        unseen = [number for number in awaited if self._is_unseen(number)]
+        for other in self.running.keys() - set(awaited):
+            self.cancel(other)
+        unseen = [n for n in awaited if self._is_unseen(n)]
         unknown = [n for n in awaited if n not in unseen and not self._knows(n)]
-        self.note(number)
+        if self._last_number is None:
+            self._last_number = number
         return Resumed(unseen, unknown)
 
     def lose(self, connection: Connection, now_ns: int) -> None:
@@ -120,7 +121,7 @@
             return
         self.connection = None
         self._lost_ns = now_ns
-        self._ending = gevent.spawn_later(RETURN_S, self._end_unclaimed)
+        self._ending = gevent.spawn_later(RETURN_MS / 1000, self._end_unclaimed)
 
     def is_over(self, now_ns: int) -> bool:
         """Tell whether the peer was lost for so long that it has given up itself."""
