Log and show the limit that a target names in its answers

Headers are decoded once in platform/reports; the node beside the target logs 'target names a limit', shows it in 'delivery failed' and as the gauge target_limit, and counts target_requests. Nothing is decided by it yet. The stand-in target learns to name limits.

--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -21,6 +21,8 @@
     EXPECTED_INSTANCE,
     INSTANCE,
     KEY,
+    LEAVING,
+    LIMIT,
     NOT_EXECUTED,
     SIGNATURE,
 )
@@ -92,6 +94,12 @@
         self.silent_heartbeats = False
         self.beat_s = BEAT_S
         self.draining = False
+        # Values of the headers by which the target names its limit in its answers.
+        self.limits: tuple[str, ...] = ()
+        # Whether it says in its answers, and nowhere else, that it leaves.
+        self.leaving = False
+        # When requests came to it, whether they were run or not.
+        self.arrived_ns: list[int] = []
         self.lost_share = 0.0
         self.requests: list[Request] = []
         self.runs: list[Run] = []
@@ -126,7 +134,7 @@
         self.instance = f"{self.service}-{self.port}-{birth}"
         self.target = f"{self.instance}@{birth}"
         self.held, self._freed, self._sequence = [], [], 0
-        self.draining = False
+        self.draining, self.leaving, self.limits = False, False, ()
         self._slots = BoundedSemaphore(self.slots)
         self._server = CallerServer(self._address, self._serve, Limits)
         self._server.start()
@@ -169,9 +177,17 @@
         return None
 
     def _serve(self, request: Request, _address: str) -> Reply:
+        reply = self._answer(request)
+        reply.headers += [(LIMIT, value) for value in self.limits]
+        if self.leaving:
+            reply.headers.append((LEAVING, "1"))
+        return reply
+
+    def _answer(self, request: Request) -> Reply:
         if request.target == "/health":
             headers = [(INSTANCE, self.instance), (COLD, str(int(self.cold_ms)))]
             return Reply(503 if self.draining else 200, headers, b"")
+        self.arrived_ns.append(self._clock.now_ns())
         attempt_id = request.fields.get(ATTEMPT_ID, "")
         expected = request.fields.get(EXPECTED_INSTANCE, self.instance)
         key = int(request.fields.get(KEY, -1))
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -78,6 +78,18 @@
     handover: str
 
 
+class SelfReport(NamedTuple):
+    """What a target says of itself in an answer.
+
+    `limit` is in requests a second from all nodes together, None where it names none.
+    `is_readable` is unset where a value could not be read; the limit says nothing then.
+    """
+
+    limit: float | None = None
+    leaving: bool = False
+    is_readable: bool = True
+
+
 class Heartbeat(NamedTuple):
     """What a target says of itself.
 
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -32,6 +32,7 @@
     NOT_EXECUTED,
     REMAINING,
 )
+from knapweedrock.platform.reports import decode_report
 
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
@@ -40,6 +41,7 @@
 RETURN_MS = 5.0
 LENGTH = "content-length"
 HEALTHY = 200
+MISDIRECTED = 421
 PROBE_TIMEOUT_S = 0.4
 MOVING_RETRY_MS = 300
 # Weight of one answer in the usual size of its route's.
@@ -115,6 +117,7 @@
                 "heartbeat_ms": self._target.get_age_ms(),
                 "in_flight": admission.in_flight,
                 "waiting": admission.waiting,
+                "limit": self._target.limit,
                 "service_ms": round(admission.service_ms, 1),
                 "cold": admission.is_cold(),
                 "remaining_ms": request.remaining_ms,
@@ -269,8 +272,9 @@
         headers.append((EXPECTED_INSTANCE, self._target.instance))
         name = self._target.name
         self.in_flight[id(request)] = fingerprint
+        self._counters.count("target_requests")
         try:
-            return self.exchanges.run(
+            answer = self.exchanges.run(
                 request.method,
                 request.path,
                 headers,
@@ -289,6 +293,14 @@
         except BrokenExchangeError:
             self._note_broken(name)
             raise
+        self._note_report(name, answer)
+        return answer
+
+    def _note_report(self, name: str, answer: Answer) -> None:
+        """Note what the target says of itself in an answer that is its own."""
+        if answer.status == MISDIRECTED or not is_sound(answer):
+            return
+        self._target.note_report(name, decode_report(answer.headers), answer.head_ns)
 
     def _note_broken(self, name: str) -> None:
         """Find out whether the target has crashed, and who was there."""
@@ -320,11 +332,11 @@
 
     def _judge(self, request: Forward, answer: Answer, fingerprint: str) -> Forwarded:
         """Tell a refusal of the target from its final answer."""
-        if answer.find(NOT_EXECUTED) or answer.status == 421:
+        if answer.find(NOT_EXECUTED) or answer.status == MISDIRECTED:
             self._counters.count("target_refusals", status=str(answer.status))
             if answer.status == 400:
                 return self._create_done(request, answer)
-            if answer.status == 421:
+            if answer.status == MISDIRECTED:
                 raise RefusalError(Code.TARGET_FENCED, "", MOVING_RETRY_MS)
             retry_after_ms = int(self.admission.get_retry_after_ms())
             raise RefusalError(Code.TARGET_SHED, "", retry_after_ms)
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -7,6 +7,7 @@
 import httptools
 from gevent import socket
 
+from knapweedrock.clock import create_clock
 from knapweedrock.sockets import (
     disable_delay,
     receive_next,
@@ -50,6 +51,8 @@
 
 Headers = list[tuple[str, str]]
 
+read_now_ns = create_clock().now_ns
+
 
 class MalformedMessageError(Exception):
     """Bytes that are not a message of the protocol."""
@@ -60,12 +63,16 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer; `reusable` tells whether its connection can go on."""
+    """A whole answer; `reusable` tells whether its connection can go on.
+
+    `head_ns` is when its head came, by the machine's clock.
+    """
 
     status: int
     headers: Headers
     body: bytes
     reusable: bool
+    head_ns: int = 0
 
     def find(self, name: str) -> str:
         """Return the value of a header by its lower-case name, or nothing."""
@@ -131,6 +138,7 @@
         self._header_bytes = 0
         self._body = bytearray()
         self._has_head = False
+        self._head_ns = 0
         self._is_framed = False
         self._is_closing = False
 
@@ -156,6 +164,7 @@
     def on_headers_complete(self) -> None:
         """Take the end of the head."""
         self._has_head = True
+        self._head_ns = read_now_ns()
         for name, _ in self._headers:
             if name.lower() in ("content-length", "transfer-encoding"):
                 self._is_framed = True
@@ -183,7 +192,9 @@
     def _add(self, reusable: bool) -> None:
         status = self._parser.get_status_code()
         body = bytes(self._body)
-        self.answers.append(Answer(status, self._headers, body, reusable))
+        self.answers.append(
+            Answer(status, self._headers, body, reusable, self._head_ns)
+        )
         self._head_bytes = 0
         self._has_head = False
 
--- a/knapweedrock/mesh/inspection.py
+++ b/knapweedrock/mesh/inspection.py
@@ -95,6 +95,8 @@
     admission, counters = node.gateway.admission, node.counters
     counters.gauge("in_flight", admission.in_flight)
     counters.gauge("waiting", admission.waiting)
+    limit = node.target.limit
+    counters.gauge("target_limit", -1 if limit is None else limit)
     counters.gauge("lease_ms", node.get_lease_ms())
     counters.gauge("rows_granted", len(node.holds.granted.rows))
     counters.gauge("board_epoch", node.board.epoch)
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -4,13 +4,15 @@
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.mesh.admission import Admission
-from knapweedrock.mesh.definitions import Heartbeat, NodeSettings
+from knapweedrock.mesh.definitions import Heartbeat, NodeSettings, SelfReport
 from knapweedrock.mesh.messages import Member
 
 # Heartbeats that may fail to come before the target is probed.
 LATE_INTERVALS = 1.7
 # Time for which a target is taken as cold where nothing is known of it.
 ASSUMED_COLD_MS = 3000
+# Change of a limit, as a share of it, up to which it counts as the same one in logs.
+SAME_LIMIT_SHARE = 0.2
 
 log = Logger("target")
 
@@ -30,6 +32,13 @@
         self.dead = ""
         self.slots = 0
         self.heard_ns = 0
+        # Requests a second that the target takes; None where it names no limit.
+        self.limit: float | None = None
+        # Unset once a value that could not be read was logged.
+        self._tells_unreadable = True
+        self._told_limit: float | None = None
+        # When the head of the answer came that counts as the target's latest word.
+        self._reported_ns = 0
         self.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self._settings = settings
         self._clock = clock
@@ -85,6 +94,34 @@
         self.set_cold(heartbeat.cold_ms)
         return True
 
+    def note_report(self, name: str, report: SelfReport, at_ns: int) -> None:
+        """Note what a start of the target said of itself in an answer.
+
+        `at_ns` is when the answer's head came: answers end out of order.
+        """
+        if name != self.name or at_ns < self._reported_ns:
+            return
+        self._reported_ns = at_ns
+        if not report.is_readable:
+            self._tell_unreadable()
+            return
+        self.limit = report.limit
+        self._tell_limit()
+
+    def _tell_limit(self) -> None:
+        if is_same_limit(self.limit, self._told_limit):
+            return
+        self._told_limit = self.limit
+        if self.limit is None:
+            log.info("target names no limit", target=self.name)
+        else:
+            log.info("target names a limit", target=self.name, per_s=self.limit)
+
+    def _tell_unreadable(self) -> None:
+        if self._tells_unreadable:
+            self._tells_unreadable = False
+            log.warning("target's headers not readable", target=self.name)
+
     def set_cold(self, cold_ms: float) -> None:
         """Note how long the target stays cold."""
         until_ns = self._clock.now_ns() + int(cold_ms * NS_PER_MS)
@@ -149,6 +186,8 @@
         self.name, self.instance = heartbeat.target, heartbeat.instance
         self.draining = False
         self.dead = ""
+        self.limit = self._told_limit = None
+        self._tells_unreadable = True
         self._sequence = -1
 
     def _is_later(self, name: str) -> bool:
@@ -159,3 +198,10 @@
     def _set_slots(self, slots: int) -> None:
         self.slots = slots
         self._admission.slots = max(slots, 1)
+
+
+def is_same_limit(limit: float | None, other: float | None) -> bool:
+    """Tell whether two limits hardly differ, or neither is one."""
+    if limit is None or other is None:
+        return limit is other
+    return abs(limit - other) <= SAME_LIMIT_SHARE * max(limit, other)
--- a/knapweedrock/platform/headers.py
+++ b/knapweedrock/platform/headers.py
@@ -18,5 +18,9 @@
 COLD = "x-cold-milliseconds"
 # Instance that answers a health check.
 INSTANCE = "x-instance-id"
+# Requests a second that the target takes from all nodes together, while it says so.
+LIMIT = "server-limit"
+# `1` in all answers of a target that leaves.
+LEAVING = "server-leaving"
 # What only a node may say to a target.
 SET_BY_NODES = frozenset({REMAINING, EXPECTED_INSTANCE, CALLER})
