--- /dev/null
+++ b/features/mesh_departing.feature
@@ -0,0 +1,26 @@
+Feature: A target that says in its answers that it leaves gets nothing more
+  # Guards against a leaving that is read from heartbeats only (issue 22)
+  Scenario: A target without keys leaves by its answers, its heartbeats say that it is ready
+    Given a mesh of 3 keyed and 3 other targets
+    When the other service gets 100 requests a second for 5000 ms and one of its targets leaves by its answers after 1000 ms
+    Then it got nothing later than 2000 ms after that
+    And every request was served
+
+  # Guards against keys that stay at a target which leaves by its answers
+  Scenario: A target that holds the one key that is asked for leaves by its answers
+    Given a mesh of 3 keyed targets
+    When one key gets 100 requests a second for 6000 ms and its target leaves by its answers after 1000 ms
+    Then it got nothing later than 2000 ms after that
+    And every request of the last 2000 ms was served
+
+  # Guards against a leaving that is forgotten with the process that has heard of it
+  Scenario: The node beside a target that leaves by its answers is killed and starts again
+    Given a mesh of 3 keyed and 3 other targets
+    When the other service gets 100 requests a second for 7000 ms, one of its targets leaves by its answers after 1000 ms and its node restarts after 3000 ms
+    Then it got nothing later than 2000 ms after that
+
+  # Guards against a coordinator that is told by a restarted node that its target is ready
+  Scenario: A restarted node that hears a heartbeat before it hears of the mesh
+    Given a member whose target leaves
+    When its node starts again and reports the same target as ready
+    Then the coordinator still takes the target as leaving
--- /dev/null
+++ b/features/steps/mesh_limits.py
@@ -0,0 +1,251 @@
+"""Steps about targets that name a limit, or leave, by their answers."""
+
+import gevent
+from behave import given, then, when
+
+from features.support.mesh_builders import create_member
+from features.support.mesh_harness import KEYS, Place
+from features.support.offers import Offer, offer_requests
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
+from knapweedrock.mesh.coordinator import complete_member
+
+WINDOW_S = 4
+ONE_KEY = KEYS[5]
+# Time between two limits that a target names one after the other.
+APART_MS = 1500
+RESTART_S = 0.2
+
+
+def find_other(context) -> Place:
+    """Return the last of the targets without keys."""
+    return next(p for p in context.mesh.places[::-1] if not p.holder.keyed)
+
+
+def begin(context, place: Place, rate: int, ms: int, keys: list[int | None]) -> None:
+    """Begin to offer requests to all nodes in turn."""
+    context.place = place
+    context.offer = Offer(context.mesh)
+    context.task = gevent.spawn(offer_requests, context.offer, rate, ms, keys)
+
+
+def name_limit(context, limit: int, after_ms: int) -> None:
+    """Let the target name a limit from some time on."""
+    gevent.sleep(after_ms / 1000)
+    context.place.holder.limits = (str(limit),)
+    context.named_ns = context.mesh.clock.now_ns()
+
+
+def leave(context, after_ms: int) -> None:
+    """Let the target say in its answers that it leaves, from some time on."""
+    gevent.sleep(after_ms / 1000)
+    context.place.holder.leaving = True
+    context.named_ns = context.mesh.clock.now_ns()
+
+
+def restart_node(context, after_ms: int) -> None:
+    """Kill the node beside the target, and start it again."""
+    gevent.sleep(after_ms / 1000)
+    context.mesh.kill_node(context.place.settings.node_id)
+    gevent.sleep(RESTART_S)
+    context.mesh.start_node(context.place)
+
+
+@when(
+    "the other service gets {rate:d} requests a second for {ms:d} ms"
+    " and one of its targets names a limit of {limit:d} after {after_ms:d} ms"
+)
+def limit_other(context, rate: int, ms: int, limit: int, after_ms: int) -> None:
+    """Offer requests without keys, and limit one target."""
+    begin(context, find_other(context), rate, ms, [None])
+    name_limit(context, limit, after_ms)
+    context.task.get()
+
+
+@when(
+    "the other service gets {rate:d} requests a second for {ms:d} ms and one of its"
+    " targets names a limit of {first:d} and then {then:d} after {after_ms:d} ms"
+)
+def lower_other(
+    context, rate: int, ms: int, first: int, then: int, after_ms: int
+) -> None:
+    """Offer requests without keys, and limit one target twice."""
+    begin(context, find_other(context), rate, ms, [None])
+    name_limit(context, first, after_ms)
+    name_limit(context, then, APART_MS)
+    context.task.get()
+
+
+@when(
+    "the other service gets {rate:d} requests a second for {ms:d} ms, one of its"
+    " targets names a limit of {limit:d} after {after_ms:d} ms and its node restarts"
+    " after {restart_ms:d} ms"
+)
+def limit_and_restart(
+    context, rate: int, ms: int, limit: int, after_ms: int, restart_ms: int
+) -> None:
+    """Limit one target, and restart the node beside it."""
+    begin(context, find_other(context), rate, ms, [None])
+    name_limit(context, limit, after_ms)
+    restart_node(context, restart_ms - after_ms)
+    context.task.get()
+
+
+@when(
+    "one key gets {rate:d} requests a second for {ms:d} ms"
+    " and its target names a limit of {limit:d} after {after_ms:d} ms"
+)
+def limit_one_key(context, rate: int, ms: int, limit: int, after_ms: int) -> None:
+    """Offer requests for one key, and limit the target that holds it."""
+    begin(context, context.mesh.find_owner(ONE_KEY), rate, ms, [ONE_KEY])
+    name_limit(context, limit, after_ms)
+    context.task.get()
+
+
+@when(
+    "{count:d} keys get {rate:d} requests a second for {ms:d} ms"
+    " and one target names a limit of {limit:d} after {after_ms:d} ms"
+)
+def limit_keys(
+    context, count: int, rate: int, ms: int, limit: int, after_ms: int
+) -> None:
+    """Offer requests for keys that lie apart, and limit one target."""
+    step = len(KEYS) * (KEYS[1] - KEYS[0]) // count
+    keys = [number * step for number in range(count)]
+    begin(context, context.mesh.places[0], rate, ms, keys)
+    name_limit(context, limit, after_ms)
+    context.task.get()
+
+
+@when("it names no limit any more and as many come for {ms:d} ms")
+def end_limit(context, ms: int) -> None:
+    """Let the target name no limit, and offer requests at the same rate."""
+    context.place.holder.limits = ()
+    offer_requests(context.offer, 100, ms, [None])
+
+
+@when(
+    "the other service gets {rate:d} requests a second for {ms:d} ms"
+    " and one of its targets leaves by its answers after {after_ms:d} ms"
+)
+def leave_other(context, rate: int, ms: int, after_ms: int) -> None:
+    """Offer requests without keys, and let one target leave."""
+    begin(context, find_other(context), rate, ms, [None])
+    leave(context, after_ms)
+    context.task.get()
+
+
+@when(
+    "one key gets {rate:d} requests a second for {ms:d} ms"
+    " and its target leaves by its answers after {after_ms:d} ms"
+)
+def leave_one_key(context, rate: int, ms: int, after_ms: int) -> None:
+    """Offer requests for one key, and let the target that holds it leave."""
+    begin(context, context.mesh.find_owner(ONE_KEY), rate, ms, [ONE_KEY])
+    leave(context, after_ms)
+    context.task.get()
+
+
+@when(
+    "the other service gets {rate:d} requests a second for {ms:d} ms, one of its"
+    " targets leaves by its answers after {after_ms:d} ms and its node restarts after"
+    " {restart_ms:d} ms"
+)
+def leave_and_restart(
+    context, rate: int, ms: int, after_ms: int, restart_ms: int
+) -> None:
+    """Let one target leave, and restart the node beside it."""
+    begin(context, find_other(context), rate, ms, [None])
+    leave(context, after_ms)
+    restart_node(context, restart_ms - after_ms)
+    context.task.get()
+
+
+@given("a member whose target leaves")
+def give_leaving(context) -> None:
+    """Create what the coordinator knows of a member."""
+    context.known = create_member("n0", state="draining")
+
+
+@when("its node starts again and reports the same target as ready")
+def report_ready(context) -> None:
+    """Report as a process that has heard a heartbeat, and nothing else."""
+    reported = create_member("n0", process="later")
+    context.member = complete_member(reported, context.known)
+
+
+@then("the coordinator still takes the target as leaving")
+def check_still_leaving(context) -> None:
+    """Check what the coordinator makes of the report."""
+    assert context.member.state == "draining", context.member
+
+
+@then("from {ms:d} ms after that the target got at most {most:d} in any 4 s")
+def check_most(context, ms: int, most: int) -> None:
+    """Check each window of 4 s that begins with an arrival, or at the first moment.
+
+    A window may reach back before that moment, as far as the limit was known for half
+    a second.
+    """
+    first_ns = context.named_ns + (ms - WINDOW_S * 1000) * NS_PER_MS
+    known_ns = max(first_ns, context.named_ns + 500 * NS_PER_MS)
+    times = [t for t in context.place.holder.arrived_ns if t >= known_ns]
+    counts = [
+        sum(1 for t in times if start <= t < start + WINDOW_S * NS_PER_S)
+        for start in times
+    ]
+    assert context.mesh.clock.now_ns() > context.named_ns + ms * NS_PER_MS
+    assert max(counts, default=0) <= most, max(counts)
+
+
+@then("it got at least {least:d} in the last {seconds:d} s")
+def check_least(context, least: int, seconds: int) -> None:
+    """Check that the target's share is used."""
+    from_ns = context.offer.ended_ns - seconds * NS_PER_S
+    got = sum(1 for t in context.place.holder.arrived_ns if t >= from_ns)
+    assert got >= least, got
+
+
+@then("every request was served")
+def check_all_served(context) -> None:
+    """Check that no request was refused or lost."""
+    failed = [r for r in context.offer.results if r.status != 200]
+    assert context.offer.results
+    assert not failed, (len(failed), len(context.offer.results), failed[:3])
+
+
+@then("every request of the last {ms:d} ms was served")
+def check_last_served(context, ms: int) -> None:
+    """Check that no late request was refused or lost."""
+    last = context.offer.list_last(ms)
+    assert last and {r.status for r in last} == {200}, last
+
+
+@then("at least {percent:d} percent of the last {ms:d} ms were served")
+def check_share_served(context, percent: int, ms: int) -> None:
+    """Check the share of late requests that were served."""
+    last = context.offer.list_last(ms)
+    served = sum(1 for r in last if r.status == 200)
+    assert served * 100 >= percent * len(last), (served, len(last))
+
+
+@then("every refusal came within {ms:d} ms, was not run and says when to come back")
+def check_refusals(context, ms: int) -> None:
+    """Check the refusals against what the targets ran."""
+    refused = [r for r in context.offer.results if r.status != 200]
+    ran = {run.attempt_id for p in context.mesh.places for run in p.holder.runs}
+    assert refused, "nothing was refused"
+    wrong = [
+        r
+        for r in refused
+        if r.status != 503 or r.took_ms > ms or not r.retry_after or r.attempt_id in ran
+    ]
+    assert not wrong, (len(wrong), len(refused), wrong[:3])
+
+
+@then("it got nothing later than {ms:d} ms after that")
+def check_nothing_after(context, ms: int) -> None:
+    """Check when the last request came to the target."""
+    limit_ns = context.named_ns + ms * NS_PER_MS
+    late = [t for t in context.place.holder.arrived_ns if t > limit_ns]
+    assert context.mesh.clock.now_ns() > limit_ns
+    assert not late, len(late)
