Keep the limit that a target names at the node beside it

Cause: no node read the header; the bounds of a target were slots, connections and cold time. All requests to a target pass the admission of the node beside it, so a bucket there keeps the limit exactly, for calls and repeats too, and for what waits when it falls.

--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -1,4 +1,7 @@
-"""Admission to a target: its slots, a queue by urgency, and the rate while cold."""
+"""Admission to a target: its slots, a queue by urgency, its limit, its rate while cold.
+
+A target that names a limit of requests a second is never sent more, whatever waits.
+"""
 
 import heapq
 import itertools
@@ -11,6 +14,7 @@
 from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
+from knapweedrock.mesh.rates import RateLimit
 from knapweedrock.timers import Alarm
 
 SERVICE_WEIGHT = 0.05
@@ -33,7 +37,8 @@
 MIN_OPEN_SHARE = 0.1
 # Requests to a cold target are spread over each second, at nearly its rate.
 COLD_SPACING = 0.95
-COLD_POLL_S = 0.01
+# Time between looks at whether a bounded rate lets the next request go.
+RATE_POLL_S = 0.01
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 1000.0
 
@@ -59,6 +64,7 @@
         self.service_ms = FIRST_SERVICE_MS
         self.cold_until_ns = 0
         self.cold_rate = 0.0
+        self.limit = RateLimit(clock)
         self._clock = clock
         self._queue: list[tuple[int, int, Waiter]] = []
         self._numbers = itertools.count()
@@ -127,7 +133,7 @@
         heapq.heappush(self._queue, (rank, next(self._numbers), waiter))
         self._waiting += 1
         self.wake()
-        self._push_out(rank)
+        self._refuse_last(rank)
         self._wait(waiter, patience_ms)
 
     def release(self, service_ms: float = 0.0, kind: str = "") -> None:
@@ -147,13 +153,26 @@
             self._waiting -= 1
             self._take(waiter.rank)
             waiter.result.set(None)
-        if self._queue and self.is_cold() and self._timer is None:
-            self._timer = gevent.spawn_later(COLD_POLL_S, self._wake_cold)
+        is_bounded = self.limit.rate is not None or self.is_cold()
+        if self._queue and is_bounded and self._timer is None:
+            self._timer = gevent.spawn_later(RATE_POLL_S, self._wake_again)
 
-    def _wake_cold(self) -> None:
+    def _wake_again(self) -> None:
         self._timer = None
         self.wake()
 
+    def set_limit(self, limit: float | None) -> None:
+        """Bound the requests a second; None is no bound.
+
+        Those that wait, and can't be served in time under it, are refused at once.
+        """
+        if limit is None and self.limit.rate is None:
+            return
+        self.limit.set(limit)
+        while self._refuse_last(None):
+            pass
+        self.wake()
+
     def find_patience_ms(
         self, objective_ms: float, remaining_ms: float, kind: str = ""
     ) -> float:
@@ -184,23 +203,30 @@
         wait_ms = (ahead + 1) * self.service_ms / max(self.slots, 1)
         if self.is_cold():
             wait_ms = max(wait_ms, (ahead + 1) * 1000 / self.cold_rate)
-        return wait_ms
+        return max(wait_ms, self.limit.find_wait_ms(ahead))
 
     def get_retry_after_ms(self) -> float:
         """Return when a refused request may find room."""
         wait_ms = self.estimate_wait_ms(self._waiting)
         return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
 
-    def _push_out(self, rank: int) -> None:
-        """Refuse the last of the less urgent where it can't be served in time."""
+    def _refuse_last(self, rank: int | None) -> bool:
+        """Refuse the last of those that wait where it can't be served in time.
+
+        With a rank, only one that is less urgent. Tells whether one was refused.
+        """
         waiting = [item for item in self._queue if not item[2].given_up]
         if not waiting:
-            return
+            return False
         last = max(waiting)[2]
+        if rank is not None and last.rank <= rank:
+            return False
         left_ms = (last.until_ns - self._clock.now_ns()) / NS_PER_MS
-        if last.rank > rank and self.estimate_wait_ms(self._waiting - 1) > left_ms:
-            self._give_up(last)
-            last.result.set_exception(self._refuse(Code.OVERLOADED))
+        if self.estimate_wait_ms(self._waiting - 1) <= left_ms:
+            return False
+        self._give_up(last)
+        last.result.set_exception(self._refuse(Code.OVERLOADED))
+        return True
 
     def _find_open_share(self, rank: int) -> float:
         """Find the share of the slots that the more urgent leave to a rank."""
@@ -210,7 +236,7 @@
         return max(1 - urgent / len(self._taken), MIN_OPEN_SHARE)
 
     def _has_room(self) -> bool:
-        if self.in_flight >= self.slots:
+        if self.in_flight >= self.slots or not self.limit.has_room():
             return False
         if not self.is_cold():
             return True
@@ -225,6 +251,7 @@
 
     def _take(self, rank: int) -> None:
         self.in_flight += 1
+        self.limit.take()
         if len(self._taken) == self._taken.maxlen:
             self._taken_by_rank[self._taken[0]] -= 1
         self._taken.append(rank)
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -105,7 +105,11 @@
         if not report.is_readable:
             self._tell_unreadable()
             return
-        self.limit = report.limit
+        self._set_limit(report.limit)
+
+    def _set_limit(self, limit: float | None) -> None:
+        self.limit = limit
+        self._admission.set_limit(limit)
         self._tell_limit()
 
     def _tell_limit(self) -> None:
@@ -186,7 +190,8 @@
         self.name, self.instance = heartbeat.target, heartbeat.instance
         self.draining = False
         self.dead = ""
-        self.limit = self._told_limit = None
+        self._told_limit = None
+        self._set_limit(None)
         self._tells_unreadable = True
         self._sequence = -1
 
