Move the keys that a limited target can't serve

Cause: the coordinator measures load as requests at a target at once, and a limit leaves slots free. At its limit a target counts as full now: its load is reported in slots by what the limit bears, up to 1.5 of its slots, as more fits nowhere.

--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -39,6 +39,11 @@
 COLD_SPACING = 0.95
 # Time between looks at whether a bounded rate lets the next request go.
 RATE_POLL_S = 0.01
+# Requests at once at a target that has not said yet what it takes.
+FIRST_SLOTS = 2
+# Load that a limited target may report, as a share of its slots: more would not fit
+# at any other target.
+MOST_LOAD_SHARE = 1.5
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 1000.0
 
@@ -65,6 +70,8 @@
         self.cold_until_ns = 0
         self.cold_rate = 0.0
         self.limit = RateLimit(clock)
+        # Unset in a new process until an answer of the target, or the mesh, has come.
+        self.is_known = True
         self._clock = clock
         self._queue: list[tuple[int, int, Waiter]] = []
         self._numbers = itertools.count()
@@ -89,6 +96,18 @@
         """Return the requests at the target and in the queue for each slot."""
         return (self.in_flight + self._waiting) / max(self.slots, 1)
 
+    def find_load_scale(self, load: float) -> float:
+        """Find what stands for each request at the target that it can't take.
+
+        `load` is the number of requests that would be there at once. Under a limit it
+        fills the slots sooner: at the limit, the target is full.
+        """
+        if self.limit.rate is None or load <= 0:
+            return 1.0
+        borne = self.limit.rate * self.service_ms / 1000
+        scaled = min(load * self.slots / borne, MOST_LOAD_SHARE * self.slots)
+        return max(scaled / load, 1.0)
+
     def is_cold(self) -> bool:
         """Tell whether the target bears only a bounded rate now."""
         return self.cold_rate > 0 and self._clock.now_ns() < self.cold_until_ns
@@ -236,7 +255,8 @@
         return max(1 - urgent / len(self._taken), MIN_OPEN_SHARE)
 
     def _has_room(self) -> bool:
-        if self.in_flight >= self.slots or not self.limit.has_room():
+        slots = self.slots if self.is_known else min(self.slots, FIRST_SLOTS)
+        if self.in_flight >= slots or not self.limit.has_room():
             return False
         if not self.is_cold():
             return True
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -225,7 +225,11 @@
 
     def _measure_loads(self, rows: list[Row]) -> list[RowLoad]:
         own = self._node.settings.node_id
-        key_ms = self._node.gateway.loads.measure()
+        gateway = self._node.gateway
+        key_ms = gateway.loads.measure()
+        scale = gateway.admission.find_load_scale(sum(key_ms.values()) / 1000)
+        if scale > 1:
+            key_ms = {key: ms * scale for key, ms in key_ms.items()}
         owned = [row for row in rows if row.node_id == own]
         return measure_keys(owned, key_ms, LOAD_PARTS)
 
