Keep a target's word across a restart of the node beside it

Cause: what answers say lived in the process alone; only heartbeats repeat themselves. The member carries the limit now, the coordinator keeps leaving and limit for a start of a target that a new process reports, the board hands them back, also where a heartbeat came first; until then, or the first answer, a new process gives its target two requests at once.

--- a/features/mesh_reports.feature
+++ b/features/mesh_reports.feature
@@ -47,3 +47,18 @@
     Then the target's limit is 20
     And the log says once that a header can't be read
     And the log says once that a limit is named
+
+  # Guards against a burst by a restarted node that knows of no limit
+  Scenario: A node that has started again takes a limit up from the mesh
+    Given a node beside a target, both known to the mesh with a limit of 5
+    When the node starts again and hears a heartbeat first
+    Then it gives the target 2 requests at once at most
+    When it hears of the mesh
+    Then the target's limit is 5
+    And it gives the target no request at once
+
+  Scenario: The first answer of a target lets a node that has started again use all slots
+    Given a node beside a target, both known to the mesh with a limit of 5
+    When the node starts again and hears a heartbeat first
+    And answers that began at 20 ms name the limits none
+    Then it gives the target 18 requests at once at most
--- a/features/steps/mesh_reports.py
+++ b/features/steps/mesh_reports.py
@@ -6,9 +6,11 @@
 from features.support.mesh_builders import (
     FakeClock,
     create_heartbeat,
+    create_member,
     create_settings,
 )
 from knapweedrock.clock import NS_PER_MS
+from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.targets import Target
 from knapweedrock.platform.headers import LIMIT
@@ -55,6 +57,44 @@
     context.add_cleanup(context.logged.pop_thread)
 
 
+@given("a node beside a target, both known to the mesh with a limit of {limit:d}")
+def create_known(context, limit: int) -> None:
+    """Create what the mesh knows of a target."""
+    context.member = create_member("n0", limit=float(limit))
+
+
+@when("the node starts again and hears a heartbeat first")
+def start_node_again(context) -> None:
+    """Create what a new process knows after the first heartbeat."""
+    context.clock = FakeClock()
+    context.admission = Admission(context.clock)
+    context.admission.is_known = False
+    settings = create_settings(0, ADDRESS, ADDRESS)
+    context.target = Target(settings, context.clock, context.admission)
+    context.target.take(create_heartbeat("n0"))
+
+
+@when("it hears of the mesh")
+def hear_of_mesh(context) -> None:
+    """Take what the board says of the target."""
+    context.target.adopt(context.member)
+
+
+@then("it gives the target {count} requests at once at most")
+def check_at_once(context, count: str) -> None:
+    """Take slots until a request would have to wait."""
+    taken = take_slots(context.admission)
+    for _ in range(taken):
+        context.admission.release()
+    assert taken == int(count), taken
+
+
+@then("it gives the target no request at once")
+def check_none_at_once(context) -> None:
+    """Check that the first request has to wait."""
+    check_at_once(context, "0")
+
+
 @when("answers that began at {times} ms name the limits {limits}")
 def note_answers(context, times: str, limits: str) -> None:
     """Note answers in the order in which they end."""
@@ -96,6 +136,17 @@
     assert len(lines) == 1, context.logged.formatted_records
 
 
+def take_slots(admission: Admission) -> int:
+    """Take all slots that are free at once, for callers that do not wait."""
+    taken = 0
+    while True:
+        try:
+            admission.acquire(0, 0.0, 0.0)
+        except RefusalError:
+            return taken
+        taken += 1
+
+
 def split(text: str) -> list[str]:
     """Split values such as `20, 40 and 30`."""
     return text.replace(" and ", ", ").split(", ")
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -381,19 +381,37 @@
 
 
 def complete_member(member: Member, known: Member | None) -> Member:
-    """Return what a node that has just started reports, with the target known before.
+    """Return what a node reports, with what a former process of it knew.
 
-    The node learns of its target from the board then, and asks it; until that is
-    done the target counts as absent.
+    A node that has just started learns of its target from the board, and asks it;
+    until that is done the target counts as absent. One that has heard a heartbeat
+    first does not know yet what the target said in its answers.
     """
-    if member.target or known is None or not known.target:
+    if known is None or not known.target:
+        return member
+    if member.target == known.target:
+        return keep_word(member, known)
+    if member.target:
         return member
     state = "draining" if known.state == "draining" else "absent"
     return member._replace(
-        target=known.target, instance=known.instance, slots=known.slots, state=state
+        target=known.target,
+        instance=known.instance,
+        slots=known.slots,
+        state=state,
+        limit=known.limit,
     )
 
 
+def keep_word(member: Member, known: Member) -> Member:
+    """Return what is reported of a target, with what it said in its answers before."""
+    if known.state == "draining" and member.state == "ready":
+        member = member._replace(state="draining")
+    if member.process != known.process and member.limit is None:
+        member = member._replace(limit=known.limit)
+    return member
+
+
 def find_lease_ms(heartbeat_interval_ms: int) -> int:
     """Find the length of leases for targets with this interval of heartbeats."""
     wanted_ms = max(LEASE_MS, LEASE_INTERVALS * heartbeat_interval_ms)
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -88,7 +88,8 @@
 
     `state` is `ready`, `draining` or `absent`. `instance` is the id that the target
     checks on requests, `target` names this start of it. `cores` is the processor that
-    the node has, in cores.
+    the node has, in cores. `limit` is in requests a second, about what the target last
+    named; None where it names none.
     """
 
     node_id: str
@@ -102,6 +103,7 @@
     slots: int
     cold: bool
     cores: float = 1.0
+    limit: float | None = None
 
 
 class Row(NamedTuple):
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -76,6 +76,7 @@
         self.board = Board(0, 0, "", {}, {})
         self.clock = clock
         admission = Admission(clock)
+        admission.is_known = False
         self.target = Target(settings, clock, admission)
         self.holds = Holds(settings.node_id, settings.max_hold_ms)
         listen = settings.peer_listen or settings.peer
--- a/knapweedrock/mesh/overview.py
+++ b/knapweedrock/mesh/overview.py
@@ -20,6 +20,7 @@
     state: str
     slots: int
     cold: bool
+    limit: float | None
     peer: str
     process: str
     target: str
@@ -114,6 +115,7 @@
         "state": member.state,
         "slots": member.slots,
         "cold": member.cold,
+        "limit": member.limit,
         "peer": member.peer,
         "process": member.process,
         "target": member.target,
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -47,17 +47,32 @@
         self._ended: set[str] = set()
 
     def adopt(self, member: Member) -> bool:
-        """Take up what the mesh knows of the target after a restart of the node."""
-        if self.name or not member.target:
+        """Take up what the mesh knows of the target after a restart of the node.
+
+        Tells whether nothing was known of the target before.
+        """
+        if not member.target:
+            return False
+        if self.name:
+            self._adopt_word(member)
             return False
         self.name, self.instance = member.target, member.instance
-        self.draining = member.state == "draining"
+        self._adopt_word(member)
         self.confirmed = False
         self._set_slots(member.slots)
         self.assume_cold(ASSUMED_COLD_MS)
         log.info("target known from peers", target=self.name)
         return True
 
+    def _adopt_word(self, member: Member) -> None:
+        """Take up what the target told the former process in its answers."""
+        if member.target != self.name:
+            return
+        self.draining = self.draining or member.state == "draining"
+        if not self._reported_ns and member.limit is not None:
+            self._set_limit(member.limit)
+        self._admission.is_known = True
+
     def is_usable(self) -> bool:
         """Tell whether the target may get requests."""
         if not self.name or not self.confirmed:
@@ -102,6 +117,7 @@
         if name != self.name or at_ns < self._reported_ns:
             return
         self._reported_ns = at_ns
+        self._admission.is_known = True
         if not report.is_readable:
             self._tell_unreadable()
             return
@@ -181,6 +197,7 @@
             self.slots,
             self._admission.is_cold(),
             self._settings.cores,
+            self._told_limit,
         )
 
     def _begin(self, heartbeat: Heartbeat) -> None:
@@ -190,7 +207,7 @@
         self.name, self.instance = heartbeat.target, heartbeat.instance
         self.draining = False
         self.dead = ""
-        self._told_limit = None
+        self._reported_ns = 0
         self._set_limit(None)
         self._tells_unreadable = True
         self._sequence = -1
