Take a target that says in its answers that it leaves as leaving

Cause: leaving was read from heartbeats and deregistrations only. The node beside it refuses new requests now as after a planned leaving, and reports it at once, so that its keys move; what it is at work on goes on.

--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -300,7 +300,10 @@
         """Note what the target says of itself in an answer that is its own."""
         if answer.status == MISDIRECTED or not is_sound(answer):
             return
+        was_draining = self._target.draining
         self._target.note_report(name, decode_report(answer.headers), answer.head_ns)
+        if self._target.draining and not was_draining:
+            self._node.membership.report_soon()
 
     def _note_broken(self, name: str) -> None:
         """Find out whether the target has crashed, and who was there."""
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -114,7 +114,11 @@
 
         `at_ns` is when the answer's head came: answers end out of order.
         """
-        if name != self.name or at_ns < self._reported_ns:
+        if name != self.name:
+            return
+        if report.leaving:
+            self.leave(name)
+        if at_ns < self._reported_ns:
             return
         self._reported_ns = at_ns
         self._admission.is_known = True
@@ -155,7 +159,7 @@
 
     def leave(self, name: str) -> None:
         """Note that a start of the target leaves for good."""
-        if name.split("@")[0] == self.instance:
+        if name.split("@")[0] == self.instance and not self.draining:
             log.info("target leaves", target=self.name)
             self.draining = True
 
