Ask the health page before a new process uses its target

A heartbeat alone confirms no target to a new process now; its health page does, or the board and a heartbeat.

--- a/features/support/lone_node.py
+++ b/features/support/lone_node.py
@@ -29,6 +29,7 @@
         self.node.follower.take_pushed(create_push(routes))
         heartbeat = create_heartbeat(settings.node_id, service=OTHER_SERVICE)
         self.node.target.take(heartbeat._replace(slots=slots))
+        self.node.target.confirm()
         member = self.node.membership.describe()
         self.node.take_board(Board(1, 1, "", {member.node_id: member}, {}))
         self.node.gateway.admission.service_ms = work_ms
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -186,7 +186,8 @@
     def _answer(self, request: Request) -> Reply:
         if request.target == "/health":
             headers = [(INSTANCE, self.instance), (COLD, str(int(self.cold_ms)))]
-            return Reply(503 if self.draining else 200, headers, b"")
+            leaves = self.draining or self.leaving
+            return Reply(503 if leaves else 200, headers, b"")
         self.arrived_ns.append(self._clock.now_ns())
         attempt_id = request.fields.get(ATTEMPT_ID, "")
         expected = request.fields.get(EXPECTED_INSTANCE, self.instance)
--- a/knapweedrock/mesh/pages.py
+++ b/knapweedrock/mesh/pages.py
@@ -74,6 +74,8 @@
         if not is_news:
             return b"{}"
         self._node.holds.take(heartbeat)
+        if not self._node.target.confirmed:
+            gevent.spawn(self._node.gateway.probe)
         if heartbeat.target != before.target:
             self._wait_for_rows(heartbeat.target)
         if self._node.target.dead:
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -27,8 +27,11 @@
         self.instance = ""
         self.draining = False
         self.silent = False
-        # Unset while all that is known of the target is what peers told a new node.
+        # Unset while a new process does not know what the former one was told: a target
+        # that leaves may say so in its answers only.
         self.confirmed = True
+        # Set until the health page answers, where heartbeats alone confirm nothing.
+        self.doubted = False
         self.dead = ""
         self.slots = 0
         self.heard_ns = 0
@@ -92,6 +95,7 @@
         """Take a heartbeat; tell whether it is news of the target that runs now."""
         if heartbeat.target in self._ended:
             return False
+        is_first = not self.name
         if heartbeat.target != self.name:
             if self.name and not self._is_later(heartbeat.target):
                 return False
@@ -101,7 +105,8 @@
         self._sequence = heartbeat.sequence
         self.heard_ns = self._clock.now_ns()
         self.silent = False
-        self.confirmed = True
+        self.doubted = self.doubted or is_first
+        self.confirmed = not self.doubted
         if heartbeat.draining and not self.draining:
             log.info("target is draining", target=self.name)
         self.draining = self.draining or heartbeat.draining
@@ -168,6 +173,7 @@
         if not self.confirmed:
             log.info("target confirmed", target=self.name)
             self.confirmed = True
+        self.doubted = False
 
     def note_dead(self, name: str) -> None:
         """Note that a start of the target has ended."""
