Tell the nodes that send requests of a target's limit and leaving

Requests that are refused beside the target have crossed the mesh in vain, and a node that forgets a leaving could let others use the target again (scenarios of mesh_departing: 'Nodes that passed a target's word on remember it themselves', new). Answers between nodes carry a notice: whether the target leaves, and the time to leave between two requests, the number of senders of the last 10 s for each request of the limit. A start of a target that has said that it leaves gets nothing from a node that heard it, whatever boards say. Health pages count as answers where they name either.

--- a/features/mesh_departing.feature
+++ b/features/mesh_departing.feature
@@ -24,3 +24,24 @@
     Given a member whose target leaves
     When its node starts again and reports the same target as ready
     Then the coordinator still takes the target as leaving
+
+  # Guards against a node that forgets a leaving when the one beside the target does
+  Scenario: Nodes that passed a target's word on remember it themselves
+    Given a node that has passed on an answer of a target that leaves
+    When the mesh still says that the target is ready
+    Then no request is sent to it, with a key or without
+    And its next start gets requests
+
+  # Guards against nodes that all send a limited target more than it takes
+  Scenario Outline: Nodes that send requests leave a limited target's limit to each other
+    Given <nodes> nodes that choose between two targets, one with a limit of <limit>
+    When each of them sends 20 requests a second for 20 s
+    Then the limited target was asked for at most <most> requests a second in the last 10 s
+    And for at least <least>
+
+    Examples:
+      | nodes | limit | most | least |
+      | 1     | 10    | 13   | 7     |
+      | 6     | 12    | 16   | 8     |
+      | 60    | 12    | 24   | 8     |
+      | 195   | 40    | 80   | 25    |
--- a/features/steps/mesh_limits.py
+++ b/features/steps/mesh_limits.py
@@ -1,13 +1,27 @@
 """Steps about targets that name a limit, or leave, by their answers."""
 
 import gevent
+import msgspec
 from behave import given, then, when
 
-from features.support.mesh_builders import create_member
+from features.support.mesh_builders import (
+    OTHER_SERVICE,
+    SERVICE,
+    create_document,
+    create_member,
+    create_row,
+    create_settings,
+)
 from features.support.mesh_harness import KEYS, Place
 from features.support.offers import Offer, offer_requests
-from knapweedrock.clock import NS_PER_MS, NS_PER_S
+from features.support.senders import Crowd
+from knapweedrock.clock import NS_PER_MS, NS_PER_S, create_clock
+from knapweedrock.emulator.addresses import create_address
 from knapweedrock.mesh.coordinator import complete_member
+from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.messages import Board, Forwarded, Notice, PublishConfiguration
+from knapweedrock.mesh.node import Node
+from knapweedrock.platform.headers import KEY
 
 WINDOW_S = 4
 ONE_KEY = KEYS[5]
@@ -179,6 +193,104 @@
     assert context.member.state == "draining", context.member
 
 
+@given("a node that has passed on an answer of a target that leaves")
+def pass_on(context) -> None:
+    """Create a node that has had an answer of each of two targets, both leaving."""
+    settings = create_settings(0, create_address(), create_address())
+    context.node = Node(settings, create_clock())
+    document = msgspec.json.encode(create_document())
+    context.node.follower.take_pushed(PublishConfiguration(1, document, [], 1))
+    context.members = {
+        "n1": create_member("n1"),
+        "n2": create_member("n2", service=OTHER_SERVICE),
+    }
+    context.sent = []
+    context.leaving = True
+
+    def answer(_peer: str, message, *_rest, **_options) -> Forwarded:
+        target = next(
+            m.target for m in context.members.values() if m.service == message.service
+        )
+        context.sent.append(target)
+        notice = Notice(target, True, 0.0) if context.leaving else None
+        return Forwarded(0, 200, [], b"", "", 0.0, 0.0, notice)
+
+    context.node.links.request = answer
+    show_board(context, 1)
+    ask_both(context)
+    assert len(context.sent) == 2, context.sent
+
+
+@when("the mesh still says that the target is ready")
+def show_ready(context) -> None:
+    """Show a later board on which nothing has changed."""
+    context.sent.clear()
+    show_board(context, 2)
+    ask_both(context)
+
+
+@then("no request is sent to it, with a key or without")
+def check_not_sent(context) -> None:
+    """Check that neither target was asked."""
+    assert not context.sent, context.sent
+
+
+@then("its next start gets requests")
+def check_next_start(context) -> None:
+    """Show later starts of both targets, and ask them."""
+    context.members = {
+        name: member._replace(target=f"{name}@2")
+        for name, member in context.members.items()
+    }
+    show_board(context, 3)
+    ask_both(context)
+    assert len(context.sent) == 2, context.sent
+
+
+def show_board(context, version: int) -> None:
+    """Show the node a board on which one target owns all keys."""
+    owner = context.members["n1"]
+    row = create_row(0, KEYS[-1], owner.node_id)._replace(target=owner.target)
+    board = Board(1, version, "n1:1", dict(context.members), {SERVICE: [row]})
+    context.node.take_board(board)
+
+
+def ask_both(context) -> None:
+    """Let a caller ask for a key, and for something without one."""
+    for path, fields in (("/read/1", {KEY: "1"}), ("/list/1", {})):
+        fields = {"host": "mesh.example", "x-timeout-remaining": "300", **fields}
+        request = Request("GET", path, list(fields.items()), fields, b"", True)
+        context.node.router.serve(request, "")
+
+
+@given("{nodes:d} nodes that choose between two targets, one with a limit of {limit:d}")
+def create_crowd(context, nodes: int, limit: int) -> None:
+    """Create the nodes."""
+    context.crowd = Crowd(nodes, float(limit))
+
+
+@when("each of them sends {rate:d} requests a second for {seconds:d} s")
+def send_all(context, rate: int, seconds: int) -> None:
+    """Let time pass."""
+    context.crowd.run(rate, seconds)
+
+
+@then(
+    "the limited target was asked for at most {most:d} requests a second"
+    " in the last {seconds:d} s"
+)
+def check_asked(context, most: int, seconds: int) -> None:
+    """Check how many requests came to the node beside it."""
+    context.asked = context.crowd.count_asked(seconds)
+    assert context.asked <= most, context.asked
+
+
+@then("for at least {least:d}")
+def check_asked_enough(context, least: int) -> None:
+    """Check that its limit is used."""
+    assert context.asked >= least, context.asked
+
+
 @then("from {ms:d} ms after that the target got at most {most:d} in any 4 s")
 def check_most(context, ms: int, most: int) -> None:
     """Check each window of 4 s that begins with an arrival, or at the first moment.
--- /dev/null
+++ b/features/support/senders.py
@@ -0,0 +1,57 @@
+"""Nodes that choose between a limited target and another, without a network."""
+
+import random
+
+from features.support.mesh_builders import FakeClock, create_member
+from knapweedrock.clock import NS_PER_S
+from knapweedrock.mesh.choice import Chooser
+from knapweedrock.mesh.messages import Notice
+from knapweedrock.mesh.rates import RateLimit
+from knapweedrock.mesh.senders import Senders
+
+LIMITED = create_member("limited")
+FREE = create_member("free")
+LATENCY_MS = 50.0
+
+
+class Crowd:
+    """Nodes that send requests, each at times of its own."""
+
+    def __init__(self, nodes: int, limit: float) -> None:
+        self.clock = FakeClock()
+        self.asked_ns: list[int] = []
+        self._members = [LIMITED._replace(limit=limit), FREE]
+        self._choosers = [
+            Chooser("zone-a", self.clock, lambda _peer: True) for _ in range(nodes)
+        ]
+        self._rate = RateLimit(self.clock)
+        self._rate.set(limit)
+        self._senders = Senders(self.clock)
+        self._random = random.Random(1)
+
+    def run(self, rate: int, seconds: int) -> None:
+        """Let each node send requests for some time."""
+        end_ns = self.clock.ns + seconds * NS_PER_S
+        while self.clock.ns < end_ns:
+            self.clock.pass_ms(1000 / rate / len(self._choosers))
+            number = self._random.randrange(len(self._choosers))
+            self._send(str(number), self._choosers[number])
+
+    def count_asked(self, seconds: int) -> float:
+        """Count the requests a second to the limited target in the last time."""
+        from_ns = self.clock.ns - seconds * NS_PER_S
+        return sum(1 for at_ns in self.asked_ns if at_ns >= from_ns) / seconds
+
+    def _send(self, name: str, chooser: Chooser) -> None:
+        member = chooser.choose(self._members, (), ())
+        chooser.note_sent(member)
+        notice = None
+        if member.node_id == LIMITED.node_id:
+            self.asked_ns.append(self.clock.ns)
+            self._senders.note(name)
+            if self._rate.has_room():
+                self._rate.take()
+            pace_ms = self._senders.count() * 1000 / self._rate.rate
+            notice = Notice(member.target, False, pace_ms)
+        chooser.note_answer(member, 0.1, LATENCY_MS)
+        chooser.note_notice(member, notice)
--- a/knapweedrock/mesh/choice.py
+++ b/knapweedrock/mesh/choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.mesh.messages import Member
+from knapweedrock.mesh.messages import Member, Notice
 
 # Load of a target's slots up to which the nearer zone is preferred.
 NEAR_LOAD = 0.8
@@ -16,6 +16,12 @@
 COLD_PENALTY = 0.5
 LATENCY_WEIGHT = 0.1
 SLOW_FACTOR = 1.5
+# Time of service to expect where none was measured.
+FIRST_LATENCY_MS = 50.0
+PACE_JITTER = 0.2
+# Time after which the board tells whether a limit still holds.
+BOARD_LAG_MS = 2000
+MAX_LEAVING = 4096
 
 
 class Peer:
@@ -27,6 +33,11 @@
         self.busy_ns = 0
         self.failed_ns = 0
         self.latency_ms = 0.0
+        # Time to leave between requests, told at a moment; 0 where there is no limit.
+        self.pace_ms = 0.0
+        self.paced_ns = 0
+        # When the next request keeps that time.
+        self.next_ns = 0
 
 
 class Chooser:
@@ -37,6 +48,8 @@
         self._zone = zone
         self._clock = clock
         self._is_up = is_up
+        # Starts of targets that said that they leave; the latest stands last.
+        self._leaving: dict[str, None] = {}
 
     def choose(
         self,
@@ -52,6 +65,7 @@
             and member.zone not in zones_out
             and member.node_id not in tried
             and self._is_up(member.peer)
+            and not self.is_leaving(member)
         ]
         if not fit:
             return None
@@ -77,8 +91,54 @@
             load += FAILURE_PENALTY
         if member.cold:
             load += COLD_PENALTY
+        load += self._find_pace_wait_ms(member, peer) / (usual_ms or FIRST_LATENCY_MS)
         return load + random.random() * 0.02
 
+    def _find_pace_wait_ms(self, member: Member, peer: Peer) -> float:
+        """Find how long a limited target is to be left to others."""
+        if not peer.pace_ms:
+            return 0.0
+        now_ns = self._clock.now_ns()
+        told_ms = (now_ns - peer.paced_ns) / NS_PER_MS
+        if member.limit is None and told_ms > BOARD_LAG_MS:
+            # The limit has ended, or the target has started again.
+            peer.pace_ms = 0.0
+            return 0.0
+        return max(0.0, (peer.next_ns - now_ns) / NS_PER_MS)
+
+    def is_leaving(self, member: Member) -> bool:
+        """Tell whether a member's target has said that it leaves."""
+        return member.target in self._leaving
+
+    def note_sent(self, member: Member) -> None:
+        """Note that a request is sent to a member."""
+        peer = self.find_peer(member)
+        if not peer.pace_ms:
+            return
+        pace_ns = int(peer.pace_ms * NS_PER_MS)
+        # One that is sent later than it could be lets the next one go sooner.
+        from_ns = max(peer.next_ns, self._clock.now_ns() - pace_ns)
+        jitter = random.uniform(1 - PACE_JITTER, 1 + PACE_JITTER)
+        peer.next_ns = from_ns + int(pace_ns * jitter)
+
+    def note_leaving(self, notice: Notice | None) -> None:
+        """Note whether a target says that it leaves; it never takes that back."""
+        if notice is None or not notice.leaving or notice.target in self._leaving:
+            return
+        if len(self._leaving) >= MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        self._leaving[notice.target] = None
+
+    def note_notice(self, member: Member, notice: Notice | None) -> None:
+        """Note what an answer says of a member's target."""
+        self.note_leaving(notice)
+        peer = self.find_peer(member)
+        was_paced = bool(peer.pace_ms)
+        peer.pace_ms = notice.pace_ms if notice is not None else 0.0
+        peer.paced_ns = self._clock.now_ns()
+        if peer.pace_ms and not was_paced:
+            self.note_sent(member)
+
     def find_peer(self, member: Member) -> Peer:
         """Return what is known of a member's target."""
         found = self.peers.get(member.node_id)
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -20,9 +20,10 @@
 )
 from knapweedrock.mesh.http import Answer, Headers, dial
 from knapweedrock.mesh.loads import LoadMeter
-from knapweedrock.mesh.messages import Forward, Forwarded
+from knapweedrock.mesh.messages import Forward, Forwarded, Notice
 from knapweedrock.mesh.news import News
 from knapweedrock.mesh.pacing import BYTES_MS_A_MBPS
+from knapweedrock.mesh.senders import Senders
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
@@ -76,6 +77,7 @@
         self.suspects = Suspects(clock)
         self.in_flight: dict[int, str] = {}
         self.loads = LoadMeter(clock)
+        self._senders = Senders(clock)
         self.closing = False
         # When the node ends, once it stops; 0 before.
         self.end_ns = 0
@@ -94,8 +96,9 @@
         address = node.settings.target
         self.exchanges = Exchanges(address or ("0.0.0.0", 0), clock, counters)
 
-    def deliver(self, request: Forward) -> Forwarded:
-        """Deliver a request to the target and return what became of it."""
+    def deliver(self, request: Forward, sender: str = "") -> Forwarded:
+        """Deliver a request of a node to the target and return what became of it."""
+        self._senders.note(sender)
         try:
             return self._deliver(request)
         except KnapweedrockError as error:
@@ -366,11 +369,21 @@
             "",
             0,
             self._get_busy(),
+            self._create_notice(),
         )
 
     def _create_failed(self, code: Code, detail: str, retry_ms: float) -> Forwarded:
         busy = self._get_busy()
-        return Forwarded(int(code), 0, [], b"", detail, retry_ms, busy)
+        notice = self._create_notice()
+        return Forwarded(int(code), 0, [], b"", detail, retry_ms, busy, notice)
+
+    def _create_notice(self) -> Notice | None:
+        """Create what those who send requests are to know of the target."""
+        rate = self.admission.limit.rate
+        if rate is None and not self._target.draining:
+            return None
+        pace_ms = self._senders.count() * 1000 / rate if rate else 0.0
+        return Notice(self._target.name, self._target.draining, pace_ms)
 
     def probe(self) -> None:
         """Ask the target whether it lives; a late heartbeat alone says nothing."""
@@ -402,12 +415,19 @@
         if answer.find(INSTANCE) != target.instance:
             return
         was_usable = target.is_usable()
+        report = decode_report(answer.headers)
+        if report.leaving or report.limit is not None:
+            # Health pages may leave out what other answers say.
+            target.note_report(target.name, report, answer.head_ns)
         target.note_alive()
-        if answer.status == HEALTHY:
+        if answer.status == HEALTHY or answer.find(NOT_EXECUTED):
+            # One that is full does not say that it leaves.
             target.confirm()
+        else:
+            target.doubted = not target.confirmed
         cold_ms = answer.find(COLD)
         target.set_cold(float(cold_ms or 0))
-        if not was_usable:
+        if target.is_usable() != was_usable:
             node.membership.report_soon()
 
 
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -190,12 +190,25 @@
         )
 
 
+class Notice(NamedTuple):
+    """What a target says of itself, for the nodes that send it requests.
+
+    `target` names its start. `pace_ms` is the time that a node should leave between two
+    requests so that all keep its limit together, 0 where it names none.
+    """
+
+    target: str
+    leaving: bool
+    pace_ms: float
+
+
 @message(51)
 class Forwarded(NamedTuple):
     """Final answer to `Forward`.
 
     With code `DONE` it holds the target's whole answer. `busy` is the number of
-    requests at the target and in its queue for each slot.
+    requests at the target and in its queue for each slot. There is a `notice` where the
+    target leaves or names a limit.
     """
 
     code: int
@@ -205,6 +218,7 @@
     detail: str
     retry_after_ms: float
     busy: float
+    notice: Notice | None = None
 
 
 @message(52)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -253,7 +253,8 @@
         while True:
             gevent.sleep(PROBE_S)
             target = self.target
-            if target.name and (target.is_late() or target.dead):
+            is_asked = target.is_late() or target.dead or not target.confirmed
+            if target.name and is_asked:
                 self.gateway.probe()
 
     def _take_configuration(self, _sender: str, message: PublishConfiguration) -> Done:
@@ -261,7 +262,7 @@
         return Done()
 
     def _take_forward(self, sender: str, message: Forward) -> Forwarded:
-        return self.gateway.deliver(self.transit.age(sender, message))
+        return self.gateway.deliver(self.transit.age(sender, message), sender)
 
     def _take_crashed(self, _sender: str, message: Crashed) -> Done:
         self.gateway.suspects.count_crash(message.fingerprints)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -144,6 +144,8 @@
         finally:
             for call in progress.open:
                 call.cancel()
+        # Answers of open attempts come past the one that sent them.
+        self.chooser.note_leaving(result.notice)
         return settle(result, progress)
 
     def _await_first(
@@ -210,6 +212,8 @@
             if member is None:
                 code = Code.NO_OWNER if job.key >= 0 else Code.NO_LIVE_TARGET
                 result = create_failed(code)
+            elif self.chooser.is_leaving(member):
+                result = create_failed(Code.LEAVING)
             else:
                 result = self._send(job, progress, member, remaining_ms)
                 self._note_result(member, result)
@@ -329,6 +333,7 @@
         )
         peer = self.chooser.find_peer(member)
         began_ns = self._clock.now_ns()
+        self.chooser.note_sent(member)
         peer.in_flight += 1
         try:
             if member.node_id == node.settings.node_id:
@@ -351,6 +356,7 @@
             return create_failed(error.code, error.detail, return_ms)
         finally:
             peer.in_flight -= 1
+        self.chooser.note_notice(member, result.notice)
         latency_ms = (self._clock.now_ns() - began_ns) / NS_PER_MS
         is_done = result.code == Code.DONE
         self.chooser.note_answer(member, result.busy, latency_ms if is_done else 0)
