Let tasks that last as long as their node begin anew after an error

One error that nobody expected ended a task for good, and the process looked well: a coordinator whose planning had ended went on to renew its right and moved no keys; a node whose renewals had ended had no lease any more. Tasks of a node are run by loops.spawn_lasting now, which logs what came and from where, and begins anew after 0.2 s.

--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -256,7 +256,7 @@
     """Claim the right a second time and renew it, beside the first renewals."""
     term = context.former
     for _ in range(2):
-        renewing = gevent.spawn(term.run)
+        renewing = gevent.spawn(term.run, term.epoch)
         context.add_cleanup(renewing.kill)
         gevent.sleep(0.1)
         lock = context.client.get(LEADER_KIND, LEADER_NAME)
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -1,10 +1,10 @@
 """The coordinator: one node leases rights to all and decides who owns which keys."""
 
 from collections.abc import Collection
+from functools import partial
 from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
-import gevent
 from gevent.event import Event
 from logbook import Logger
 
@@ -14,6 +14,7 @@
 from knapweedrock.errors import LinkError, PlatformError
 from knapweedrock.mesh import ownership
 from knapweedrock.mesh.facts import Facts, list_fit
+from knapweedrock.mesh.loops import spawn_lasting
 from knapweedrock.mesh.measures import measure_row
 from knapweedrock.mesh.messages import Board, Member, Renew, Renewed, Row
 from knapweedrock.mesh.moves import list_begun
@@ -123,9 +124,8 @@
         heard = self._heard.get(node_id)
         return (self._clock.now_ns() - heard.at_ns) / NS_PER_MS if heard else inf
 
-    def run_plans(self) -> None:
+    def run_plans(self, epoch: int) -> None:
         """Decide on ownership whenever something has changed, for one term."""
-        epoch = self.term.epoch
         while self.term.leads(epoch):
             self._wake.wait(TICK_S)
             self._wake.clear()
@@ -174,8 +174,8 @@
         self.board = Board(epoch, 1, self._node.peer, dict(known), tables)
         log.info("elected", epoch=epoch, members=len(known))
         self._node.take_board(self.board)
-        gevent.spawn(self.term.run)
-        gevent.spawn(self.run_plans)
+        spawn_lasting(partial(self.term.run, epoch))
+        spawn_lasting(partial(self.run_plans, epoch))
         self._publisher.begin(self.board)
 
     def _list_services(self) -> list[str]:
--- a/knapweedrock/mesh/following.py
+++ b/knapweedrock/mesh/following.py
@@ -1,6 +1,7 @@
 """Following of what operators write: the configuration and the zones that are out."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import gevent
@@ -9,6 +10,7 @@
 
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.definitions import Configuration
+from knapweedrock.mesh.loops import spawn_lasting
 from knapweedrock.mesh.messages import PublishConfiguration, Renew
 from knapweedrock.platform.documents import (
     CONFIGURATION_KIND,
@@ -49,8 +51,8 @@
     def start(self) -> None:
         """Start to follow both kinds of objects."""
         self._tasks = [
-            gevent.spawn(self._follow, CONFIGURATION_KIND, self._take_listed),
-            gevent.spawn(self._follow, EVACUATION_KIND, self._take_zones),
+            spawn_lasting(partial(self._follow, CONFIGURATION_KIND, self._take_listed)),
+            spawn_lasting(partial(self._follow, EVACUATION_KIND, self._take_zones)),
         ]
 
     def stop(self) -> None:
--- /dev/null
+++ b/knapweedrock/mesh/loops.py
@@ -0,0 +1,36 @@
+"""Tasks that last as long as their node."""
+
+import traceback
+from collections.abc import Callable
+
+import gevent
+from logbook import Logger
+
+AGAIN_S = 0.2
+
+log = Logger("node")
+
+
+def spawn_lasting(run: Callable[[], None]) -> gevent.Greenlet:
+    """Start a task that begins anew after an error, until it ends by itself."""
+    return gevent.spawn(keep_running, run)
+
+
+def keep_running(run: Callable[[], None]) -> None:
+    """Run a task to its end; what it did not expect is told and costs a pause.
+
+    A task that was lost alone would leave a node that looks well and does nothing.
+    """
+    while True:
+        try:
+            run()
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            log.error(
+                "task failed",
+                reason=repr(error),
+                at=f"{place.name}:{place.lineno}",
+            )
+            gevent.sleep(AGAIN_S)
+        else:
+            return
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -23,6 +23,7 @@
 from knapweedrock.mesh.holds import Holds
 from knapweedrock.mesh.links import Links
 from knapweedrock.mesh.loads import INTERVAL_MS
+from knapweedrock.mesh.loops import spawn_lasting
 from knapweedrock.mesh.membership import Membership
 from knapweedrock.mesh.messages import (
     Board,
@@ -136,7 +137,7 @@
             server.start()
         self.follower.start()
         for run in (self.membership.run, self._run_probes, self._run_loads):
-            self._tasks.append(gevent.spawn(run))
+            self._tasks.append(spawn_lasting(run))
         log.info("node started", id=self.settings.node_id, process=self.process)
 
     def find_rows(self, service: str) -> list[Row]:
--- a/knapweedrock/mesh/process.py
+++ b/knapweedrock/mesh/process.py
@@ -10,6 +10,7 @@
 
 from knapweedrock.clock import create_clock
 from knapweedrock.mesh.definitions import NodeSettings
+from knapweedrock.mesh.loops import spawn_lasting
 from knapweedrock.mesh.node import Node
 from knapweedrock.mesh.output import create_output
 from knapweedrock.mesh.settings import parse_settings, read_file
@@ -68,7 +69,7 @@
         reloader = Reloader(node, path, text)
         gevent.signal_handler(signal.SIGHUP, reloader.reload)
         node.start()
-        gevent.spawn(reloader.run)
+        spawn_lasting(reloader.run)
         leave.wait()
         node.stop()
     output.flush_now()
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -145,9 +145,9 @@
         """Tell whether the term of an epoch goes on."""
         return self.leading and self.epoch == epoch
 
-    def run(self) -> None:
-        """Renew the right until it is lost, or taken anew under another epoch."""
-        number, epoch = 0, self.epoch
+    def run(self, epoch: int) -> None:
+        """Renew the right of an epoch until it is lost, or taken anew under another."""
+        number = 0
         while self.leads(epoch):
             number += 1
             sent_ns = self._sent_ns[number] = self._clock.now_ns()
