Read how long a target stays cold as strictly as its other words

A health page with a cold time of abc, nan or inf ended the probes of a node for good, so that a target which had crashed was never found to be up again; a heartbeat with such a value failed half-way, after its target had been taken up, without an answer. The time is decoded with the limit in platform/reports now; what is no time of 0 to 600 s is not readable on a health page, and a bad announcement in a heartbeat. Only a health page of 200 confirms a target: one that drains may say that it did not run the question.

--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -82,11 +82,13 @@
     """What a target says of itself in an answer.
 
     `limit` is in requests a second from all nodes together, None where it names none.
-    `is_readable` is unset where a value could not be read; the limit says nothing then.
+    `cold_ms` is how long it stays cold, told on its health page only. `is_readable` is
+    unset where a value could not be read; the limit says nothing then.
     """
 
     limit: float | None = None
     leaving: bool = False
+    cold_ms: float = 0.0
     is_readable: bool = True
 
 
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -27,7 +27,6 @@
 from knapweedrock.mesh.suspects import Suspects, create_fingerprint
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
-    COLD,
     EXPECTED_INSTANCE,
     INSTANCE,
     NOT_EXECUTED,
@@ -416,17 +415,15 @@
             return
         was_usable = target.is_usable()
         report = decode_report(answer.headers)
-        if report.leaving or report.limit is not None:
+        if report.leaving or report.limit is not None or not report.is_readable:
             # Health pages may leave out what other answers say.
             target.note_report(target.name, report, answer.head_ns)
         target.note_alive()
-        if answer.status == HEALTHY or answer.find(NOT_EXECUTED):
-            # One that is full does not say that it leaves.
+        if answer.status == HEALTHY:
             target.confirm()
         else:
             target.doubted = not target.confirmed
-        cold_ms = answer.find(COLD)
-        target.set_cold(float(cold_ms or 0))
+        target.set_cold(report.cold_ms)
         if target.is_usable() != was_usable:
             node.membership.report_soon()
 
--- a/knapweedrock/platform/heartbeats.py
+++ b/knapweedrock/platform/heartbeats.py
@@ -13,6 +13,7 @@
     Released,
     Span,
 )
+from knapweedrock.platform.reports import decode_cold_ms
 
 PATH = re.compile(r"/instances/([^/?]+)/(heartbeat|deregister)")
 STATES = frozenset({"ready", "draining"})
@@ -57,7 +58,7 @@
         draining=state == "draining",
         # Starts anew with each start of the target.
         sequence=read_count(status["seq"]),
-        cold_ms=float(status.get("coldRemainingMs", 0)),
+        cold_ms=decode_cold_ms(status.get("coldRemainingMs", 0)),
         held=tuple(Span(*read_row(row)) for row in fields.get("holds") or ()),
         released=tuple(read_released(row) for row in fields.get("freed") or ()),
     )
--- a/knapweedrock/platform/reports.py
+++ b/knapweedrock/platform/reports.py
@@ -4,25 +4,43 @@
 from collections.abc import Iterable
 
 from knapweedrock.mesh.definitions import SelfReport
-from knapweedrock.platform.headers import LEAVING, LIMIT
+from knapweedrock.platform.headers import COLD, LEAVING, LIMIT
 
 DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 YES = "1"
+# A longer time to warm up is a mistake, not a time.
+MAX_COLD_MS = 600_000.0
 
 
 def decode_report(headers: Iterable[tuple[str, str]]) -> SelfReport:
     """Decode what an answer's headers say of the target that gave it."""
-    limits, leaving = [], []
+    found: dict[str, list[str]] = {LIMIT: [], LEAVING: [], COLD: []}
     for name, value in headers:
-        key = name.lower()
-        if key == LIMIT:
-            limits.append(value.strip())
-        elif key == LEAVING:
-            leaving.append(value.strip())
-    limit = None
-    is_readable = set(leaving) <= {YES}
-    if len(limits) == 1 and DECIMAL.fullmatch(limits[0]):
-        limit = float(limits[0])
-    elif limits:
+        values = found.get(name.lower())
+        if values is not None:
+            values.append(value.strip())
+    is_readable = set(found[LEAVING]) <= {YES}
+    limit, cold_ms = None, 0.0
+    try:
+        limit = decode_limit(found[LIMIT])
+        cold_ms = decode_cold_ms(found[COLD][0]) if found[COLD] else 0.0
+    except ValueError:
         is_readable = False
-    return SelfReport(limit, YES in leaving, is_readable)
+    return SelfReport(limit, YES in found[LEAVING], cold_ms, is_readable)
+
+
+def decode_limit(values: list[str]) -> float | None:
+    """Decode the values of the header that names a limit; raises `ValueError`."""
+    if not values:
+        return None
+    if len(values) > 1 or not DECIMAL.fullmatch(values[0]):
+        raise ValueError(f"expected one decimal number, found {values!r}")
+    return float(values[0])
+
+
+def decode_cold_ms(value: str | float) -> float:
+    """Decode how long a target stays cold, in ms; raises `ValueError`."""
+    cold_ms = float(value)
+    if not 0 <= cold_ms <= MAX_COLD_MS:
+        raise ValueError(f"expected 0 to {MAX_COLD_MS:.0f} ms, found {value!r}")
+    return cold_ms
