Take no answer without an id on a connection that was used before

A failure without an id counted as the answer to whatever waited, so that a late second copy of one (of a health page's 503, say) became the next caller's answer; for an order that ran, a 503 says that it has not. Only a new connection, on which there is no earlier answer, may bring a failure without an id now; elsewhere it is skipped as one to an earlier request.

--- /dev/null
+++ b/features/mesh_copies.feature
@@ -0,0 +1,15 @@
+Feature: An answer belongs to the request that it names, also when it comes twice
+  # Guards against a late copy of a failure that names no request: the next caller on the
+  # connection got it, and an order that ran was told as not run
+  Scenario Outline: A late copy of <answer> comes before the next answer
+    Given a target that sends a late copy of <answer> on a connection in use again
+    When a question without an id and then an order are sent to it
+    Then the order does not end with that copy
+
+    Examples:
+      | answer                      |
+      | a 503 without an id         |
+      | a 500 without an id         |
+      | a 429 without an id         |
+      | a 503 that names no request |
+      | a 200 without an id         |
--- /dev/null
+++ b/features/steps/mesh_copies.py
@@ -0,0 +1,116 @@
+"""Steps about answers that come twice, and refusals that promise nothing."""
+
+from behave import given, then, when
+from gevent import socket
+from gevent.server import StreamServer
+
+from features.support.lone_node import LoneNode
+from features.support.mesh_builders import OTHER_SERVICE, create_forward
+from knapweedrock.clock import create_clock
+from knapweedrock.codes import INFO, Outcome, find_code
+from knapweedrock.counters import Counters
+from knapweedrock.emulator.addresses import create_address
+from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
+from knapweedrock.mesh.http import Answer
+from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED
+
+TIMEOUT_S = 0.4
+EMPTY = b"Content-Length: 0\r\n\r\n"
+OWN = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: order-1\r\nX-Response-Signature: s\r\n"
+    b"Content-Length: 4\r\n\r\nbody"
+)
+COPIES = {
+    "a 503 without an id": b"HTTP/1.1 503 Busy\r\n" + EMPTY,
+    "a 500 without an id": b"HTTP/1.1 500 Error\r\n" + EMPTY,
+    "a 429 without an id": b"HTTP/1.1 429 Many\r\n" + EMPTY,
+    "a 503 that names no request": b"HTTP/1.1 503 Busy\r\nX-Attempt-Id:\r\n" + EMPTY,
+    "a 200 without an id": b"HTTP/1.1 200 OK\r\n" + EMPTY,
+}
+
+
+class CopyingTarget:
+    """Answers a question, and once more when the next request has come."""
+
+    def __init__(self, copy: bytes) -> None:
+        self._copy = copy
+        self._server = StreamServer(create_address(), self._serve)
+        self._server.start()
+        self.address = self._server.address
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+        is_first = True
+        while sock.recv(65536):
+            sock.sendall(self._copy if is_first else self._copy + OWN)
+            is_first = False
+
+
+@given("a target that sends a late copy of {answer} on a connection in use again")
+def give_copying(context, answer: str) -> None:
+    """Start the target."""
+    context.target = CopyingTarget(COPIES[answer])
+    context.add_cleanup(context.target.stop)
+    context.exchanges = Exchanges(context.target.address, create_clock(), Counters())
+
+
+@when("a question without an id and then an order are sent to it")
+def send_both(context) -> None:
+    """Send both on one connection."""
+    run, headers = context.exchanges.run, [("host", "t")]
+    run("GET", "/health", headers, b"", "", TIMEOUT_S)
+    context.answer = context.error = None
+    try:
+        context.answer = run("POST", "/x", headers, b"b", "order-1", TIMEOUT_S)
+    except BrokenExchangeError as error:
+        context.error = error
+
+
+@then("the order does not end with that copy")
+def check_own(context) -> None:
+    """Check that the order got its own answer."""
+    assert context.error is None, context.error
+    assert context.answer.find(ATTEMPT_ID) == "order-1", context.answer
+    assert not context.answer.reusable
+
+
+@given("a node without a network whose target answers {status:d}")
+def give_plain(context, status: int) -> None:
+    """Let the target answer with a status and its id alone."""
+    give_answering(context, status, [])
+
+
+@given("a node without a network whose target answers 503 and that it ran nothing")
+def give_refusing(context) -> None:
+    """Let the target say that it ran nothing."""
+    give_answering(context, 503, [(NOT_EXECUTED, "1")])
+
+
+@when("an order is sent to it")
+def send_order(context) -> None:
+    """Hand an order to the node beside the target."""
+    order = create_forward(
+        service=OTHER_SERVICE, key=-1, method="POST", idempotent=False
+    )
+    context.result = context.node.gateway.deliver(order)
+
+
+@then("the order is told as {outcome}")
+def check_outcome(context, outcome: str) -> None:
+    """Check what is said of the order's run."""
+    expected = {
+        "possibly run": Outcome.MAY_HAVE_RUN,
+        "not run": Outcome.NOT_RUN,
+    }[outcome]
+    code = find_code(context.result.code)
+    assert INFO[code].outcome is expected, (code, context.result)
+
+
+def give_answering(context, status: int, headers: list[tuple[str, str]]) -> None:
+    """Create a node whose target gives the same answer to all."""
+    context.node = LoneNode(4, 5.0, {"list": 1}).node
+    answer = Answer(status, [(ATTEMPT_ID, "a1"), *headers], b"", True)
+    context.node.gateway.exchanges.run = lambda *_args: answer
--- a/knapweedrock/mesh/exchanges.py
+++ b/knapweedrock/mesh/exchanges.py
@@ -20,6 +20,7 @@
 IDLE_SHARE = 0.7
 IDLE_CHECK_NS = 2 * NS_PER_MS
 MAX_SKIPPED_ANSWERS = 3
+FIRST_FAILURE_STATUS = 300
 
 
 class BrokenExchangeError(KnapweedrockError):
@@ -89,7 +90,7 @@
             connection.send(data, self._find_left_s(end_ns))
             for _ in range(MAX_SKIPPED_ANSWERS):
                 answer = connection.read(parser, self._find_left_s(end_ns))
-                if is_own(answer, attempt_id):
+                if is_own(answer, attempt_id, is_new=not connection.idle_since_ns):
                     break
                 # An answer to an earlier request; the connection is used up.
                 parser.extra = True
@@ -149,22 +150,23 @@
         connection.close()
 
 
-def is_own(answer: Answer, attempt_id: str) -> bool:
+def is_own(answer: Answer, attempt_id: str, is_new: bool) -> bool:
     """Tell whether an answer belongs to the request that waits for one.
 
-    Refusals of a target may leave the id out; a success never does.
+    A failure may leave the id out, but only on a new connection: on one that was used
+    before it may be a second copy of an earlier answer.
     """
     found = answer.find(ATTEMPT_ID)
-    if found:
+    if found or not attempt_id:
         return found == attempt_id
-    return answer.status >= 300 or not attempt_id
+    return is_new and answer.status >= FIRST_FAILURE_STATUS
 
 
 def is_sound(answer: Answer) -> bool:
     """Tell whether an answer is the target's own and unchanged."""
     if answer.find("content-encoding"):
         return False
-    return answer.status >= 300 or bool(answer.find(SIGNATURE))
+    return answer.status >= FIRST_FAILURE_STATUS or bool(answer.find(SIGNATURE))
 
 
 def find_idle_limit_s(answer: Answer) -> float:
