Pass on a promise of not run only with the target's own word

It counts as an answer that is not the target's own now: 502, possibly run. The statuses stand once, in codes.

--- a/features/mesh_copies.feature
+++ b/features/mesh_copies.feature
@@ -13,3 +13,20 @@
       | a 429 without an id         |
       | a 503 that names no request |
       | a 200 without an id         |
+
+  # Guards against a status that promises not run where the target promised nothing
+  Scenario Outline: A target's <status> without its word that it ran nothing promises nothing
+    Given a node without a network whose target answers <status>
+    When an order is sent to it
+    Then the order is told as possibly run
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+      | 408    |
+
+  Scenario: A target's 503 with its word that it ran nothing is a refusal
+    Given a node without a network whose target answers 503 and that it ran nothing
+    When an order is sent to it
+    Then the order is told as not run
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -13,6 +13,7 @@
 from features.support.mesh_processes import ProcessMesh
 from features.support.proxies import Proxy
 from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
+from knapweedrock.codes import NOT_RUN_STATUSES
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.facts import KEYS
@@ -33,7 +34,6 @@
 HOT_SHARE = 0.6
 # A target's clock may run this much slow.
 SLOWEST_CLOCK = 0.98
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 # Faults by name; each goes through to its end and takes the place that it hits.
--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -7,6 +7,10 @@
 CODE_HEADER = "Knapweedrock-Code"
 
 
+# HTTP statuses by which callers are told that nothing has run, nor will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class Outcome(StrEnum):
     """What is known about the execution of a request."""
 
--- a/knapweedrock/load/program.py
+++ b/knapweedrock/load/program.py
@@ -12,7 +12,14 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock, create_clock
-from knapweedrock.codes import CODE_HEADER, INFO, Code, Outcome, find_code
+from knapweedrock.codes import (
+    CODE_HEADER,
+    INFO,
+    NOT_RUN_STATUSES,
+    Code,
+    Outcome,
+    find_code,
+)
 from knapweedrock.http_client import EXCHANGE_ERRORS, create_client
 from knapweedrock.load.arrivals import create_arrivals
 from knapweedrock.load.keys import KeySource, create_keys
@@ -25,7 +32,6 @@
 ORDER = "order"
 
 # Statuses that say by themselves that the request did not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 _PROCESS = uuid.uuid4().hex[:8]
 _RUNS = itertools.count(1)
--- a/knapweedrock/mesh/exchanges.py
+++ b/knapweedrock/mesh/exchanges.py
@@ -1,7 +1,7 @@
 """Exchanges with the target: pooled connections and answers that are checked."""
 
 from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
-from knapweedrock.codes import Code
+from knapweedrock.codes import NOT_RUN_STATUSES, Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.http import (
@@ -13,7 +13,7 @@
     dial,
     encode_request,
 )
-from knapweedrock.platform.headers import ATTEMPT_ID, SIGNATURE
+from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED, SIGNATURE
 
 DIAL_TIMEOUT_S = 0.4
 IDLE_LIMIT_S = 4.0
@@ -163,9 +163,14 @@
 
 
 def is_sound(answer: Answer) -> bool:
-    """Tell whether an answer is the target's own and unchanged."""
+    """Tell whether an answer is the target's own and unchanged.
+
+    A status that promises that nothing has run is the target's only with its word.
+    """
     if answer.find("content-encoding"):
         return False
+    if answer.status in NOT_RUN_STATUSES:
+        return bool(answer.find(NOT_EXECUTED))
     return answer.status >= FIRST_FAILURE_STATUS or bool(answer.find(SIGNATURE))
 
 
