--- a/features/steps/mesh_limits.py
+++ b/features/steps/mesh_limits.py
@@ -30,6 +30,11 @@
 RESTART_S = 0.2
 
 
+def list_arrived_ns(context) -> list[int]:
+    """List when requests came to the target."""
+    return [arrival.at_ns for arrival in context.place.holder.arrivals]
+
+
 def find_other(context) -> Place:
     """Return the last of the targets without keys."""
     return next(p for p in context.mesh.places[::-1] if not p.holder.keyed)
@@ -300,7 +305,7 @@
     """
     first_ns = context.named_ns + (ms - WINDOW_S * 1000) * NS_PER_MS
     known_ns = max(first_ns, context.named_ns + 500 * NS_PER_MS)
-    times = [t for t in context.place.holder.arrived_ns if t >= known_ns]
+    times = [t for t in list_arrived_ns(context) if t >= known_ns]
     counts = [
         sum(1 for t in times if start <= t < start + WINDOW_S * NS_PER_S)
         for start in times
@@ -313,7 +318,7 @@
 def check_least(context, least: int, seconds: int) -> None:
     """Check that the target's share is used."""
     from_ns = context.offer.ended_ns - seconds * NS_PER_S
-    got = sum(1 for t in context.place.holder.arrived_ns if t >= from_ns)
+    got = sum(1 for t in list_arrived_ns(context) if t >= from_ns)
     assert got >= least, got
 
 
@@ -358,6 +363,6 @@
 def check_nothing_after(context, ms: int) -> None:
     """Check when the last request came to the target."""
     limit_ns = context.named_ns + ms * NS_PER_MS
-    late = [t for t in context.place.holder.arrived_ns if t > limit_ns]
+    late = [t for t in list_arrived_ns(context) if t > limit_ns]
     assert context.mesh.clock.now_ns() > limit_ns
     assert not late, len(late)
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from features.support.limit_watch import LimitWatch, Span
 from features.support.mesh_builders import create_document
 from features.support.mesh_harness import Place
 from features.support.mesh_processes import ProcessMesh
@@ -19,6 +20,7 @@
 from knapweedrock.mesh.facts import KEYS
 from knapweedrock.mesh.http import AnswerParser, MalformedMessageError, dial
 from knapweedrock.operators.client import fetch_json
+from knapweedrock.platform.headers import LIMIT
 
 ORDER_SHARE = 0.4
 PAUSE_S = (0.3, 1.5)
@@ -32,6 +34,8 @@
 HOT_WORK_MS = 60.0
 HOT_KEYS = 40
 HOT_SHARE = 0.6
+# Requests a second that targets name as their limit.
+LIMITS = (0, 1.5, 6, 12)
 # A target's clock may run this much slow.
 SLOWEST_CLOCK = 0.98
 
@@ -78,6 +82,7 @@
         for number, place in enumerate(self.mesh.places):
             self.mesh.places[number] = self._add_proxies(place)
         self.sent: list[Sent] = []
+        self.limits = LimitWatch()
         self.faults: list[str] = []
         self.unheld_ms = 0.0
         # Faults have numbers of their own, so that a seed gives the same ones however
@@ -127,6 +132,7 @@
         for place in self.mesh.places:
             begun |= set(place.holder.cut)
         found = [f"two holders: {item}" for item in self.mesh.double_owners[:3]]
+        found += self.limits.list_violations([p.holder for p in self.mesh.places])
         for sent in self.sent:
             if sent.is_order and runs[sent.attempt_id] > 1:
                 found.append(f"ran twice: {sent}")
@@ -218,6 +224,7 @@
     def _send(self, name: str, key: int, is_order: bool) -> None:
         method, path = ("POST", "/order/1") if is_order else ("GET", "/read/1")
         data, attempt_id = self.mesh.encode(path, key, method, b"order", 1200)
+        self.limits.note_sent(attempt_id, name)
         status, body = 0, b""
         try:
             connection = dial(self.proxies[name]["callers"].front, 2)
@@ -225,12 +232,22 @@
                 connection.send(data, 2)
                 answer = connection.read(AnswerParser(), 3)
                 status, body = answer.status, answer.body
+                if answer.find(LIMIT):
+                    self._note_limit(name, attempt_id)
             finally:
                 connection.close()
         except (OSError, MalformedMessageError):
             status = 0
         self.sent.append(Sent(attempt_id, is_order, status, body))
 
+    def _note_limit(self, name: str, attempt_id: str) -> None:
+        """Note that a node has passed on a target's word that it has a limit."""
+        now_ns = self.mesh.clock.now_ns()
+        for place in self.mesh.places:
+            for run in place.holder.runs:
+                if run.attempt_id == attempt_id:
+                    self.limits.note_answer(name, run.target, now_ns)
+
     def _break_something(self) -> None:
         place = self._random.choice(self.mesh.places)
         name = self._random.choice(self._kinds)
@@ -307,6 +324,25 @@
         place.holder.silent_heartbeats = True
         gevent.spawn_later(self._random.uniform(0.5, 9.0), self._mend_target, place)
 
+    @fault
+    def name_limit(self, place: Place) -> None:
+        """Let a target name a limit for a while, or until its next start."""
+        holder = place.holder
+        limit = self._random.choice(LIMITS)
+        target, from_ns = holder.target, self.mesh.clock.now_ns()
+        holder.limits = (str(limit),)
+        gevent.sleep(self._random.uniform(4.0, 8.0))
+        holder.limits = ()
+        until_ns = self.mesh.clock.now_ns()
+        self.limits.add(Span(target, limit, from_ns, until_ns))
+
+    @fault
+    def leave_by_answers(self, place: Place) -> None:
+        """Let a target say in its answers that it leaves, end it and start another."""
+        place.holder.leaving = True
+        gevent.sleep(self._random.uniform(1.0, 4.0))
+        self.crash_target(place)
+
     def _choose_proxy(self, place: Place) -> Proxy:
         found = self.proxies[place.settings.node_id]
         return found[self._random.choice(sorted(found))]
--- a/knapweedrock/emulator/holder.py
+++ b/knapweedrock/emulator/holder.py
@@ -54,6 +54,14 @@
     token: int
 
 
+class Arrival(NamedTuple):
+    """A request that came to a start of the target, whether it was run or not."""
+
+    at_ns: int
+    attempt_id: str
+    target: str
+
+
 class Crowd(NamedTuple):
     """A moment in ns at which a target was given more requests than it has slots."""
 
@@ -98,8 +106,7 @@
         self.limits: tuple[str, ...] = ()
         # Whether it says in its answers, and nowhere else, that it leaves.
         self.leaving = False
-        # When requests came to it, whether they were run or not.
-        self.arrived_ns: list[int] = []
+        self.arrivals: list[Arrival] = []
         self.lost_share = 0.0
         self.requests: list[Request] = []
         self.runs: list[Run] = []
@@ -109,7 +116,7 @@
         self.held: list[Held] = []
         self.target = ""
         self.instance = ""
-        self._clock = clock
+        self._clock = self._true_clock = clock
         self._random = random.Random(seed)
         self._births = itertools.count(1)
         self._sequence = 0
@@ -188,8 +195,9 @@
             headers = [(INSTANCE, self.instance), (COLD, str(int(self.cold_ms)))]
             leaves = self.draining or self.leaving
             return Reply(503 if leaves else 200, headers, b"")
-        self.arrived_ns.append(self._clock.now_ns())
         attempt_id = request.fields.get(ATTEMPT_ID, "")
+        now_ns = self._true_clock.now_ns()
+        self.arrivals.append(Arrival(now_ns, attempt_id, self.target))
         expected = request.fields.get(EXPECTED_INSTANCE, self.instance)
         key = int(request.fields.get(KEY, -1))
         if expected != self.instance:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,4 +1,7 @@
-"""Run the soak of fresh seeds by hand: `tools/soak.py FIRST COUNT SECONDS`."""
+"""Run the soak of fresh seeds by hand: `tools/soak.py FIRST COUNT SECONDS [FAULTS]`.
+
+`FAULTS` names the faults to draw from, separated by commas.
+"""
 
 from gevent import monkey
 
@@ -16,9 +19,9 @@
 RATE = 60.0
 
 
-def run_seed(seed: int, seconds: float) -> list[str]:
+def run_seed(seed: int, seconds: float, kinds: str) -> list[str]:
     """Run one seed and return what went wrong."""
-    soak = Soak(seed, VMS, RATE)
+    soak = Soak(seed, VMS, RATE, kinds)
     try:
         soak.run(seconds)
         found = soak.list_violations()
@@ -38,7 +41,9 @@
 def main() -> int:
     """Run all seeds; the exit status tells whether one has failed."""
     first, count, seconds = int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])
-    failed = [s for s in range(first, first + count) if run_seed(s, seconds)]
+    kinds = " ".join(sys.argv[4].split(",")) if len(sys.argv) > 4 else ""
+    seeds = range(first, first + count)
+    failed = [seed for seed in seeds if run_seed(seed, seconds, kinds)]
     print(f"{count - len(failed)} seeds passed, {len(failed)} failed: {failed}")
     return 1 if failed else 0
 
