Bind only the start of a target that says that it leaves

A deregistration that was held up made the next start under the same id leave: ids were compared, not starts (mesh_departing, 'A target that has started again under its id is not bound by an old goodbye', failed before). And one that came before a new process had heard a heartbeat was acknowledged and forgotten; it is kept now, until that start announces itself.

--- a/features/mesh_departing.feature
+++ b/features/mesh_departing.feature
@@ -45,3 +45,21 @@
       | 6     | 12    | 16   | 8     |
       | 60    | 12    | 24   | 8     |
       | 195   | 40    | 80   | 25    |
+
+  # Guards against a new process that believes a heartbeat of a target which leaves
+  Scenario: A new process asks the health page before it believes a heartbeat
+    Given a node that has just started and has heard that its target is ready
+    Then it refuses requests as not run
+    When the health page says 503 and another heartbeat that it is ready
+    Then it refuses requests as not run
+    When the health page says 200 and another heartbeat that it is ready
+    Then it serves requests
+
+  # Guards against a former start's late word that binds the next one under the same id
+  Scenario: A target that has started again under its id is not bound by an old goodbye
+    Given a node that has just started and has heard that its target is ready
+    When the health page says 200 and another heartbeat that it is ready
+    And an earlier start under the same id says that it leaves for good
+    Then it serves requests
+    When this start says that it leaves for good
+    Then it refuses requests as not run
--- a/features/support/lone_node.py
+++ b/features/support/lone_node.py
@@ -22,14 +22,24 @@
 class LoneNode:
     """A node of a service without keys, and the paths that its target has run."""
 
-    def __init__(self, slots: int, work_ms: float, routes: dict[str, int]) -> None:
-        """Take the priority of each route by its name."""
+    def __init__(
+        self,
+        slots: int,
+        work_ms: float,
+        routes: dict[str, int],
+        is_confirmed: bool = True,
+    ) -> None:
+        """Take the priority of each route by its name.
+
+        A target that is not `is_confirmed` has sent a heartbeat and no more.
+        """
         settings = create_settings(0, create_address(), create_address(), OTHER_SERVICE)
         self.node = Node(settings, create_clock())
         self.node.follower.take_pushed(create_push(routes))
         heartbeat = create_heartbeat(settings.node_id, service=OTHER_SERVICE)
         self.node.target.take(heartbeat._replace(slots=slots))
-        self.node.target.confirm()
+        if is_confirmed:
+            self.node.target.confirm()
         member = self.node.membership.describe()
         self.node.take_board(Board(1, 1, "", {member.node_id: member}, {}))
         self.node.gateway.admission.service_ms = work_ms
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -14,6 +14,9 @@
 # Change of a limit, as a share of it, up to which it counts as the same one in logs.
 SAME_LIMIT_SHARE = 0.2
 
+# Birth in the name of a start that did not tell it.
+UNKNOWN_BIRTH = 0
+
 log = Logger("target")
 
 
@@ -48,6 +51,8 @@
         self._admission = admission
         self._sequence = -1
         self._ended: set[str] = set()
+        # Starts that leave for good.
+        self._left: set[str] = set()
 
     def adopt(self, member: Member) -> bool:
         """Take up what the mesh knows of the target after a restart of the node.
@@ -71,7 +76,8 @@
         """Take up what the target told the former process in its answers."""
         if member.target != self.name:
             return
-        self.draining = self.draining or member.state == "draining"
+        if member.state == "draining" or self.name in self._left:
+            self.draining = True
         if not self._reported_ns and member.limit is not None:
             self._set_limit(member.limit)
         self._admission.is_known = True
@@ -122,7 +128,7 @@
         if name != self.name:
             return
         if report.leaving:
-            self.leave(name)
+            self._note_leaving()
         if at_ns < self._reported_ns:
             return
         self._reported_ns = at_ns
@@ -163,8 +169,16 @@
             self._admission.cold_until_ns = until_ns
 
     def leave(self, name: str) -> None:
-        """Note that a start of the target leaves for good."""
-        if name.split("@")[0] == self.instance and not self.draining:
+        """Note that a start of the target leaves for good.
+
+        It may be one that this process has not heard of yet, or an earlier one.
+        """
+        self._left.add(name)
+        if name in (self.name, f"{self.instance}@{UNKNOWN_BIRTH}"):
+            self._note_leaving()
+
+    def _note_leaving(self) -> None:
+        if not self.draining:
             log.info("target leaves", target=self.name)
             self.draining = True
 
@@ -215,7 +229,7 @@
         if self.name:
             self._ended.add(self.name)
         self.name, self.instance = heartbeat.target, heartbeat.instance
-        self.draining = False
+        self.draining = self.name in self._left
         self.dead = ""
         self._reported_ns = 0
         self._set_limit(None)
