Refuse what waits at a target as soon as it leaves

All that wait are refused at once, as not run, and go to other targets. One line, 'target leaves', tells of each way to leave.

--- a/features/mesh_departing.feature
+++ b/features/mesh_departing.feature
@@ -63,3 +63,9 @@
     Then it serves requests
     When this start says that it leaves for good
     Then it refuses requests as not run
+
+  # Guards against requests that wait for a slot of a target which gets nothing more
+  Scenario: Requests that wait at a target are refused as soon as it leaves
+    Given a node without a network whose target has 1 slot and works for 400 ms
+    When 3 requests come and the target leaves after 50 ms
+    Then 1 of them is served, and 2 are refused as not run within 150 ms
--- a/features/steps/mesh_confirmation.py
+++ b/features/steps/mesh_confirmation.py
@@ -1,5 +1,6 @@
 """Steps about a new process that learns whether its target stays."""
 
+import gevent
 from behave import given, then, when
 
 from features.support.lone_node import LoneNode
@@ -8,9 +9,11 @@
     create_forward,
     create_heartbeat,
 )
-from knapweedrock.codes import INFO, Outcome, find_code
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.codes import INFO, Code, Outcome, find_code
 from knapweedrock.mesh.definitions import Heartbeat
 from knapweedrock.mesh.http import Answer, Headers
+from knapweedrock.mesh.messages import Forwarded
 from knapweedrock.platform.headers import INSTANCE, SIGNATURE
 
 NAME = "node-0"
@@ -69,6 +72,44 @@
     assert deliver(context).status == 200
 
 
+@given("a node without a network whose target has 1 slot and works for {ms:d} ms")
+def create_busy(context, ms: int) -> None:
+    """Create a node beside a target that is soon full."""
+    context.node = LoneNode(1, ms, {"list": 1}).node
+
+
+@when("{count:d} requests come and the target leaves after {ms:d} ms")
+def leave_under_load(context, count: int, ms: int) -> None:
+    """Let requests wait, and the target leave by a heartbeat."""
+    clock = context.node.clock
+
+    def run() -> tuple[int, float]:
+        began_ns = clock.now_ns()
+        code = deliver(context, 2000.0).code
+        return code, (clock.now_ns() - began_ns) / NS_PER_MS
+
+    tasks = [gevent.spawn(run) for _ in range(count)]
+    gevent.sleep(ms / 1000)
+    heartbeat = create_heartbeat(NAME, service=OTHER_SERVICE, sequence=2)
+    context.node.target.take(heartbeat._replace(draining=True))
+    gevent.joinall(tasks, timeout=3)
+    context.ended = [task.get() for task in tasks]
+
+
+@then(
+    "{done:d} of them is served, "
+    "and {refused:d} are refused as not run within {ms:d} ms"
+)
+def check_ended(context, done: int, refused: int, ms: int) -> None:
+    """Check how each request ended, and when."""
+    served = [took_ms for code, took_ms in context.ended if code == Code.DONE]
+    soon = [
+        code for code, took_ms in context.ended if code != Code.DONE and took_ms < ms
+    ]
+    assert len(served) == done, context.ended
+    assert [find_code(code) for code in soon] == [Code.LEAVING] * refused, context.ended
+
+
 def create_beat(sequence: int) -> Heartbeat:
     """Create a heartbeat of the start that runs."""
     name = f"{NAME}@{BORN}"
@@ -77,6 +118,12 @@
     )
 
 
-def deliver(context):
+def deliver(context, objective_ms: float = 500.0) -> Forwarded:
     """Hand a request without a key to the node beside the target."""
-    return context.node.gateway.deliver(create_forward(service=OTHER_SERVICE, key=-1))
+    request = create_forward(
+        service=OTHER_SERVICE,
+        key=-1,
+        objective_ms=objective_ms,
+        remaining_ms=2 * objective_ms,
+    )
+    return context.node.gateway.deliver(request)
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -229,6 +229,14 @@
         wait_ms = self.estimate_wait_ms(self._waiting)
         return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
 
+    def refuse_waiting(self, code: Code) -> None:
+        """Refuse all that wait, as the target gets nothing more."""
+        for _, _, waiter in self._queue:
+            if not waiter.given_up:
+                self._give_up(waiter)
+                waiter.result.set_exception(RefusalError(code))
+        self._queue.clear()
+
     def _refuse_last(self, rank: int | None) -> bool:
         """Refuse the last of those that wait where it can't be served in time.
 
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -3,6 +3,7 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.definitions import Heartbeat, NodeSettings, SelfReport
 from knapweedrock.mesh.messages import Member
@@ -113,9 +114,8 @@
         self.silent = False
         self.doubted = self.doubted or is_first
         self.confirmed = not self.doubted
-        if heartbeat.draining and not self.draining:
-            log.info("target is draining", target=self.name)
-        self.draining = self.draining or heartbeat.draining
+        if heartbeat.draining:
+            self._note_leaving()
         self._set_slots(heartbeat.slots)
         self.set_cold(heartbeat.cold_ms)
         return True
@@ -181,6 +181,7 @@
         if not self.draining:
             log.info("target leaves", target=self.name)
             self.draining = True
+            self._admission.refuse_waiting(Code.LEAVING)
 
     def confirm(self) -> None:
         """Note that the target says itself that it does not leave."""
