--- a/features/mesh_story.feature
+++ b/features/mesh_story.feature
@@ -48,6 +48,7 @@
     Examples:
       | request                                    | text                            |
       | a request past its objective               | the objective had passed        |
+      | a request to a target under a limit        | the limit of 5.0 requests       |
       | a request while no coordinator was found   | 'coordinator not found'         |
       | a request beside a move of its key         | after 'keys given'              |
       | a request that its target gave up          | sent 18 times before a target   |
--- a/features/support/story_builders.py
+++ b/features/support/story_builders.py
@@ -29,6 +29,26 @@
     )
 
 
+def create_limited() -> list[str]:
+    """Create the lines of a request that met a target under a limit."""
+    delivery = create_line(
+        "13:37:13.236",
+        "node-8",
+        "requests",
+        "delivery failed",
+        id=ATTEMPT_ID,
+        key=KEY,
+        code="OVERLOADED",
+        in_flight=2,
+        waiting=4,
+        limit=5.0,
+        service_ms=129.6,
+        remaining_ms=378.0,
+        objective_ms=200.0,
+    )
+    return [delivery, create_failure("13:37:13.237", "OVERLOADED")]
+
+
 def create_overload() -> list[str]:
     """Create the lines of a request that waited past its objective."""
     delivery = create_line(
@@ -95,6 +115,7 @@
 
 LINES = {
     "a request past its objective": create_overload,
+    "a request to a target under a limit": create_limited,
     "a request while no coordinator was found": create_outage,
     "a request beside a move of its key": create_move,
     "a request that its target gave up": create_late,
--- a/knapweedrock/operators/story.py
+++ b/knapweedrock/operators/story.py
@@ -139,7 +139,9 @@
 def explain_overload(line: Line, beliefs: list[Line]) -> str:
     """Explain a refusal for want of room."""
     fields = line.fields
-    cold = " while it was cold" if fields.get("cold") else ""
+    bounds = " while it was cold" if fields.get("cold") else ""
+    if fields.get("limit") is not None:
+        bounds += f" by the limit of {fields['limit']} requests a second that it named"
     objective_ms = fields.get("objective_ms", 0)
     limit = f"the {objective_ms} ms that were left of the objective"
     if objective_ms <= 0:
@@ -148,7 +150,7 @@
             "deadline; the objective had passed"
         )
     return (
-        f"The target beside {line.node} was full{cold}: {fields.get('in_flight')} "
+        f"The target beside {line.node} was full{bounds}: {fields.get('in_flight')} "
         f"requests at it and {fields.get('waiting')} waiting, each taking "
         f"{fields.get('service_ms')} ms; the wait would have been longer than {limit}."
     )
@@ -168,7 +170,7 @@
         beliefs,
         "move begins",
         "keys given",
-        "target is draining",
+        "target leaves",
         "target is down",
         "target announced itself",
         "zones out",
