--- a/features/steps/mesh_ownership.py
+++ b/features/steps/mesh_ownership.py
@@ -258,7 +258,7 @@
     """Encode what each target holds, as the answer to its heartbeat has it."""
     for name, member in context.facts.members.items():
         own = [row for row in context.rows if row.node_id == name]
-        held = {Span(row.start, row.end, row.token) for row in own}
+        held = [Span(row.start, row.end, row.token) for row in own]
         grants = tuple(create_grant(row, held) for row in own)
         answer = encode_reply(HeartbeatReply(grants, 10_000))
         assert len(answer) <= size, (member.node_id, len(own), len(answer))
--- a/knapweedrock/mesh/facts.py
+++ b/knapweedrock/mesh/facts.py
@@ -1,11 +1,14 @@
 """What the coordinator knows of a service's targets when it decides on their keys."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping
 from typing import NamedTuple
 
 from knapweedrock.mesh.messages import Member, Row, RowLoad
 
 KEYS = 65536
+# Rows that the answer to a heartbeat names, with some room for those that are cut.
+MAX_ROWS = 140
 
 
 class Given(NamedTuple):
@@ -41,6 +44,12 @@
     given: Mapping[str, list[Given]] = {}
 
 
+def find_crowded(rows: list[Row]) -> set[str]:
+    """Find the members that own so many rows that they are to get no more."""
+    counts = Counter(row.next_node or row.node_id for row in rows)
+    return {name for name, count in counts.items() if count >= MAX_ROWS}
+
+
 def list_fit(facts: Facts) -> list[Member]:
     """List the members whose targets may own keys."""
     return [
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -1,5 +1,7 @@
 """Keys that the target beside a node may hold, decided at each of its heartbeats."""
 
+from bisect import bisect_right
+from operator import attrgetter
 from typing import NamedTuple
 
 from knapweedrock.clock import NS_PER_MS
@@ -11,6 +13,7 @@
     Span,
 )
 from knapweedrock.mesh.messages import Row
+from knapweedrock.platform.heartbeats import count_fitting
 
 # A target's clock may run this much slow while it counts a hold.
 CLOCK_RATE = 0.97
@@ -18,6 +21,8 @@
 MIN_HOLD_MS = 300
 LAPSE_MARGIN_MS = 200
 
+get_start = attrgetter("start")
+
 
 class Granted(NamedTuple):
     """What was granted last: rows of one target until a time, in ns."""
@@ -61,12 +66,11 @@
         if hold_ms < MIN_HOLD_MS:
             return HeartbeatReply(None, 0)
         own = () if heartbeat.draining else self.find_own(rows, heartbeat.target)
+        own, grants = choose_grants(own, heartbeat.held)
         until_ns = now_ns + hold_ms * NS_PER_MS
         self.granted = Granted(heartbeat.target, own, until_ns)
         lapse_ms = hold_ms / CLOCK_RATE + LAPSE_MARGIN_MS
         self._lapse_ns = max(self._lapse_ns, now_ns + int(lapse_ms * NS_PER_MS))
-        held = set(heartbeat.held)
-        grants = tuple(create_grant(row, held) for row in own)
         return HeartbeatReply(grants, hold_ms)
 
     def find_own(self, rows: list[Row], target: str) -> tuple[Row, ...]:
@@ -158,9 +162,32 @@
         return not any(overlaps(row, span) for span in known.held)
 
 
-def create_grant(row: Row, held: set[Span]) -> Grant:
-    """Create the grant of a row; one that is held already needs no handover."""
-    is_held = Span(row.start, row.end, row.token) in held
+def choose_grants(
+    own: tuple[Row, ...], held: tuple[Span, ...]
+) -> tuple[tuple[Row, ...], tuple[Grant, ...]]:
+    """Choose the rows that one answer can name, those that are held already first.
+
+    What is left out is granted at a later heartbeat: held rows take less room.
+    """
+    spans = sorted(held)
+    grants = [create_grant(row, spans) for row in own]
+    pairs = sorted(
+        zip(own, grants, strict=True), key=lambda pair: bool(pair[1].handover)
+    )
+    fitting = pairs[: count_fitting(grant for _, grant in pairs)]
+    fitting.sort()
+    return tuple(row for row, _ in fitting), tuple(grant for _, grant in fitting)
+
+
+def create_grant(row: Row, spans: list[Span]) -> Grant:
+    """Create the grant of a row; one that is held already needs no handover.
+
+    `spans` lists what is held, in the order of keys.
+    """
+    index = bisect_right(spans, row.start, key=get_start) - 1
+    is_held = (
+        index >= 0 and spans[index].token == row.token and covers(spans[index], row)
+    )
     return Grant(row.start, row.end, row.token, "" if is_held else row.handover)
 
 
--- a/knapweedrock/mesh/moves.py
+++ b/knapweedrock/mesh/moves.py
@@ -1,8 +1,9 @@
 """Moves of keys from busy targets to others."""
 
 from collections.abc import Collection
+from math import inf
 
-from knapweedrock.mesh.facts import KEYS, Facts
+from knapweedrock.mesh.facts import KEYS, Facts, find_crowded
 from knapweedrock.mesh.holds import overlaps
 from knapweedrock.mesh.measures import cut_row, measure_loads, measure_row
 from knapweedrock.mesh.messages import Row
@@ -55,9 +56,10 @@
     most = min(most, max(LEAST_BEGUN, len(totals) // TARGETS_A_MOVE))
     owners = {row.next_node or row.node_id for row in rows}
     busy = set(resting)
+    crowded = find_crowded(rows)
     marked: dict[Row, list[Row]] = {}
     for _ in range(most):
-        pair = choose_pair(totals, owners, facts, busy)
+        pair = choose_pair(totals, owners, facts, busy, crowded)
         if pair is None:
             break
         giver, receiver = pair
@@ -80,14 +82,21 @@
     owners: Collection[str],
     facts: Facts,
     resting: Collection[str],
+    crowded: Collection[str] = (),
 ) -> tuple[str, str] | None:
-    """Choose the busiest target and one that takes load of it; None if not worth it."""
+    """Choose the busiest target and one that takes load of it; None if not worth it.
+
+    Members that are `crowded` take nothing.
+    """
     if len(totals) < 2:
         return None
     idle = [node_id for node_id in totals if node_id not in owners]
     shares = {n: find_share(n, totals, facts) for n in totals}
     giver = max(shares, key=lambda node_id: (shares[node_id], node_id))
-    receiver = idle[0] if idle else choose_receiver(giver, shares, facts, resting)
+    takers = {n: share for n, share in shares.items() if n not in crowded}
+    if not idle and not takers:
+        return None
+    receiver = idle[0] if idle else choose_receiver(giver, takers, facts, resting)
     if giver == receiver or giver in resting or receiver in resting:
         return None
     is_worth = shares[giver] - shares[receiver] > WORTH_SHARE
@@ -205,11 +214,13 @@
         return rows
     mean = find_mean_share(totals, facts)
     full = [n for n in totals if is_full(n, totals, mean, facts)]
+    crowded = find_crowded(rows)
     marked: dict[Row, list[Row]] = {}
     for giver in sorted(full, key=lambda n: (-find_share(n, totals, facts), n)):
         own = [row for row in rows if row.node_id == giver and not row.next_node]
         kept = max(RELIEVED_SHARE, mean + RELIEVED_ABOVE) * facts.members[giver].slots
-        marked |= relieve(giver, own, totals[giver] - kept, totals, facts)
+        excess = totals[giver] - kept
+        marked |= relieve(giver, own, excess, totals, facts, crowded)
     if not marked:
         return rows
     return [part for row in rows for part in marked.get(row, [row])]
@@ -238,6 +249,7 @@
     excess: float,
     totals: dict[str, float],
     facts: Facts,
+    crowded: Collection[str],
 ) -> dict[Row, list[Row]]:
     """Mark parts of a full target's rows for others, and count them there.
 
@@ -254,7 +266,7 @@
             break
         if load > excess * MOST_PART_SHARE:
             continue
-        receiver = choose_roomy(giver, load, totals, facts)
+        receiver = choose_roomy(giver, load, totals, facts, crowded)
         if receiver:
             chosen[part] = receiver
             totals[receiver] += load
@@ -268,15 +280,19 @@
 
 
 def choose_roomy(
-    giver: str, load: float, totals: dict[str, float], facts: Facts
+    giver: str,
+    load: float,
+    totals: dict[str, float],
+    facts: Facts,
+    crowded: Collection[str],
 ) -> str:
     """Choose a target that has room for a load; nothing where none has."""
     shares = {
         n: (totals[n] + load) / max(facts.members[n].slots, 1)
         for n in totals
-        if n != giver
+        if n != giver and n not in crowded
     }
-    least = min(shares.values())
+    least = min(shares.values(), default=inf)
     if least > ROOM_SHARE:
         return ""
     alike = [n for n, share in shares.items() if share <= least + ALIKE_SHARE / 2]
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from knapweedrock.mesh.facts import KEYS, Facts, list_fit
+from knapweedrock.mesh.facts import KEYS, Facts, find_crowded, list_fit
 from knapweedrock.mesh.holds import covers
 from knapweedrock.mesh.measures import cut_row, measure_loads, measure_row
 from knapweedrock.mesh.messages import Member, Row
@@ -33,10 +33,15 @@
     return rows
 
 
-def choose_least(totals: dict[str, float], facts: Facts) -> str:
-    """Choose the member with the smallest load for its slots."""
+def choose_least(
+    totals: dict[str, float], facts: Facts, crowded: Collection[str]
+) -> str:
+    """Choose the member with the smallest load for its slots.
+
+    Those that are `crowded` take something only where all are.
+    """
     return min(
-        totals,
+        [name for name in totals if name not in crowded] or totals,
         key=lambda node_id: (
             totals[node_id] / max(facts.members[node_id].slots, 1),
             node_id,
@@ -49,10 +54,13 @@
     fit = {member.node_id for member in list_fit(facts)}
     if not fit or all(stays(row, fit, facts) for row in rows):
         return rows
-    totals = measure_loads(rows, facts)
+    totals, crowded = measure_loads(rows, facts), find_crowded(rows)
     found = []
     for row in rows:
-        found += [row] if stays(row, fit, facts) else share_out(row, totals, facts)
+        if stays(row, fit, facts):
+            found.append(row)
+        else:
+            found += share_out(row, totals, facts, crowded)
     return found
 
 
@@ -67,11 +75,13 @@
     return (row.next_node or row.node_id) in fit
 
 
-def share_out(row: Row, totals: dict[str, float], facts: Facts) -> list[Row]:
+def share_out(
+    row: Row, totals: dict[str, float], facts: Facts, crowded: Collection[str]
+) -> list[Row]:
     """Mark the parts of a row for the least loaded members, and count them there."""
     marked = []
     for piece in cut_row(row, facts):
-        next_node = choose_least(totals, facts)
+        next_node = choose_least(totals, facts, crowded)
         totals[next_node] += measure_row(piece, facts)
         marked.append(piece._replace(next_node=next_node))
     return marked
@@ -86,6 +96,7 @@
     if not facts.unheld or not list_fit(facts):
         return rows
     totals, unheld = measure_loads(rows, facts), group_unheld(facts)
+    crowded = find_crowded(rows)
     found = []
     for row in rows:
         if row.next_node in totals or not is_free(row, unheld):
@@ -94,7 +105,7 @@
         if row.node_id in totals:
             found.append(row._replace(next_node=row.node_id))
             continue
-        found += share_out(row, totals, facts)
+        found += share_out(row, totals, facts, crowded)
     return found
 
 
--- a/knapweedrock/platform/heartbeats.py
+++ b/knapweedrock/platform/heartbeats.py
@@ -1,6 +1,7 @@
 """Heartbeats of targets on the users' platform, and the answers to them."""
 
 import re
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -8,6 +9,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.definitions import (
+    Grant,
     Heartbeat,
     HeartbeatReply,
     Released,
@@ -18,6 +20,11 @@
 PATH = re.compile(r"/instances/([^/?]+)/(heartbeat|deregister)")
 STATES = frozenset({"ready", "draining"})
 HIGHEST_KEY = 65535
+# Longest answer to a heartbeat that a target takes.
+MAX_REPLY_BYTES = 4096
+# Of an answer without grants, with the longest time of a hold.
+REPLY_FRAME_BYTES = 64
+SEPARATOR_BYTES = 1
 
 
 class Leave(NamedTuple):
@@ -106,6 +113,18 @@
     return key
 
 
+def count_fitting(grants: Iterable[Grant]) -> int:
+    """Count the grants, from the first on, that one answer can name."""
+    left_bytes = MAX_REPLY_BYTES - REPLY_FRAME_BYTES
+    count = 0
+    for grant in grants:
+        left_bytes -= len(msgspec.json.encode(list(grant))) + SEPARATOR_BYTES
+        if left_bytes < 0:
+            break
+        count += 1
+    return count
+
+
 def encode_reply(reply: HeartbeatReply) -> bytes:
     """Encode the answer to a heartbeat."""
     if reply.grants is None:
