Take a target's refusals for no work, and count what they stand for

A 421 or a refusal of a full target counted as a request of 1 ms: a target that refused all it got looked idle and fast, got ever more keys, and its queue was thought to be short (two scenarios of mesh_copies failed before: usual time and load of the key). Refusals no longer change the usual time of a request, and count as the load that the request would have been, as the node's own refusals do.

--- a/features/mesh_copies.feature
+++ b/features/mesh_copies.feature
@@ -30,3 +30,15 @@
     Given a node without a network whose target answers 503 and that it ran nothing
     When an order is sent to it
     Then the order is told as not run
+
+  # Guards against a target that looks idle and fast as it refuses all that it gets
+  Scenario Outline: Refusals of a target are no work, and count as the load that they stand for
+    Given a node without a network whose target works for 100 ms and answers <answer>
+    When 100 requests for one key are sent to it, one after the other
+    Then the usual time of a request is still 100 ms
+    And the key's load is that of 100 requests of 100 ms
+
+    Examples:
+      | answer                      |
+      | 421                         |
+      | 503 and that it ran nothing |
--- a/features/steps/mesh_copies.py
+++ b/features/steps/mesh_copies.py
@@ -15,6 +15,7 @@
 from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED
 
 TIMEOUT_S = 0.4
+KEY = 7
 EMPTY = b"Content-Length: 0\r\n\r\n"
 OWN = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: order-1\r\nX-Response-Signature: s\r\n"
@@ -89,6 +90,38 @@
     give_answering(context, 503, [(NOT_EXECUTED, "1")])
 
 
+@given("a node without a network whose target works for {ms:d} ms and answers {answer}")
+def give_refusing_keys(context, ms: int, answer: str) -> None:
+    """Let the target refuse requests for keys that it holds by the node's word."""
+    context.node = LoneNode(4, ms, {"list": 1}).node
+    context.node.holds.may_serve = lambda *_args: True
+    refusal = Answer(
+        int(answer.split()[0]), [(ATTEMPT_ID, "a1"), (NOT_EXECUTED, "1")], b"", True
+    )
+    context.node.gateway.exchanges.run = lambda *_args: refusal
+
+
+@when("{count:d} requests for one key are sent to it, one after the other")
+def send_keyed(context, count: int) -> None:
+    """Hand requests to the node beside the target."""
+    request = create_forward(service=OTHER_SERVICE, key=KEY)
+    for _ in range(count):
+        context.node.gateway.deliver(request)
+
+
+@then("the usual time of a request is still {ms:d} ms")
+def check_usual(context, ms: int) -> None:
+    """Check what is expected of the next request."""
+    assert context.node.gateway.admission.service_ms == ms
+
+
+@then("the key's load is that of {count:d} requests of {ms:d} ms")
+def check_load(context, count: int, ms: int) -> None:
+    """Check the time that stands for what was refused."""
+    spent_ms = context.node.gateway.loads._key_ms[KEY]
+    assert spent_ms == count * ms, spent_ms
+
+
 @when("an order is sent to it")
 def send_order(context) -> None:
     """Hand an order to the node beside the target."""
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -153,14 +153,17 @@
             answer = self._exchange(
                 request, fingerprint, request.remaining_ms - waited_ms
             )
-            served_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
-            self._service_ms.observe(served_ms)
+            if not is_refusal(answer):
+                served_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
+                self._service_ms.observe(served_ms)
         finally:
             self.in_flight.pop(id(request), None)
             self.admission.release(served_ms, request.route)
             if request.key >= 0:
                 spent_ms = (self._clock.now_ns() - sent_ns) / NS_PER_MS
-                self.loads.add(request.key, spent_ms)
+                # A refusal stands for the work that it did not do.
+                usual_ms = 0.0 if served_ms else self.admission.service_ms
+                self.loads.add(request.key, max(spent_ms, usual_ms))
         return self._judge(request, answer, fingerprint)
 
     def _limit(self, request: Forward) -> Forward:
@@ -337,7 +340,7 @@
 
     def _judge(self, request: Forward, answer: Answer, fingerprint: str) -> Forwarded:
         """Tell a refusal of the target from its final answer."""
-        if answer.find(NOT_EXECUTED) or answer.status == MISDIRECTED:
+        if is_refusal(answer):
             self._counters.count("target_refusals", status=str(answer.status))
             if answer.status == 400:
                 return self._create_done(request, answer)
@@ -428,6 +431,11 @@
             node.membership.report_soon()
 
 
+def is_refusal(answer: Answer) -> bool:
+    """Tell whether the target says that it did not run the request."""
+    return answer.status == MISDIRECTED or bool(answer.find(NOT_EXECUTED))
+
+
 def find_header(headers: Headers, name: str) -> str:
     """Return the value of a header in lower case, or nothing."""
     for key, value in headers:
