Name what a target holds first in an answer that can't name all

Rows without a handover counted as held when an answer was filled, so that held rows could be left out for new ones and come back by turns (new scenario of mesh_rows failed before).

--- a/features/mesh_rows.feature
+++ b/features/mesh_rows.feature
@@ -15,6 +15,12 @@
     And it holds at least 150 rows
     And its node served no key before it was granted
 
+  # Guards against a held row that is left out for a new one, and comes back by turns
+  Scenario: What a target holds is named before what it is to hold, with handovers or not
+    Given a target that holds 180 rows and owns 60 more without handovers
+    When it sends 2 heartbeats and takes what fits in 4096 bytes
+    Then it still holds the 180 rows
+
   # Guards against all idle rows of a lost target that go to one other
   Scenario: The rows of a lost target go to all others, though they bring no load
     Given 10 members that own 100 idle rows each
--- a/features/steps/mesh_rows.py
+++ b/features/steps/mesh_rows.py
@@ -46,12 +46,29 @@
     ]
 
 
+@given("a target that holds {held:d} rows and owns {more:d} more without handovers")
+def give_held(context, held: int, more: int) -> None:
+    """Create rows of which the later ones are held."""
+    give_rows(context, held + more)
+    context.rows = [row._replace(handover="") for row in context.rows]
+    context.kept = tuple(
+        Span(row.start, row.end, row.token) for row in context.rows[more:]
+    )
+
+
+@then("it still holds the {count:d} rows")
+def check_kept(context, count: int) -> None:
+    """Check that nothing that was held has been let go."""
+    assert len(context.kept) == count
+    assert set(context.kept) <= set(context.held)
+
+
 @when("it sends {count:d} heartbeats and takes what fits in {most:d} bytes")
 def send_heartbeats(context, count: int, most: int) -> None:
     """Let the target hold what answers of a bounded size grant."""
     context.sizes: list[int] = []
     context.served_early: list[int] = []
-    held: tuple[Span, ...] = ()
+    held: tuple[Span, ...] = getattr(context, "kept", ())
     for sequence in range(1, count + 1):
         context.clock.pass_ms(HEARTBEAT_MS)
         context.holds.extend_lease(context.clock.ns, LEASE_MS)
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -170,13 +170,10 @@
     What is left out is granted at a later heartbeat: held rows take less room.
     """
     spans = sorted(held)
-    grants = [create_grant(row, spans) for row in own]
-    pairs = sorted(
-        zip(own, grants, strict=True), key=lambda pair: bool(pair[1].handover)
-    )
-    fitting = pairs[: count_fitting(grant for _, grant in pairs)]
-    fitting.sort()
-    return tuple(row for row, _ in fitting), tuple(grant for _, grant in fitting)
+    rows = sorted(own, key=lambda row: (not is_held(row, spans), row))
+    grants = [create_grant(row, spans) for row in rows]
+    count = count_fitting(grants)
+    return tuple(sorted(rows[:count])), tuple(sorted(grants[:count]))
 
 
 def create_grant(row: Row, spans: list[Span]) -> Grant:
@@ -184,11 +181,16 @@
 
     `spans` lists what is held, in the order of keys.
     """
+    handover = "" if is_held(row, spans) else row.handover
+    return Grant(row.start, row.end, row.token, handover)
+
+
+def is_held(row: Row, spans: list[Span]) -> bool:
+    """Tell whether a row is held as a whole under its token."""
     index = bisect_right(spans, row.start, key=get_start) - 1
-    is_held = (
-        index >= 0 and spans[index].token == row.token and covers(spans[index], row)
-    )
-    return Grant(row.start, row.end, row.token, "" if is_held else row.handover)
+    if index < 0:
+        return False
+    return spans[index].token == row.token and covers(spans[index], row)
 
 
 def overlaps(row, other) -> bool:
