Read a target's limit also beside another word that can't be read

Each word is read by itself now. An unchanged limit no longer looks through the queue with each answer.

--- a/features/mesh_reports.feature
+++ b/features/mesh_reports.feature
@@ -21,6 +21,12 @@
       | 5;6       | none  | not readable |
       | ٣         | none  | not readable |
 
+  # Guards against a word that is lost as another one beside it can't be read
+  Scenario: A limit counts beside a leaving that can't be read
+    When an answer says that its limit is "5" and its leaving "0"
+    Then the limit is 5
+    And it does not say that it leaves
+
   # Guards against an older word that takes the place of a newer one
   Scenario: Answers end out of order, and the latest word counts
     Given a node beside a target
--- a/features/steps/mesh_reports.py
+++ b/features/steps/mesh_reports.py
@@ -13,7 +13,7 @@
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.targets import Target
-from knapweedrock.platform.headers import LIMIT
+from knapweedrock.platform.headers import LEAVING, LIMIT
 from knapweedrock.platform.reports import decode_report
 
 ADDRESS = ("127.0.0.1", 1)
@@ -33,6 +33,19 @@
     context.report = decode_report([(LIMIT, "")])
 
 
+@when('an answer says that its limit is "{limit}" and its leaving "{leaving}"')
+def decode_both(context, limit: str, leaving: str) -> None:
+    """Decode both headers of one answer."""
+    context.report = decode_report([(LIMIT, limit), (LEAVING, leaving)])
+
+
+@then("it does not say that it leaves")
+def check_stays(context) -> None:
+    """Check that a leaving that can't be read is none."""
+    assert not context.report.leaving
+    assert not context.report.is_readable
+
+
 @then("the limit is {limit}")
 def check_limit(context, limit: str) -> None:
     """Check the decoded limit."""
--- a/features/support/senders.py
+++ b/features/support/senders.py
@@ -25,7 +25,7 @@
             Chooser("zone-a", self.clock, lambda _peer: True) for _ in range(nodes)
         ]
         self._rate = RateLimit(self.clock)
-        self._rate.set(limit)
+        self._rate.change(limit)
         self._senders = Senders(self.clock)
         self._random = random.Random(1)
 
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -185,9 +185,8 @@
 
         Those that wait, and can't be served in time under it, are refused at once.
         """
-        if limit is None and self.limit.rate is None:
+        if not self.limit.change(limit):
             return
-        self.limit.set(limit)
         while self._refuse_last(None):
             pass
         self.wake()
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -83,13 +83,15 @@
 
     `limit` is in requests a second from all nodes together, None where it names none.
     `cold_ms` is how long it stays cold, told on its health page only. `is_readable` is
-    unset where a value could not be read; the limit says nothing then.
+    unset where a value could not be read, `tells_limit` where it is that of the limit,
+    which is not known then.
     """
 
     limit: float | None = None
     leaving: bool = False
     cold_ms: float = 0.0
     is_readable: bool = True
+    tells_limit: bool = True
 
 
 class Heartbeat(NamedTuple):
--- a/knapweedrock/mesh/rates.py
+++ b/knapweedrock/mesh/rates.py
@@ -19,17 +19,18 @@
         self._left = 0.0
         self._since_ns = 0
 
-    def set(self, limit: float | None) -> None:
-        """Change the limit, in requests a second; None is no limit."""
+    def change(self, limit: float | None) -> bool:
+        """Take a limit, in requests a second, None for none; tell whether it is new."""
         rate = None if limit is None else max(limit, LEAST_RATE)
         if rate == self.rate:
-            return
+            return False
         if self.rate is None:
             # What went before counts as well: there is nothing to be used ahead.
             self._left, self._since_ns = 0.0, self._clock.now_ns()
         else:
             self._fill()
         self.rate = rate
+        return True
 
     def has_room(self) -> bool:
         """Tell whether a request may go now."""
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -135,8 +135,8 @@
         self._admission.is_known = True
         if not report.is_readable:
             self._tell_unreadable()
-            return
-        self._set_limit(report.limit)
+        if report.tells_limit:
+            self._set_limit(report.limit)
 
     def _set_limit(self, limit: float | None) -> None:
         self.limit = limit
--- a/knapweedrock/platform/reports.py
+++ b/knapweedrock/platform/reports.py
@@ -19,14 +19,17 @@
         values = found.get(name.lower())
         if values is not None:
             values.append(value.strip())
-    is_readable = set(found[LEAVING]) <= {YES}
+    is_readable, tells_limit = set(found[LEAVING]) <= {YES}, True
     limit, cold_ms = None, 0.0
     try:
         limit = decode_limit(found[LIMIT])
+    except ValueError:
+        is_readable = tells_limit = False
+    try:
         cold_ms = decode_cold_ms(found[COLD][0]) if found[COLD] else 0.0
     except ValueError:
         is_readable = False
-    return SelfReport(limit, YES in found[LEAVING], cold_ms, is_readable)
+    return SelfReport(limit, YES in found[LEAVING], cold_ms, is_readable, tells_limit)
 
 
 def decode_limit(values: list[str]) -> float | None:
