--- a/features/steps/mesh_rows.py
+++ b/features/steps/mesh_rows.py
@@ -19,7 +19,7 @@
 from knapweedrock.mesh.holds import Holds
 from knapweedrock.mesh.messages import Row
 from knapweedrock.mesh.moves import level_loads, relieve_full
-from knapweedrock.platform.heartbeats import encode_reply
+from knapweedrock.platform.heartbeats import count_fitting, encode_reply
 
 MOST_BYTES = 4096
 HEARTBEAT_MS = 870
@@ -32,7 +32,7 @@
 def give_rows(context, count: int) -> None:
     """Create rows of a target that has just started to own them."""
     context.clock = FakeClock()
-    context.holds = Holds("n0", LEASE_MS)
+    context.holds = Holds("n0", LEASE_MS, count_fitting)
     step = KEYS // count
     context.rows = [
         create_row(
--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -235,7 +235,7 @@
     """Renew the right while no write is answered, and watch it."""
     context.epoch = context.former.epoch
     context.front.late, context.front.late_s = 1.0, late_ms / 1000
-    renewing = gevent.spawn(context.former.run)
+    renewing = gevent.spawn(context.former.run, context.former.epoch)
     context.add_cleanup(renewing.kill)
     context.lapses = 0
     for _ in range(seconds * 100):
@@ -296,7 +296,7 @@
 @when("it renews its right and notes that a node is lost")
 def note_lost(context) -> None:
     """Renew the right, with one node among the lost."""
-    renewing = gevent.spawn(context.former.run)
+    renewing = gevent.spawn(context.former.run, context.former.epoch)
     context.add_cleanup(renewing.kill)
     context.former.set_lost([LOST])
 
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -1,6 +1,7 @@
 """Keys that the target beside a node may hold, decided at each of its heartbeats."""
 
 from bisect import bisect_right
+from collections.abc import Callable, Sequence
 from operator import attrgetter
 from typing import NamedTuple
 
@@ -13,7 +14,6 @@
     Span,
 )
 from knapweedrock.mesh.messages import Row
-from knapweedrock.platform.heartbeats import count_fitting
 
 # A target's clock may run this much slow while it counts a hold.
 CLOCK_RATE = 0.97
@@ -21,6 +21,8 @@
 MIN_HOLD_MS = 300
 LAPSE_MARGIN_MS = 200
 
+CountFitting = Callable[[Sequence[Grant]], int]
+
 get_start = attrgetter("start")
 
 
@@ -35,7 +37,10 @@
 class Holds:
     """Grants of one node to its target, and what the target let go."""
 
-    def __init__(self, node_id: str, max_hold_ms: int) -> None:
+    def __init__(
+        self, node_id: str, max_hold_ms: int, count_fitting: CountFitting = len
+    ) -> None:
+        """Take what counts the grants, from the first on, that an answer can name."""
         self.node_id = node_id
         self.granted = Granted("", (), 0)
         self.released: list[Released] = []
@@ -44,6 +49,7 @@
         self._heartbeat: Heartbeat | None = None
         self._lapse_ns = 0
         self._given_up: list[Row] = []
+        self._count_fitting = count_fitting
 
     def extend_lease(self, sent_ns: int, lease_ms: float) -> None:
         """Count a lease from when it was asked for."""
@@ -66,13 +72,25 @@
         if hold_ms < MIN_HOLD_MS:
             return HeartbeatReply(None, 0)
         own = () if heartbeat.draining else self.find_own(rows, heartbeat.target)
-        own, grants = choose_grants(own, heartbeat.held)
+        own, grants = self._choose_grants(own, sorted(heartbeat.held))
         until_ns = now_ns + hold_ms * NS_PER_MS
         self.granted = Granted(heartbeat.target, own, until_ns)
         lapse_ms = hold_ms / CLOCK_RATE + LAPSE_MARGIN_MS
         self._lapse_ns = max(self._lapse_ns, now_ns + int(lapse_ms * NS_PER_MS))
         return HeartbeatReply(grants, hold_ms)
 
+    def _choose_grants(
+        self, own: tuple[Row, ...], spans: list[Span]
+    ) -> tuple[tuple[Row, ...], tuple[Grant, ...]]:
+        """Choose the rows that one answer can name, those that are held already first.
+
+        What is left out is granted at a later heartbeat: held rows take less room.
+        """
+        rows = sorted(own, key=lambda row: (not is_held(row, spans), row))
+        grants = [create_grant(row, spans) for row in rows]
+        count = self._count_fitting(grants)
+        return tuple(sorted(rows[:count])), tuple(sorted(grants[:count]))
+
     def find_own(self, rows: list[Row], target: str) -> tuple[Row, ...]:
         """List the rows that this start of the target owns and keeps."""
         return tuple(
@@ -162,20 +180,6 @@
         return not any(overlaps(row, span) for span in known.held)
 
 
-def choose_grants(
-    own: tuple[Row, ...], held: tuple[Span, ...]
-) -> tuple[tuple[Row, ...], tuple[Grant, ...]]:
-    """Choose the rows that one answer can name, those that are held already first.
-
-    What is left out is granted at a later heartbeat: held rows take less room.
-    """
-    spans = sorted(held)
-    rows = sorted(own, key=lambda row: (not is_held(row, spans), row))
-    grants = [create_grant(row, spans) for row in rows]
-    count = count_fitting(grants)
-    return tuple(sorted(rows[:count])), tuple(sorted(grants[:count]))
-
-
 def create_grant(row: Row, spans: list[Span]) -> Grant:
     """Create the grant of a row; one that is held already needs no handover.
 
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -44,6 +44,7 @@
 from knapweedrock.mesh.settings import take_live
 from knapweedrock.mesh.targets import ASSUMED_COLD_MS, Target
 from knapweedrock.mesh.transit import Transit
+from knapweedrock.platform.heartbeats import count_fitting
 from knapweedrock.platform.store import Store
 
 PROBE_S = 0.3
@@ -79,7 +80,7 @@
         admission = Admission(clock)
         admission.is_known = False
         self.target = Target(settings, clock, admission)
-        self.holds = Holds(settings.node_id, settings.max_hold_ms)
+        self.holds = Holds(settings.node_id, settings.max_hold_ms, count_fitting)
         listen = settings.peer_listen or settings.peer
         # A restarted VM has another clock, so senders are told apart by processes.
         sender = f"{settings.node_id}/{self.process}"
