--- a/features/support/story_builders.py
+++ b/features/support/story_builders.py
@@ -29,8 +29,8 @@
     )
 
 
-def create_limited() -> list[str]:
-    """Create the lines of a request that met a target under a limit."""
+def create_refused(code: str, **fields) -> list[str]:
+    """Create the lines of a request that the node beside its target refused."""
     delivery = create_line(
         "13:37:13.236",
         "node-8",
@@ -38,34 +38,26 @@
         "delivery failed",
         id=ATTEMPT_ID,
         key=KEY,
-        code="OVERLOADED",
-        in_flight=2,
-        waiting=4,
-        limit=5.0,
+        code=code,
         service_ms=129.6,
         remaining_ms=378.0,
-        objective_ms=200.0,
+        **fields,
+    )
+    return [delivery, create_failure("13:37:13.237", code)]
+
+
+def create_limited() -> list[str]:
+    """Create the lines of a request that met a target under a limit."""
+    return create_refused(
+        "OVERLOADED", in_flight=2, waiting=4, limit=5.0, objective_ms=200.0
     )
-    return [delivery, create_failure("13:37:13.237", "OVERLOADED")]
 
 
 def create_overload() -> list[str]:
     """Create the lines of a request that waited past its objective."""
-    delivery = create_line(
-        "13:37:13.236",
-        "node-8",
-        "requests",
-        "delivery failed",
-        id=ATTEMPT_ID,
-        key=KEY,
-        code="QUEUE_TIMEOUT",
-        in_flight=18,
-        waiting=17,
-        service_ms=129.6,
-        remaining_ms=378.0,
-        objective_ms=-422.0,
+    return create_refused(
+        "QUEUE_TIMEOUT", in_flight=18, waiting=17, objective_ms=-422.0
     )
-    return [delivery, create_failure("13:37:13.237", "QUEUE_TIMEOUT")]
 
 
 def create_outage() -> list[str]:
--- a/knapweedrock/mesh/admission.py
+++ b/knapweedrock/mesh/admission.py
@@ -97,10 +97,9 @@
         return (self.in_flight + self._waiting) / max(self.slots, 1)
 
     def find_load_scale(self, load: float) -> float:
-        """Find what stands for each request at the target that it can't take.
+        """Find by how much to multiply a load so that a target at its limit is full.
 
-        `load` is the number of requests that would be there at once. Under a limit it
-        fills the slots sooner: at the limit, the target is full.
+        `load` is the number of requests that are, or would be, at the target at once.
         """
         if self.limit.rate is None or load <= 0:
             return 1.0
