--- a/knapweedrock/mesh/choice.py
+++ b/knapweedrock/mesh/choice.py
@@ -137,7 +137,9 @@
         peer.pace_ms = notice.pace_ms if notice is not None else 0.0
         peer.paced_ns = self._clock.now_ns()
         if peer.pace_ms and not was_paced:
-            self.note_sent(member)
+            # Nodes that are told together do not come back together.
+            wait_ns = random.random() * peer.pace_ms * NS_PER_MS
+            peer.next_ns = peer.paced_ns + int(wait_ns)
 
     def find_peer(self, member: Member) -> Peer:
         """Return what is known of a member's target."""
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -138,6 +138,12 @@
         if report.tells_limit:
             self._set_limit(report.limit)
 
+    def differs(self, told: Member) -> bool:
+        """Tell whether peers are to hear of the target sooner than usual."""
+        is_limited, was_limited = self._told_limit is not None, told.limit is not None
+        is_leaving = self.draining and told.state == "ready"
+        return is_leaving or is_limited != was_limited
+
     def _set_limit(self, limit: float | None) -> None:
         self.limit = limit
         self._admission.set_limit(limit)
