Build no member for each answer, and let twins share what they repeat

Read as a newcomer would; behaviour is the same. Each answer of a target built the whole Member that peers hear of, to see whether they should hear sooner: note_report tells that now. The pace of a limited target stood in the gateway and, in an older form, in the builder of its scenarios: Senders.find_pace_ms serves both. Two stand-in targets opened listeners of their own beside servers.start_socket_server.

--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -6,7 +6,6 @@
 import gevent
 from behave import given, then, when
 from gevent import socket
-from gevent.server import StreamServer
 
 from features.support.mesh_builders import (
     OTHER_SERVICE,
@@ -14,10 +13,10 @@
     create_forward,
 )
 from features.support.mesh_harness import KEYS, Mesh
+from features.support.servers import start_listener
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.counters import Counters
-from knapweedrock.emulator.addresses import create_address
 from knapweedrock.mesh.definitions import Part, Route
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges, is_sound
 from knapweedrock.mesh.http import AnswerParser, encode_request
@@ -62,15 +61,9 @@
     def __init__(self, kind: str) -> None:
         self.connections = 0
         self._kind = kind
-        self._server = StreamServer(create_address(), self._serve)
-        self._server.start()
-        self.address = self._server.address
 
-    def stop(self) -> None:
-        """Close the listener."""
-        self._server.stop(timeout=0)
-
-    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+    def serve(self, sock: socket.socket, _address: tuple) -> None:
+        """Answer what comes on one connection."""
         self.connections += 1
         while sock.recv(65536):
             sock.sendall(ANSWERS[self._kind])
@@ -87,8 +80,8 @@
 def give_target(context, kind: str) -> None:
     """Start a target with a script."""
     context.target = ScriptedTarget(kind)
-    context.add_cleanup(context.target.stop)
-    context.exchanges = Exchanges(context.target.address, create_clock(), Counters())
+    address = start_listener(context, context.target.serve)
+    context.exchanges = Exchanges(address, create_clock(), Counters())
     context.answer = context.error = None
 
 
--- a/features/steps/mesh_copies.py
+++ b/features/steps/mesh_copies.py
@@ -2,14 +2,13 @@
 
 from behave import given, then, when
 from gevent import socket
-from gevent.server import StreamServer
 
 from features.support.lone_node import LoneNode
 from features.support.mesh_builders import OTHER_SERVICE, create_forward
+from features.support.servers import start_listener
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import INFO, Outcome, find_code
 from knapweedrock.counters import Counters
-from knapweedrock.emulator.addresses import create_address
 from knapweedrock.mesh.exchanges import BrokenExchangeError, Exchanges
 from knapweedrock.mesh.http import Answer
 from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED
@@ -35,15 +34,9 @@
 
     def __init__(self, copy: bytes) -> None:
         self._copy = copy
-        self._server = StreamServer(create_address(), self._serve)
-        self._server.start()
-        self.address = self._server.address
 
-    def stop(self) -> None:
-        """Close the listener."""
-        self._server.stop(timeout=0)
-
-    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+    def serve(self, sock: socket.socket, _address: tuple) -> None:
+        """Answer what comes on one connection."""
         is_first = True
         while sock.recv(65536):
             sock.sendall(self._copy if is_first else self._copy + OWN)
@@ -54,8 +47,8 @@
 def give_copying(context, answer: str) -> None:
     """Start the target."""
     context.target = CopyingTarget(COPIES[answer])
-    context.add_cleanup(context.target.stop)
-    context.exchanges = Exchanges(context.target.address, create_clock(), Counters())
+    address = start_listener(context, context.target.serve)
+    context.exchanges = Exchanges(address, create_clock(), Counters())
 
 
 @when("a question without an id and then an order are sent to it")
--- a/features/support/senders.py
+++ b/features/support/senders.py
@@ -51,7 +51,7 @@
             self._senders.note(name)
             if self._rate.has_room():
                 self._rate.take()
-            pace_ms = self._senders.count() * 1000 / self._rate.rate
+            pace_ms = self._senders.find_pace_ms(self._rate.rate)
             notice = Notice(member.target, False, pace_ms)
         chooser.note_answer(member, 0.1, LATENCY_MS)
         chooser.note_notice(member, notice)
--- a/features/support/servers.py
+++ b/features/support/servers.py
@@ -9,13 +9,18 @@
 from knapweedrock.sockets import disable_delay
 
 
-def start_socket_server(context, handle: Callable) -> str:
+def start_listener(context, handle: Callable) -> tuple[str, int]:
     """Start a server in this process that hands each connection to a function."""
     address = create_address()
     server = StreamServer(address, handle)
     server.start()
     context.add_cleanup(server.stop, 0)
-    return str(address)
+    return address
+
+
+def start_socket_server(context, handle: Callable) -> str:
+    """Start such a server, and return its address as text."""
+    return str(start_listener(context, handle))
 
 
 class NoDelayHandler(WSGIHandler):
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -52,9 +52,6 @@
 LAST_MS = 150.0
 # Times of service that a request must have left before its node ends.
 LAST_WORKS = 2.0
-# Requests a second that nodes offer a target whose limit is less: one of them finds
-# out soon that the limit has ended.
-LEAST_ASKED = 4.0
 # Time in which a node that ends on a living VM is usually back.
 RESTART_MS = 1500
 # Wait for a target's next heartbeat, as a share of the time left and at most.
@@ -308,9 +305,8 @@
         """Note what the target says of itself in an answer that is its own."""
         if answer.status == MISDIRECTED or not is_sound(answer):
             return
-        before = self._node.membership.describe()
-        self._target.note_report(name, decode_report(answer.headers), answer.head_ns)
-        if self._target.differs(before):
+        report = decode_report(answer.headers)
+        if self._target.note_report(name, report, answer.head_ns):
             self._node.membership.report_soon()
 
     def _note_broken(self, name: str) -> None:
@@ -387,8 +383,7 @@
         rate = self.admission.limit.rate
         if rate is None and not self._target.draining:
             return None
-        asked = max(rate or 0.0, LEAST_ASKED)
-        pace_ms = self._senders.count() * 1000 / asked if rate else 0.0
+        pace_ms = self._senders.find_pace_ms(rate) if rate else 0.0
         return Notice(self._target.name, self._target.draining, pace_ms)
 
     def probe(self) -> None:
--- a/knapweedrock/mesh/moves.py
+++ b/knapweedrock/mesh/moves.py
@@ -82,7 +82,7 @@
     owners: Collection[str],
     facts: Facts,
     resting: Collection[str],
-    crowded: Collection[str] = (),
+    crowded: Collection[str],
 ) -> tuple[str, str] | None:
     """Choose the busiest target and one that takes load of it; None if not worth it.
 
--- a/knapweedrock/mesh/senders.py
+++ b/knapweedrock/mesh/senders.py
@@ -4,6 +4,9 @@
 
 # Time for which a sender counts after its last request.
 MEMORY_S = 10
+# Requests a second that senders offer a target whose limit is less: one of them finds
+# out soon that the limit has ended.
+LEAST_ASKED = 4.0
 
 
 class Senders:
@@ -28,3 +31,7 @@
                 break
             del self._seen_ns[oldest]
         return len(self._seen_ns)
+
+    def find_pace_ms(self, rate: float) -> float:
+        """Find the time that each sender should leave between two requests."""
+        return self.count() * 1000 / max(rate, LEAST_ASKED)
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -12,7 +12,7 @@
 LATE_INTERVALS = 1.7
 # Time for which a target is taken as cold where nothing is known of it.
 ASSUMED_COLD_MS = 3000
-# Change of a limit, as a share of it, up to which it counts as the same one in logs.
+# Change of a limit, as a share of it, of which neither logs nor peers are told.
 SAME_LIMIT_SHARE = 0.2
 
 # Birth in the name of a start that did not tell it.
@@ -120,17 +120,23 @@
         self.set_cold(heartbeat.cold_ms)
         return True
 
-    def note_report(self, name: str, report: SelfReport, at_ns: int) -> None:
+    def note_report(self, name: str, report: SelfReport, at_ns: int) -> bool:
         """Note what a start of the target said of itself in an answer.
 
-        `at_ns` is when the answer's head came: answers end out of order.
+        `at_ns` is when the answer's head came: answers end out of order. Tells whether
+        peers are to hear of it sooner than usual.
         """
         if name != self.name:
-            return
+            return False
+        was_usable, was_limited = self.is_usable(), self._told_limit is not None
         if report.leaving:
             self._note_leaving()
-        if at_ns < self._reported_ns:
-            return
+        if at_ns >= self._reported_ns:
+            self._take_report(report, at_ns)
+        is_limited = self._told_limit is not None
+        return (was_usable and self.draining) or is_limited != was_limited
+
+    def _take_report(self, report: SelfReport, at_ns: int) -> None:
         self._reported_ns = at_ns
         self._admission.is_known = True
         if not report.is_readable:
@@ -138,12 +144,6 @@
         if report.tells_limit:
             self._set_limit(report.limit)
 
-    def differs(self, told: Member) -> bool:
-        """Tell whether peers are to hear of the target sooner than usual."""
-        is_limited, was_limited = self._told_limit is not None, told.limit is not None
-        is_leaving = self.draining and told.state == "ready"
-        return is_leaving or is_limited != was_limited
-
     def _set_limit(self, limit: float | None) -> None:
         self.limit = limit
         self._admission.set_limit(limit)
