--- a/features/mesh_departing.feature
+++ b/features/mesh_departing.feature
@@ -69,3 +69,16 @@
     Given a node without a network whose target has 1 slot and works for 400 ms
     When 3 requests come and the target leaves after 50 ms
     Then 1 of them is served, and 2 are refused as not run within 150 ms
+
+  # Guards against nodes that all leave a limited target alone at once, so that nobody
+  # hears that its limit has ended
+  Scenario Outline: Nodes that are told of a limit together do not stay away together
+    Given <nodes> nodes that choose between two targets, one with a limit of <limit>
+    When each of them sends 20 requests a second for 30 s
+    Then it was never left alone for longer than 3000 ms
+
+    Examples:
+      | nodes | limit |
+      | 6     | 0     |
+      | 60    | 1     |
+      | 60    | 12    |
--- a/features/steps/mesh_limits.py
+++ b/features/steps/mesh_limits.py
@@ -290,6 +290,13 @@
     assert context.asked <= most, context.asked
 
 
+@then("it was never left alone for longer than {ms:d} ms")
+def check_gap(context, ms: int) -> None:
+    """Check the longest time in which no node asked the limited target."""
+    gap_ms = context.crowd.find_longest_gap_ms()
+    assert gap_ms <= ms, gap_ms
+
+
 @then("for at least {least:d}")
 def check_asked_enough(context, least: int) -> None:
     """Check that its limit is used."""
--- a/features/support/senders.py
+++ b/features/support/senders.py
@@ -1,9 +1,10 @@
 """Nodes that choose between a limited target and another, without a network."""
 
+import itertools
 import random
 
 from features.support.mesh_builders import FakeClock, create_member
-from knapweedrock.clock import NS_PER_S
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.mesh.choice import Chooser
 from knapweedrock.mesh.messages import Notice
 from knapweedrock.mesh.rates import RateLimit
@@ -42,6 +43,12 @@
         from_ns = self.clock.ns - seconds * NS_PER_S
         return sum(1 for at_ns in self.asked_ns if at_ns >= from_ns) / seconds
 
+    def find_longest_gap_ms(self) -> float:
+        """Find the longest time in which nobody asked the limited target."""
+        times = [*self.asked_ns, self.clock.ns]
+        gaps = [later - earlier for earlier, later in itertools.pairwise(times)]
+        return max(gaps) / NS_PER_MS
+
     def _send(self, name: str, chooser: Chooser) -> None:
         member = chooser.choose(self._members, (), ())
         chooser.note_sent(member)
