Add a model of the mesh that runs the nodes' own code in virtual time

Change: knapweedrock/model runs real nodes (routing, admission, membership, planning) with the stand-ins of store and targets, over links without sockets, on an event loop whose time is virtual; load patterns are registered by name. The emulated target has its listener and its work in methods of their own; a node may be given its links and store.

--- /dev/null
+++ b/features/mesh_patterns.feature
@@ -0,0 +1,9 @@
+Feature: Load patterns in the model of the mesh, which runs the nodes' own code without a network
+  Scenario: A run of the model is repeatable
+    When the pattern "hot-keys" is run twice with the seed 3
+    Then both runs have the same outcomes
+
+  Scenario: A calm load is served in time
+    When the pattern "calm" is run with the seeds 1 to 2
+    Then at least 95 percent of the kind "read" are served in time from second 1 to 10
+    And at least 95 percent of the kind "order" are served in time from second 0 to 10
--- /dev/null
+++ b/features/steps/mesh_patterns.py
@@ -0,0 +1,98 @@
+"""Steps about load patterns in the model of the mesh."""
+
+from behave import then, when
+
+from knapweedrock.model.mesh import run_pattern
+from knapweedrock.model.outcomes import Outcome
+from knapweedrock.model.patterns import PATTERNS
+
+SERVED = (Outcome.IN_TIME, Outcome.LATE)
+
+
+def compute_share(context, kind: str, outcomes, first_s: int, after_s: int) -> float:
+    """Return the mean share of some outcomes over all runs."""
+    shares = [
+        run.compute_share(kind, outcome, first_s, after_s)
+        for run in context.runs
+        for outcome in outcomes
+    ]
+    return sum(shares) / len(context.runs)
+
+
+@when('the pattern "{name}" is run with the seeds {first:d} to {last:d}')
+def run_seeds(context, name: str, first: int, last: int) -> None:
+    """Run a pattern once for each seed."""
+    context.pattern = PATTERNS[name]()
+    context.runs = [
+        run_pattern(context.pattern, seed) for seed in range(first, last + 1)
+    ]
+
+
+@when('the pattern "{name}" is run twice with the seed {seed:d}')
+def run_twice(context, name: str, seed: int) -> None:
+    """Run a pattern again with the same seed."""
+    context.pattern = PATTERNS[name]()
+    context.runs = [run_pattern(context.pattern, seed) for _ in range(2)]
+
+
+@then("both runs have the same outcomes")
+def check_same(context) -> None:
+    """Compare all counts of the two runs."""
+    first, second = context.runs
+    assert first.counts, "no request was sent"
+    assert first.counts == second.counts
+
+
+@then(
+    'at least {percent:d} percent of the kind "{kind}" are served in time from second'
+    " {first:d} to {after:d}"
+)
+def check_in_time(context, percent: int, kind: str, first: int, after: int) -> None:
+    """Check the share of requests that were served in time."""
+    share = compute_share(context, kind, [Outcome.IN_TIME], first, after)
+    assert share >= percent / 100, share
+
+
+@then(
+    'at least {percent:d} percent as many of the kind "{kind}" as before second'
+    " {before:d} are served in time from second {first:d} to {after:d}"
+)
+def check_recovery(
+    context, percent: int, kind: str, before: int, first: int, after: int
+) -> None:
+    """Check the share served in time against that before the disturbance."""
+    usual = compute_share(context, kind, [Outcome.IN_TIME], 0, before)
+    share = compute_share(context, kind, [Outcome.IN_TIME], first, after)
+    assert share >= usual * percent / 100, (share, usual)
+
+
+@then(
+    'at least {percent:d} percent of the kind "{kind}" are served from second'
+    " {first:d} to {after:d}"
+)
+def check_served(context, percent: int, kind: str, first: int, after: int) -> None:
+    """Check the share of requests that were served at all."""
+    share = compute_share(context, kind, SERVED, first, after)
+    assert share >= percent / 100, share
+
+
+@then(
+    'at most {percent:d} percent of the kind "{kind}" fail from second {first:d} to'
+    " {after:d}"
+)
+def check_failed(context, percent: int, kind: str, first: int, after: int) -> None:
+    """Check the share of requests that failed."""
+    share = compute_share(context, kind, [Outcome.FAILED], first, after)
+    assert share <= percent / 100, share
+
+
+@then("the retries stay within the budget of each service")
+def check_budget(context) -> None:
+    """Check the deliveries beyond the first of each attempt against the budget."""
+    pattern = context.pattern
+    for run in context.runs:
+        for spec in pattern.services:
+            sent = run.sent_by_service[spec.name]
+            allowed = pattern.retry_ratio * sent + pattern.retry_slack
+            repeated = run.delivered_by_service[spec.name] - sent
+            assert repeated <= allowed, (spec.name, repeated, allowed)
--- a/knapweedrock/emulator/configurations.py
+++ b/knapweedrock/emulator/configurations.py
@@ -1,7 +1,10 @@
 """Mesh configurations in the format that operators write to the store."""
 
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from knapweedrock.model.patterns import Kind, ServiceSpec
+
 HEALTH_PATH = "/health"
 CONNECTION_LIMIT = 100
 COLD_START_S = 3.0
@@ -68,3 +71,31 @@
         "coldStartS": COLD_START_S,
         "coldPerS": COLD_REQUESTS_PER_S,
     }
+
+
+def create_kinds_document(
+    host: str, services: Iterable[ServiceSpec], kinds: Iterable[Kind]
+) -> dict[str, Any]:
+    """Create the configuration of a host with one route for each kind of request."""
+    return {
+        "version": 1,
+        "routes": {
+            kind.name: {
+                "host": host,
+                "pathPrefix": f"/{kind.name}/",
+                "routeType": "safe" if kind.idempotent else "unsafe",
+                "timeoutMs": kind.deadline_ms,
+                "targetLatencyMs": kind.objective_ms,
+                "priority": kind.priority,
+                "service": kind.service,
+                "maxAttempts": MAX_ATTEMPTS,
+            }
+            for kind in kinds
+        },
+        "services": {
+            spec.name: create_service()
+            | {"sharded": spec.keyed, "coldPerS": spec.cold_rate}
+            for spec in services
+        },
+        "limits": {},
+    }
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -144,17 +144,25 @@
         self.held, self._released, self._heartbeat_number = [], [], 0
         self.draining, self.leaving, self.limits = False, False, ()
         self._slot_semaphore = BoundedSemaphore(self.slots)
-        self._server = CallerServer(self._address, self._serve, Limits)
-        self._server.start()
-        self._address = (self._address[0], self._server.port)
+        self._open()
         self._heartbeat_task = gevent.spawn(self._run_heartbeats)
 
     def crash(self) -> None:
         """Stop abruptly, without deregistration."""
         self._heartbeat_task.kill(block=False)
-        self._server.abort()
+        self._close()
         self.held = []
 
+    def _open(self) -> None:
+        """Open the listener."""
+        self._server = CallerServer(self._address, self._serve, Limits)
+        self._server.start()
+        self._address = (self._address[0], self._server.port)
+
+    def _close(self) -> None:
+        """Close the listener and all connections."""
+        self._server.abort()
+
     def _restart(self) -> None:
         self.crash()
         gevent.sleep(RESTART_DELAY_S)
@@ -234,7 +242,7 @@
             raise ConnectionResetError("emulated target crashes")
         self._keys_in_progress[id(request)] = key
         try:
-            gevent.sleep(self.work_ms / 1000)
+            status = self._work(request)
         except gevent.GreenletExit:
             self.interrupted.append(attempt_id)
             raise
@@ -257,13 +265,18 @@
         headers = [(ATTEMPT_ID, attempt_id), (SIGNATURE, f"signed-{attempt_id}")]
         if self._random.random() < self.lost_response_share:
             raise ConnectionResetError("emulated loss of the response")
-        return Reply(200, headers, f"{attempt_id} {key}".encode() + self.padding)
+        return Reply(status, headers, f"{attempt_id} {key}".encode() + self.padding)
+
+    def _work(self, _request: Request) -> int:
+        """Do the work of a request and return the status of the response."""
+        gevent.sleep(self.work_ms / 1000)
+        return 200
 
     def _run_heartbeats(self) -> None:
         http_client: HttpClient | None = None
         while True:
             if http_client is None:
-                http_client = create_http_client(self._heartbeat, self._clock)
+                http_client = self._create_heartbeat_client()
             if self.silent_heartbeats:
                 gevent.sleep(RETRY_DELAY_S)
                 continue
@@ -281,6 +294,9 @@
                 self.heartbeat_interval_s if is_released else RELEASE_INTERVAL_S
             )
 
+    def _create_heartbeat_client(self) -> HttpClient:
+        return HttpClient(self._heartbeat, self._clock, Counters())
+
     def _send_heartbeat(self, http_client: HttpClient) -> Response:
         self._heartbeat_number += 1
         instance, _, born = self.target.rpartition("@")
@@ -359,8 +375,3 @@
                 found.append((other.end + 1, end))
         parts = found
     return parts
-
-
-def create_http_client(address: tuple[str, int], clock: Clock) -> HttpClient:
-    """Create the HTTP client that sends heartbeats."""
-    return HttpClient(address, clock, Counters())
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -70,9 +70,17 @@
 class Node:
     """A node, which connects its components and runs their tasks."""
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        links: Links | None = None,
+        store: Store | None = None,
+        process: str = "",
+    ) -> None:
+        """Create a node; `links`, `store` and `process` replace its own in a model."""
         self.settings = settings
-        self.process = uuid.uuid4().hex[:12]
+        self.process = process or uuid.uuid4().hex[:12]
         self.peer = "{}:{}".format(*settings.peer)
         self.counters = Counters()
         self.histograms = Histograms()
@@ -89,11 +97,11 @@
         sender = f"{settings.node_id}/{self.process}"
         loop_lateness = self.histograms.create("loop_late_ms")
         link_mbps = settings.link_mbps
-        self.links = Links(
+        self.links = links or Links(
             sender, listen_address, clock, self.counters, loop_lateness, link_mbps
         )
         self.transit = TransitDelays(clock)
-        self.store = Store(settings.store, clock, self.counters)
+        self.store = store or Store(settings.store, clock, self.counters)
         self.config_watcher = ConfigWatcher(
             self.store, self._apply_configuration, self._is_watcher
         )
@@ -145,10 +153,14 @@
         self.request_log.start()
         for server in (*self._endpoint_servers, self.callers):
             server.start()
+        self.start_tasks()
+        log.info("node started", id=self.settings.node_id, process=self.process)
+
+    def start_tasks(self) -> None:
+        """Start the tasks, without the listeners."""
         self.config_watcher.start()
         for run in (self.membership.run, self._run_probes, self._run_load_decay):
             self._tasks.append(spawn_supervised(run))
-        log.info("node started", id=self.settings.node_id, process=self.process)
 
     def get_rows(self, service: str) -> list[Row]:
         """Return the rows of a service's table, empty if it has none."""
