Let a node read the configuration from the store when it starts

Change: each node lists the configuration and the zones out once at its start. Two reads a start; if they fail, the coordinator's push is awaited as before.

--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -56,7 +56,12 @@
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
-        """Start the tasks that watch both kinds of objects."""
+        """Start the tasks that watch both kinds of objects.
+
+        A node that has just started reads both once, even if it does not watch: the
+        coordinator may not be there to push them.
+        """
+        self._start_refresh()
         self._tasks = [
             spawn_supervised(
                 partial(
@@ -98,7 +103,11 @@
     def refresh_if_newer(self, version: int, zones_revision: int) -> None:
         """Read the store in a task if another node has a newer version or revision."""
         is_newer = version > self.version or zones_revision > self.zones_revision
-        if is_newer and not self._is_refreshing:
+        if is_newer:
+            self._start_refresh()
+
+    def _start_refresh(self) -> None:
+        if not self._is_refreshing:
             self._is_refreshing = True
             gevent.spawn(self._refresh)
 
