Ask an owner again that refused a request, within nearly all of the budget

Cause: a request for a key that its target had refused without running it paid for a retry and was then refused, as no other target owns the key. 0.45 of the budget was used, as calls of targets count as requests; requests for keys are never calls. Change: such a request is sent to its owner again; a service whose requests have keys uses 0.9 of its budget, and retries of executed requests cost twice as much there, so that they stay as many as before. Requests without a key don't add to that budget.

--- a/features/mesh_patterns.feature
+++ b/features/mesh_patterns.feature
@@ -20,3 +20,9 @@
     When the pattern "restart-beside-a-slow-store" is run with the seeds 1 to 2
     Then at least 60 percent as many of the kind "read" as before second 2 are served in time from second 4 to 5
     And at least 80 percent as many of the kind "order" as before second 2 are served in time from second 4 to 5
+
+  # Guards against a retry budget that is spent on requests which are not sent again
+  Scenario: Owners that refuse half of the requests are asked again within the budget
+    When the pattern "refusing-targets" is run with the seeds 1 to 3
+    Then at least 80 percent of the kind "read" are served from second 3 to 9
+    And the retries stay within the budget of each service
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -4,7 +4,7 @@
 
 from features.support.mesh_builders import FakeClock, create_forward
 from knapweedrock.clock import NS_PER_S
-from knapweedrock.mesh.budgets import EXECUTED_RETRY_COST, WINDOW_S, RetryBudget
+from knapweedrock.mesh.budgets import WINDOW_S, RetryBudget
 from knapweedrock.mesh.transit import TransitDelays
 
 STEP_MS = 10
@@ -57,7 +57,7 @@
             caller = context.caller_budgets[number % node_count]
             caller.count_request()
             executions = 1
-            if caller.spend(node_count, EXECUTED_RETRY_COST):
+            if caller.spend(node_count, was_executed=True):
                 executions += 1
                 record(context, context.retries, calls)
             make_calls(
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -1,24 +1,40 @@
 """Retry budget of a service: each node enforces its own part without coordination."""
 
 from collections import deque
+from typing import NamedTuple
 
 from knapweedrock.clock import NS_PER_S, Clock
 
 WINDOW_S = 10
-# Share of the configured budget that is used. If a request is executed again, its calls
-# to other services are repeated. They count as retries there too, but no node there can
-# tell them from first calls.
-USABLE_SHARE = 0.45
-# Cost of retrying a request that was executed: its second execution repeats its calls
-# to other services.
-EXECUTED_RETRY_COST = 3
+
+
+class BudgetUse(NamedTuple):
+    """How a service's retry budget is used.
+
+    `share` of the budget is used, and retrying a request that was executed counts as
+    `executed_cost` retries, since its second execution repeats its calls.
+    """
+
+    share: float
+    executed_cost: int
+
+
+# Targets' calls of a service are counted with its requests, and repeated calls can't be
+# told from first ones, so much of the budget is kept for them.
+USE_WITH_CALLS = BudgetUse(0.45, 3)
+# Requests for keys come from callers only. The higher cost allows as many retries of
+# executed requests, whose calls count in other budgets.
+USE_WITH_KEYS = BudgetUse(0.9, 6)
 
 
 class RetryBudget:
     """Limits the retries for one service by its requests that entered at this node."""
 
-    def __init__(self, clock: Clock, ratio: float, slack: float) -> None:
+    def __init__(
+        self, clock: Clock, ratio: float, slack: float, use: BudgetUse = USE_WITH_CALLS
+    ) -> None:
         self._clock = clock
+        self._use = use
         self.configure(ratio, slack)
         self._requests: deque[int] = deque()
         self._retries: deque[int] = deque()
@@ -28,18 +44,19 @@
 
         `slack` is in retries per `WINDOW_S`, over all nodes.
         """
-        self._ratio = ratio * USABLE_SHARE
-        self._slack = slack * USABLE_SHARE
+        self._ratio = ratio * self._use.share
+        self._slack = slack * self._use.share
 
     def count_request(self) -> None:
         """Count a request for the service."""
         self._requests.append(self._clock.now_ns())
 
-    def spend(self, node_count: int, cost: int = 1) -> bool:
-        """Spend `cost` retries if the budget allows it; return whether it did.
+    def spend(self, node_count: int, was_executed: bool = False) -> bool:
+        """Spend the cost of a retry if the budget allows it; return whether it did.
 
         The slack is divided by `node_count`.
         """
+        cost = self._use.executed_cost if was_executed else 1
         now_ns = self._clock.now_ns()
         for times in (self._requests, self._retries):
             while times and times[0] < now_ns - WINDOW_S * NS_PER_S:
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -10,7 +10,7 @@
 from knapweedrock.codes import INFO, Code, Outcome, parse_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.mesh.budgets import EXECUTED_RETRY_COST, RetryBudget
+from knapweedrock.mesh.budgets import USE_WITH_CALLS, USE_WITH_KEYS, RetryBudget
 from knapweedrock.mesh.callers import Reply, create_refusal
 from knapweedrock.mesh.calls import Call, SilentLinkError
 from knapweedrock.mesh.gateway import RESTART_RETRY_MS
@@ -155,7 +155,8 @@
         )
 
     def _execute(self, routed: RoutedRequest, progress: Progress) -> Forwarded:
-        self._get_budget(routed).count_request()
+        if routed.key >= 0 or not routed.service.keyed:
+            self._get_budget(routed).count_request()
         try:
             result = self._send_until_final(routed, progress)
             if progress.open_calls:
@@ -264,17 +265,20 @@
                 return False
             progress.reached_count += 1
             progress.failed_result = result
-            return self._spend_retry(routed, progress, member, EXECUTED_RETRY_COST)
+            return self._spend_retry(routed, progress, member, was_executed=True)
         if INFO[code].outcome is Outcome.MAY_HAVE_RUN:
             progress.reached_count += 1
             progress.lost_result = result
             return routed.route.idempotent and self._spend_retry(
-                routed, progress, member, EXECUTED_RETRY_COST
+                routed, progress, member, was_executed=True
             )
         if code in TARGET_REFUSAL_CODES:
             progress.reached_count += 1
-            if not self._spend_retry(routed, progress, member, 1):
+            if not self._spend_retry(routed, progress, member):
                 return False
+            if code is Code.TARGET_SHED and routed.key >= 0:
+                # The key has no other target.
+                return True
         if routed.key < 0 and member is not None:
             progress.tried_node_ids.add(member.node_id)
             return self._select_member(routed, progress) is not None
@@ -301,18 +305,15 @@
         routed: RoutedRequest,
         progress: Progress,
         member: Member | None,
-        cost: int,
+        was_executed: bool = False,
     ) -> bool:
-        """Return whether the request may be sent again, and charge the retry if so.
-
-        `cost` is the number of retries that it counts as in the service's budget.
-        """
+        """Return whether the request may be sent again, and charge the retry if so."""
         if progress.reached_count >= routed.route.max_attempts:
             return False
         if self._compute_remaining_ms(routed) < MIN_REMAINING_MS * 4:
             return False
         node_count = len(self._node.board.members)
-        if not self._get_budget(routed).spend(node_count, cost):
+        if not self._get_budget(routed).spend(node_count, was_executed):
             self._counters.count("retries_denied", service=routed.service.name)
             return False
         self._counters.count("retries", service=routed.service.name)
@@ -437,8 +438,9 @@
         settings = self._node.settings
         budget = self._budgets.get(routed.service.name)
         if budget is None:
+            use = USE_WITH_KEYS if routed.service.keyed else USE_WITH_CALLS
             budget = self._budgets[routed.service.name] = RetryBudget(
-                self._clock, settings.retry_ratio, settings.retry_slack
+                self._clock, settings.retry_ratio, settings.retry_slack, use
             )
         return budget
 
