--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -114,8 +114,10 @@
 
         def describe() -> dict[str, object]:
             return {
+                "route": request.route,
                 "service": request.service,
                 "key": request.key,
+                "priority": request.priority,
                 "code": error.code.name,
                 "detail": error.detail,
                 "target": self._target.name,
