Refuse a request at once whose key is granted after its longest wait

Change: such a request is refused at once, as a key that moves, with the time until the heartbeat as Retry-After; the entry node does not wait for another owner either.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -115,6 +115,11 @@
     When a target whose next heartbeat would grant it a key becomes silent
     Then a request for the key is refused by its node within 100 ms
 
+  Scenario: A request for a key that its target gets after the longest wait is refused at once
+    Given a mesh of 2 keyed targets
+    When a target gets a key with its next heartbeat, which is due in 900 ms
+    Then a request for the key that may take 1000 ms is refused within 100 ms, to be sent again after 700 to 900 ms
+
   Scenario: A node with a saturated network link refuses requests whose answers would be late
     Given a node with a target on a VM with a network link of 8 Mbit/s
     When 1500000 bytes of answers are queued for its network link
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -468,6 +468,38 @@
 @when("a target whose next heartbeat would grant it a key becomes silent")
 def silence_next_owner(context) -> None:
     """Remove the grants of a target that owns keys, and make the target silent."""
+    remove_grants(context)
+    context.node.target.silent = True
+
+
+@when("a target gets a key with its next heartbeat, which is due in {ms:d} ms")
+def delay_next_heartbeat(context, ms: int) -> None:
+    """Remove the grants of a target that owns keys just after its heartbeat."""
+    remove_grants(context)
+    target = context.node.target
+    target.heartbeat_interval_ms = ms
+    target.last_heartbeat_ns = context.mesh.clock.now_ns()
+
+
+@then(
+    "a request for the key that may take {remaining_ms:d} ms is refused within {ms:d}"
+    " ms, to be sent again after {low:d} to {high:d} ms"
+)
+def check_refused_until(
+    context, remaining_ms: int, ms: int, low: int, high: int
+) -> None:
+    """Check that a request whose wait would be in vain is told when to come back."""
+    began_ns = context.mesh.clock.now_ns()
+    request = create_forward(key=context.key, remaining_ms=float(remaining_ms))
+    result = context.node.gateway.deliver(request)
+    elapsed_ms = (context.mesh.clock.now_ns() - began_ns) / 1e6
+    assert INFO[Code(result.code)].outcome is Outcome.NOT_RUN, result
+    assert elapsed_ms < ms, elapsed_ms
+    assert low <= result.retry_after_ms <= high, result.retry_after_ms
+
+
+def remove_grants(context) -> None:
+    """Remove the grants of a target that owns keys, and stop its heartbeats."""
     mesh = context.mesh
     place = mesh.places[0]
     context.key = next(key for key in SAMPLED_KEYS if mesh.find_owner(key) is place)
@@ -475,7 +507,6 @@
     holds = context.node.holds
     holds.granted = holds.granted._replace(rows=())
     place.holder.silent_heartbeats = True
-    context.node.target.silent = True
 
 
 @then("a request for the key is refused by its node within {ms:d} ms")
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -193,7 +193,10 @@
         self._grant_notifier.notify_all()
 
     def _wait_for_grant(self, request: Forward) -> None:
-        """Wait for the heartbeat that grants the target a key it already owns."""
+        """Wait for the heartbeat that grants the target a key it already owns.
+
+        Raises `RefusalError` at once if the heartbeat is due after the longest wait.
+        """
         wait_ms = min(MAX_GRANT_WAIT_MS, GRANT_WAIT_SHARE * request.remaining_ms)
         until_ns = self._clock.now_ns() + int(wait_ms * NS_PER_MS)
         while request.key >= 0 and not self.closing and self._target.is_usable():
@@ -203,6 +206,9 @@
             )
             if not is_grant_pending or now_ns >= until_ns:
                 return
+            due_ms = self._target.compute_heartbeat_due_ms()
+            if due_ms > (until_ns - now_ns) / NS_PER_MS:
+                raise RefusalError(Code.MOVING, "granted later", int(due_ms))
             self._grant_notifier.wait((until_ns - now_ns) / NS_PER_MS / 1000)
 
     def _wait_for_slot(self, request: Forward) -> None:
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -73,7 +73,9 @@
     {Code.NOT_OWNER, Code.MOVING, Code.LEAVING, Code.TARGET_FENCED}
 )
 # Refusals whose expected end goes into Retry-After, even after the caller's deadline.
-UNREACHABLE_CODES = frozenset({Code.PEER_UNREACHABLE, Code.TARGET_UNREACHABLE})
+EXPECTED_END_CODES = frozenset(
+    {Code.PEER_UNREACHABLE, Code.TARGET_UNREACHABLE, Code.MOVING}
+)
 # Refusals by the target itself: the request reached the target but was not executed.
 TARGET_REFUSAL_CODES = frozenset({Code.TARGET_FENCED, Code.TARGET_SHED})
 # Refusals for lack of capacity, which do not count as failures of the target.
@@ -291,7 +293,7 @@
             deadline_ns = progress.unreachable_deadline_ns
             if code in KEY_MOVE_CODES and routed.key >= 0:
                 deadline_ns = progress.move_deadline_ns
-            recovery_ms = result.retry_after_ms if code in UNREACHABLE_CODES else 0.0
+            recovery_ms = result.retry_after_ms if code in EXPECTED_END_CODES else 0.0
             return self._wait_for_new_owner(routed, deadline_ns, recovery_ms)
         return False
 
@@ -451,7 +453,7 @@
         remaining_ms = self._compute_remaining_ms(routed)
         wait_ms = result.retry_after_ms or DEFAULT_RETRY_AFTER_MS
         wait_ms *= random.uniform(1, 1 + RETRY_AFTER_JITTER)
-        if code not in UNREACHABLE_CODES:
+        if code not in EXPECTED_END_CODES:
             wait_ms = min(wait_ms, remaining_ms * RETRY_AFTER_SHARE)
         return create_refusal(code, wait_ms)
 
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -97,6 +97,10 @@
         """Return the time since the latest heartbeat."""
         return (self._clock.now_ns() - self.last_heartbeat_ns) // NS_PER_MS
 
+    def compute_heartbeat_due_ms(self) -> float:
+        """Return the time until the next heartbeat is due, below 0 if it is late."""
+        return self.heartbeat_interval_ms - self.get_heartbeat_age_ms()
+
     def is_heartbeat_late(self) -> bool:
         """Return whether a heartbeat is overdue."""
         limit_ms = LATE_HEARTBEAT_INTERVALS * self.heartbeat_interval_ms
