Read the leader record at once after a start

Cause: a node waited for 150 to 300 ms before it looked for a coordinator, so that the nodes of a new mesh do not all claim; after a loss of all nodes that was a fifth of the time until the first request was served. Change: only claims without any leader record wait.

--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from logbook import Logger
 
-from knapweedrock.clock import NS_PER_MS
+from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.codes import Code
 from knapweedrock.errors import (
     KnapweedrockError,
@@ -58,9 +58,9 @@
 # A successor measures a term on its own clock, which may run fast by this factor.
 MAX_CLOCK_DRIFT = 1.03
 TERM_GRACE_MS = 200
-# Nodes that start together spread their first renewals over this time, so that they
-# do not all claim the leadership at once. Nodes with less than one core wait for this
-# time in addition, and so leave the leadership to stronger nodes.
+# Nodes of a new mesh that start together spread their first claims over this time, so
+# that they do not all claim the leadership at once. Nodes with less than one core wait
+# for this time in addition, and so leave the leadership to stronger nodes.
 STARTUP_SPREAD_S = 0.15
 FULL_SPEED_CORES = 1.0
 # Number of parts of equal load into which the split keys of a reported row divide it.
@@ -93,6 +93,8 @@
         self._term_revision = 0
         self._term_end_ns = 0
         self._renewed_at_ns = node.clock.now_ns()
+        # Earliest time of a claim if no node has ever coordinated.
+        self._first_claim_ns = 0
 
     def describe_member(self) -> Member:
         """Return the entry of this node and its target in the board."""
@@ -121,7 +123,7 @@
         wait_s = STARTUP_SPREAD_S * (int(self._node.process, 16) % 100) / 100
         if self._node.settings.cores < FULL_SPEED_CORES:
             wait_s += STARTUP_SPREAD_S
-        gevent.sleep(wait_s)
+        self._first_claim_ns = self._node.clock.now_ns() + int(wait_s * NS_PER_S)
         while True:
             try:
                 is_renewed = self._renew()
@@ -213,6 +215,11 @@
             return
         self._leader_read_at_ns = now_ns
         record = self._node.store.get(LEADER_KIND, LEADER_NAME, LEADER_READ_TIMEOUT_S)
+        if record is None and now_ns < self._first_claim_ns:
+            gevent.sleep((self._first_claim_ns - now_ns) / NS_PER_S)
+            record = self._node.store.get(
+                LEADER_KIND, LEADER_NAME, LEADER_READ_TIMEOUT_S
+            )
         if record is None or self._may_claim(record):
             log.info("claims coordination", reason=reason)
             if self._node.coordinator.claim(record):
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -34,6 +34,7 @@
 HEARTBEAT_INTERVAL_MS = 870
 MAX_HOLD_MS = 10_000
 SHUTDOWN_MS = 6000
+CORES = 0.86
 # Time from the start of the nodes until callers begin.
 LEAD_S = 6.0
 # Time after the last request, in which all requests end.
@@ -128,11 +129,19 @@
         node.abort()
 
     def restart_nodes(self, names: list[str], after_s: float) -> None:
-        """Kill nodes at once and start them again after some time."""
+        """Kill nodes at once and start them again after some time, in s."""
         for name in names:
             self.kill_node(name)
             gevent.spawn_later(after_s, self.start_node, name)
 
+    def lose_vms(self, service: str, count: int) -> None:
+        """End nodes and targets of a service for good, but not the coordinator's."""
+        names = [n for n, vm in self.vms.items() if vm.settings.service == service]
+        names = [name for name in names if name != self.find_coordinator()]
+        for name in names[:count]:
+            self.kill_node(name)
+            self.vms.pop(name).target.crash()
+
     def find_coordinator(self) -> str:
         """Return the name of the coordinating node; empty if there is none."""
         leaders = (n for n, node in self.nodes.items() if node.coordinator.term.leading)
@@ -176,6 +185,7 @@
             shutdown_ms=SHUTDOWN_MS,
             retry_ratio=self._pattern.retry_ratio,
             retry_slack=self._pattern.retry_slack,
+            cores=CORES,
         )
         self.vms[name] = Vm(settings, target, ModelStore(self._objects))
 
--- a/knapweedrock/model/patterns.py
+++ b/knapweedrock/model/patterns.py
@@ -137,6 +137,17 @@
     return Pattern((SEARCHES, BOOKINGS), (READ, ORDER), 12.0, events)
 
 
+@pattern
+def create_loss_of_vms() -> Pattern:
+    """Create a load during which two VMs with keys are lost without a word."""
+
+    def lose(mesh: "ModelMesh") -> None:
+        mesh.lose_vms("search", 2)
+
+    events = (Event(3.0, lose),)
+    return Pattern((SEARCHES, BOOKINGS), (READ, ORDER), 12.0, events)
+
+
 @pattern
 def create_full_called_service() -> Pattern:
     """Create a load in which the calls of executions meet a full service."""
