Let a coordinator without the store fetch the configuration from a member

Cause: only the coordinator pushes configurations to nodes that don't watch the store. Change: a coordinator that hears of a newer version in a renewal, and hasn't read it 0.2 s later, asks that member for it (message 58).

--- a/features/mesh_patterns.feature
+++ b/features/mesh_patterns.feature
@@ -32,3 +32,8 @@
     When the pattern "full-called-service" is run with the seeds 1 to 3
     Then at most 1 percent of the kind "read" fail from second 1 to 10
     And at least 85 percent of the kind "order" are served in time from second 1 to 10
+
+  # Guards against a coordinator that alone may tell of a configuration and can't read it
+  Scenario: A new configuration reaches all nodes while the store turns the coordinator away
+    When a configuration is written while the coordinator gets no response of the store
+    Then all nodes have the new configuration within 2000 ms
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -36,6 +36,7 @@
     Publish,
     PublishConfiguration,
     Published,
+    ReadConfiguration,
     Renew,
     Renewed,
     Resume,
@@ -141,6 +142,7 @@
         Published(3, 1),
         PublishConfiguration(2, b"{}", ["zone-a"], 5),
         CrashReport(["a", "b"]),
+        ReadConfiguration(),
     ]
 
 
--- a/features/steps/mesh_patterns.py
+++ b/features/steps/mesh_patterns.py
@@ -1,11 +1,18 @@
 """Steps about load patterns in the model of the mesh."""
 
+import gevent
 from behave import then, when
 
-from knapweedrock.model.mesh import run_pattern
+from knapweedrock.clock import NS_PER_MS
+from knapweedrock.model.mesh import ModelMesh, run_pattern
 from knapweedrock.model.outcomes import Outcome
 from knapweedrock.model.patterns import PATTERNS
+from knapweedrock.model.virtual_time import VirtualLoop, run_in_virtual_time
 
+POLL_S = 0.02
+# With more targets, most nodes don't watch the store themselves.
+MESH_SCALE = 3
+MAX_PUBLISH_S = 20.0
 SERVED = (Outcome.IN_TIME, Outcome.LATE)
 
 
@@ -96,3 +103,32 @@
             allowed = pattern.retry_ratio * sent + pattern.retry_slack
             repeated = run.delivered_by_service[spec.name] - sent
             assert repeated <= allowed, (spec.name, repeated, allowed)
+
+
+@when("a configuration is written while the coordinator gets no response of the store")
+def write_configuration(context) -> None:
+    """Measure how long it takes until all nodes have a new configuration."""
+
+    def run(loop: VirtualLoop) -> float:
+        pattern = PATTERNS["calm"]()
+        services = [
+            spec._replace(target_count=spec.target_count * MESH_SCALE)
+            for spec in pattern.services
+        ]
+        mesh = ModelMesh(pattern._replace(services=tuple(services)), loop, seed=1)
+        mesh.start()
+        mesh.vms[mesh.find_coordinator()].store.silent = True
+        mesh.configure(2)
+        written_ns = loop.now_ns()
+        with gevent.Timeout(MAX_PUBLISH_S, False):
+            while any(n.configuration.version < 2 for n in mesh.nodes.values()):
+                gevent.sleep(POLL_S)
+        return (loop.now_ns() - written_ns) / NS_PER_MS
+
+    context.elapsed_ms = run_in_virtual_time(run)
+
+
+@then("all nodes have the new configuration within {ms:d} ms")
+def check_configured(context, ms: int) -> None:
+    """Check the time until the last node had the configuration."""
+    assert context.elapsed_ms <= ms, context.elapsed_ms
--- a/knapweedrock/emulator/configurations.py
+++ b/knapweedrock/emulator/configurations.py
@@ -74,11 +74,11 @@
 
 
 def create_kinds_document(
-    host: str, services: Iterable[ServiceSpec], kinds: Iterable[Kind]
+    host: str, services: Iterable[ServiceSpec], kinds: Iterable[Kind], version: int
 ) -> dict[str, Any]:
     """Create the configuration of a host with one route for each kind of request."""
     return {
-        "version": 1,
+        "version": version,
         "routes": {
             kind.name: {
                 "host": host,
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -10,7 +10,7 @@
 
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.definitions import Configuration
-from knapweedrock.mesh.messages import PublishConfiguration, Renew
+from knapweedrock.mesh.messages import PublishConfiguration
 from knapweedrock.mesh.tasks import spawn_supervised
 from knapweedrock.platform.documents import (
     CONFIGURATION_KIND,
@@ -102,8 +102,7 @@
 
     def refresh_if_newer(self, version: int, zones_revision: int) -> None:
         """Read the store in a task if another node has a newer version or revision."""
-        is_newer = version > self.version or zones_revision > self.zones_revision
-        if is_newer:
+        if self.is_older(version, zones_revision):
             self._start_refresh()
 
     def _start_refresh(self) -> None:
@@ -120,13 +119,16 @@
         finally:
             self._is_refreshing = False
 
-    def create_push(self, request: Renew) -> PublishConfiguration | None:
-        """Create a push of the state that a renewing node lacks, or None if none."""
-        has_newer_configuration = self.version > request.config_version
-        if (
-            not has_newer_configuration
-            and self.zones_revision <= request.zones_revision
-        ):
+    def is_older(self, version: int, zones_revision: int) -> bool:
+        """Return whether another node has a newer version or revision."""
+        return version > self.version or zones_revision > self.zones_revision
+
+    def create_push(
+        self, version: int = 0, zones_revision: int = 0
+    ) -> PublishConfiguration | None:
+        """Create a push of the state that a node lacks, or None if it lacks none."""
+        has_newer_configuration = self.version > version
+        if not has_newer_configuration and self.zones_revision <= zones_revision:
             return None
         return PublishConfiguration(
             self.version,
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -309,3 +309,8 @@
     """Fingerprints of the requests that were in flight at a target when it crashed."""
 
     fingerprints: list[str]
+
+
+@register_message(58)
+class ReadConfiguration(NamedTuple):
+    """Request for the configuration that a node has; answered like a push of it."""
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -6,8 +6,9 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
-from knapweedrock.errors import KnapweedrockError
+from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.callers import CallerServer
 from knapweedrock.mesh.config_watcher import ConfigWatcher
@@ -32,6 +33,7 @@
     Member,
     Publish,
     PublishConfiguration,
+    ReadConfiguration,
     Renew,
     Row,
 )
@@ -125,6 +127,7 @@
                 Forward: self._handle_forward,
                 Publish: self.membership.handle_publish,
                 PublishConfiguration: self._handle_configuration,
+                ReadConfiguration: self._answer_configuration,
                 Renew: lambda _sender, message: self.coordinator.renew(message),
                 CrashReport: self._handle_crash_report,
             }
@@ -288,6 +291,14 @@
         self.config_watcher.handle_push(message)
         return Done()
 
+    def _answer_configuration(
+        self, _sender: str, _message: ReadConfiguration
+    ) -> PublishConfiguration:
+        push = self.config_watcher.create_push()
+        if push is None:
+            raise RefusalError(Code.CONFIG_STALE)
+        return push
+
     def _handle_forward(self, sender: str, message: Forward) -> Forwarded:
         return self.gateway.deliver(self.transit.deduct_delay(sender, message), sender)
 
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -16,6 +16,7 @@
     Member,
     Publish,
     PublishConfiguration,
+    ReadConfiguration,
     Renew,
 )
 
@@ -25,6 +26,9 @@
 # grace time, the coordinator pushes the document.
 LARGE_CONFIGURATION_BYTES = 8192
 STORE_READ_GRACE_MS = 700
+# Time after which the coordinator asks a member for a configuration that it could not
+# read from the store.
+STORE_READ_S = 0.2
 # Changes within this time are pushed to a member in one message.
 PUSH_BATCH_DELAY_S = 0.015
 
@@ -92,11 +96,12 @@
 
     def sync_configuration(self, request: Renew) -> None:
         """Push the configuration to a node with an older one, else read a newer one."""
-        self._config_watcher.refresh_if_newer(
-            request.config_version, request.zones_revision
-        )
+        versions = (request.config_version, request.zones_revision)
+        self._config_watcher.refresh_if_newer(*versions)
+        if self._config_watcher.is_older(*versions):
+            gevent.spawn_later(STORE_READ_S, self._fetch_configuration, request)
         name, now_ns = request.member.node_id, self._clock.now_ns()
-        message = self._config_watcher.create_push(request)
+        message = self._config_watcher.create_push(*versions)
         if message is None:
             self._outdated_since_ns.pop(name, None)
             return
@@ -124,6 +129,23 @@
             reason = error.detail
             log.info("configuration not pushed", about=member.node_id, reason=reason)
 
+    def _fetch_configuration(self, request: Renew) -> None:
+        """Fetch a newer configuration from a member if the store did not give it."""
+        versions = (request.config_version, request.zones_revision)
+        if not self._config_watcher.is_older(*versions):
+            return
+        member = request.member
+        try:
+            message = self._links.request(
+                member.peer, ReadConfiguration(), PUBLISH_TIMEOUT_MS
+            )
+        except KnapweedrockError as error:
+            reason = error.detail
+            log.info("configuration not fetched", about=member.node_id, reason=reason)
+            return
+        log.info("configuration fetched", about=member.node_id, version=message.version)
+        self._config_watcher.handle_push(message)
+
     def _push_all(self) -> None:
         for name, member in self._board.members.items():
             self._start_push(name, member)
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -82,8 +82,7 @@
         self._hot_keys = HotKeys(0.0, 0, 1)
         self._started_s = 0.0
         self._request_count = 0
-        document = create_kinds_document(HOST, pattern.services, pattern.kinds)
-        self._objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+        self.configure(1)
         self.vms: dict[str, Vm] = {}
         for spec in pattern.services:
             for number in range(spec.target_count):
@@ -91,10 +90,7 @@
 
     def run(self) -> Outcomes:
         """Run the whole pattern and return the outcomes of all requests."""
-        for name, vm in self.vms.items():
-            self.start_node(name)
-            gevent.spawn_later(self._random.random(), vm.target.start)
-        gevent.sleep(LEAD_S)
+        self.start()
         self._started_s = self._loop.now()
         for event in self._pattern.events:
             gevent.spawn_later(event.at_s, event.disturb, self)
@@ -108,6 +104,19 @@
             self.outcomes.delivered_by_service[vm.settings.service] += arrivals
         return self.outcomes
 
+    def start(self) -> None:
+        """Start all nodes and targets, and wait until every key has an owner."""
+        for name, vm in self.vms.items():
+            self.start_node(name)
+            gevent.spawn_later(self._random.random(), vm.target.start)
+        gevent.sleep(LEAD_S)
+
+    def configure(self, version: int) -> None:
+        """Write a version of the configuration to the store, as operators do."""
+        pattern = self._pattern
+        document = create_kinds_document(HOST, pattern.services, pattern.kinds, version)
+        self._objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+
     def start_node(self, name: str) -> None:
         """Start the node of a VM, without state of an earlier process."""
         vm = self.vms[name]
--- a/knapweedrock/model/store.py
+++ b/knapweedrock/model/store.py
@@ -62,6 +62,9 @@
             page = self._objects.watch(kind, revision, wait_s)
         except CallRejectedError as error:
             raise RevisionExpiredError from error
+        if self.silent:
+            # What the watch would have reported is lost with its connection.
+            self._wait(wait_s)
         changes = [
             Change(decode_object(event["object"]), event["removed"])
             for event in page["events"]
