Offer requests to an admission in virtual time in its scenarios

Change: the same requests, bounds and admission, on the virtual event loop of the model; a run is the same each time. That loop runs in a native thread, which also leaves a patched thread module alone.

--- a/features/steps/mesh_admission.py
+++ b/features/steps/mesh_admission.py
@@ -7,20 +7,32 @@
     create_member,
     create_settings,
 )
-from knapweedrock.clock import NS_PER_MS, create_clock
+from knapweedrock.clock import NS_PER_MS, Clock, create_clock
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.targets import Target
+from knapweedrock.model.virtual_time import VirtualLoop, run_in_virtual_time
 
 OBJECTIVE_MS = 250.0
 REMAINING_MS = 1000.0
 URGENT, NORMAL, LOWEST = 0, 2, 3
 
 
+class ScenarioClock:
+    """The system's clock, or that of virtual time while requests are offered."""
+
+    def __init__(self) -> None:
+        self.source: Clock = create_clock()
+
+    def now_ns(self) -> int:
+        """Return the time of the current source."""
+        return self.source.now_ns()
+
+
 def create_admission(context, slots: int, work_ms: float = 50.0) -> None:
     """Create the admission to a target with free slots."""
-    context.clock = create_clock()
+    context.clock = ScenarioClock()
     context.admission = Admission(context.clock)
     context.admission.slots = slots
     context.admission.service_ms = work_ms
@@ -45,6 +57,18 @@
 
 
 def offer(context, priorities: list[int], work_ms: float, ms: int, rate: float) -> None:
+    """Offer requests in virtual time, so that no busy processor delays them."""
+
+    def run(loop: VirtualLoop) -> None:
+        context.clock.source = loop
+        offer_steadily(context, priorities, work_ms, ms, rate)
+
+    run_in_virtual_time(run, context.clock.now_ns())
+
+
+def offer_steadily(
+    context, priorities: list[int], work_ms: float, ms: int, rate: float
+) -> None:
     """Offer requests at a steady rate, cycling through the priorities."""
     tasks = []
     count = int(rate * ms / 1000)
--- a/knapweedrock/model/virtual_time.py
+++ b/knapweedrock/model/virtual_time.py
@@ -7,13 +7,13 @@
 import heapq
 import itertools
 import math
-import threading
 from collections import deque
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import gevent
 from gevent.hub import Hub, set_hub
+from gevent.threadpool import ThreadPool
 
 from knapweedrock.clock import NS_PER_S
 
@@ -93,8 +93,8 @@
     approx_timer_resolution = 0.0
     default = False
 
-    def __init__(self) -> None:
-        self._now_ns = START_NS
+    def __init__(self, start_ns: int = START_NS) -> None:
+        self._now_ns = start_ns
         self._callbacks: deque[VirtualCallback] = deque()
         self._timers: list[tuple[int, int, VirtualTimer]] = []
         self._numbers = itertools.count()
@@ -172,28 +172,26 @@
         self._valid.clear()
 
 
-def run_in_virtual_time(function: Callable[[VirtualLoop], Result]) -> Result:
+def run_in_virtual_time(
+    function: Callable[[VirtualLoop], Result], start_ns: int = START_NS
+) -> Result:
     """Run a function with a new virtual loop, its clock, and return its result.
 
-    Greenlets that the function started end with it. Exceptions are passed on.
+    The clock begins at `start_ns`. Greenlets that the function started end with it.
+    Exceptions are passed on.
     """
-    results: list[Result] = []
-    errors: list[BaseException] = []
 
-    def run() -> None:
-        loop = VirtualLoop()
+    def run() -> Result:
+        loop = VirtualLoop(start_ns)
         set_hub(Hub(loop=loop))
         try:
-            results.append(gevent.spawn(function, loop).get())
-        except BaseException as error:  # noqa: BLE001 - passed on to the caller
-            errors.append(error)
+            return gevent.spawn(function, loop).get()
         finally:
             loop.destroy()
 
-    # Each thread has a hub of its own, so the caller's event loop is left alone.
-    thread = threading.Thread(target=run, name="virtual-time")
-    thread.start()
-    thread.join()
-    if errors:
-        raise errors[0]
-    return results[0]
+    # A native thread has a hub of its own, so the caller's event loop is left alone.
+    pool = ThreadPool(1)
+    try:
+        return pool.apply(run)
+    finally:
+        pool.kill()
