Count the causes of all failed requests from logs

Change: 'causes LOG...' sums the failures by service, cause and time, with how long they took and how many have no line. The store's client of the model moves to the stand-ins, which alone may use the platform's names.

--- a/features/commands.feature
+++ b/features/commands.feature
@@ -44,6 +44,7 @@
       | emulate store --listen 127.0.0.1:1 --configuration README.md      | 4      | 401  |
       | emulate store --listen 127.0.0.1:1 --configuration nowhere.json   | 4      | 401  |
       | story nobody README.md                                            | 1      | 307  |
+      | causes README.md                                                  | 1      | 307  |
       | report compare README.md README.md                                | 1      | 307  |
 
   Scenario: No setting and no response of a node crashes a command
--- a/features/mesh_story.feature
+++ b/features/mesh_story.feature
@@ -52,3 +52,10 @@
       | a request while no coordinator was found   | 'coordinator not found'         |
       | a request during a move of its key         | after 'keys given'              |
       | a request that its target answered late    | sent 18 times before a target   |
+
+  Scenario: The causes of all failed requests are counted from logs alone
+    Given log lines of 3 requests at a full target and of 2 whose target refused them
+    And a log line of 7 failures that have none
+    When the causes are counted from the lines
+    Then 3 requests failed by "full queue" and 2 by "refused by target"
+    And 7 failures have no line
--- a/features/steps/mesh_story.py
+++ b/features/steps/mesh_story.py
@@ -9,11 +9,17 @@
 
 from features.support.mesh_builders import FakeClock
 from features.support.mesh_processes import ProcessMesh
-from features.support.story_builders import ATTEMPT_ID, LINES_BY_REQUEST
+from features.support.story_builders import (
+    ATTEMPT_ID,
+    LINES_BY_REQUEST,
+    create_log_line,
+    create_refusal_lines,
+)
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
 from knapweedrock.mesh.http import ResponseParser
 from knapweedrock.mesh.request_log import RequestLog
+from knapweedrock.operators.causes import format_summary, summarize_failures
 from knapweedrock.operators.story import build_story, parse_lines
 
 KEY = 100
@@ -226,3 +232,55 @@
     """Check the cause in the story."""
     assert context.story is not None
     assert text in context.story.cause, context.story.cause
+
+
+@given(
+    "log lines of {full:d} requests at a full target and of {refused:d} whose target"
+    " refused them"
+)
+def create_failures(context, full: int, refused: int) -> None:
+    """Create the log lines of several failed requests."""
+    context.lines = [
+        line
+        for code, count in (("OVERLOADED", full), ("TARGET_SHED", refused))
+        for _ in range(count)
+        for line in create_refusal_lines(code)
+    ]
+
+
+@given("a log line of {count:d} failures that have none")
+def create_left_out(context, count: int) -> None:
+    """Create the log line that counts suppressed lines."""
+    context.lines.append(
+        create_log_line(
+            "13:37:20.000",
+            "node-4",
+            "requests",
+            "decisions left out",
+            kind="request failed",
+            count=count,
+        )
+    )
+
+
+@when("the causes are counted from the lines")
+def count_causes(context) -> None:
+    """Summarize the failures."""
+    context.summary = summarize_failures(parse_lines(context.lines))
+
+
+@then('{count:d} requests failed by "{cause}" and {other_count:d} by "{other_cause}"')
+def check_causes(
+    context, count: int, cause: str, other_count: int, other_cause: str
+) -> None:
+    """Check the counts by cause, in total and in the interval of the lines."""
+    counts = {group.cause: group.count for group in context.summary.groups}
+    assert counts == {cause: count, other_cause: other_count}, counts
+    assert list(context.summary.by_interval.values()) == [counts]
+    assert cause in format_summary(context.summary)
+
+
+@then("{count:d} failures have no line")
+def check_left_out(context, count: int) -> None:
+    """Check the number of suppressed lines."""
+    assert context.summary.left_out == count
--- a/knapweedrock/model/store.py
+++ b/knapweedrock/emulator/direct_store.py
@@ -1,4 +1,4 @@
-"""Store of the model: the emulated objects, behind calls with a delay and outages."""
+"""Client of an emulated store in the same process, with delays and outages."""
 
 from typing import Any
 
@@ -22,8 +22,8 @@
 CALL_MS = 4.0
 
 
-class ModelStore:
-    """A node's client of the store, with the interface of `platform.store.Store`.
+class DirectStore:
+    """A client with the interface of `platform.store.Store`, without a network.
 
     - `delay_factor` multiplies the time of each call.
     - `silent`: calls get no response.
@@ -36,7 +36,7 @@
         self._objects = objects
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Do nothing: the model has one store."""
+        """Do nothing: there is only one store."""
 
     def get(
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -13,6 +13,7 @@
 
 from knapweedrock.codes import NOT_RUN_STATUSES
 from knapweedrock.emulator.configurations import create_kinds_document
+from knapweedrock.emulator.direct_store import DirectStore
 from knapweedrock.emulator.store import ObjectStore
 from knapweedrock.mesh.definitions import NodeSettings
 from knapweedrock.mesh.endpoints import Endpoints
@@ -22,7 +23,6 @@
 from knapweedrock.model.links import ModelLinks, ModelNetwork
 from knapweedrock.model.outcomes import Outcome, Outcomes
 from knapweedrock.model.patterns import Kind, Pattern, ServiceSpec
-from knapweedrock.model.store import ModelStore
 from knapweedrock.model.target import ModelTarget, create_headers
 from knapweedrock.model.virtual_time import VirtualLoop, run_in_virtual_time
 from knapweedrock.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
@@ -55,7 +55,7 @@
 
     settings: NodeSettings
     target: ModelTarget
-    store: ModelStore
+    store: DirectStore
 
 
 class HotKeys(NamedTuple):
@@ -196,7 +196,7 @@
             retry_slack=self._pattern.retry_slack,
             cores=CORES,
         )
-        self.vms[name] = Vm(settings, target, ModelStore(self._objects))
+        self.vms[name] = Vm(settings, target, DirectStore(self._objects))
 
     def _run_callers(self, kind: Kind) -> None:
         """Send the requests of a kind at random times."""
--- a/knapweedrock/operators/commands.py
+++ b/knapweedrock/operators/commands.py
@@ -1,4 +1,4 @@
-"""Commands for operators: status, dump, owner and story."""
+"""Commands for operators: status, dump, owner, story and causes."""
 
 from pathlib import Path
 from urllib.parse import urlencode
@@ -7,6 +7,7 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError
+from knapweedrock.operators.causes import format_summary, summarize_failures
 from knapweedrock.operators.client import fetch_first
 from knapweedrock.operators.story import build_story, format_story, read_log_files
 from knapweedrock.operators.writers import write_result
@@ -46,3 +47,14 @@
         )
     click.echo(format_story(request_story))
     return ExitStatus.SUCCESS
+
+
+def show_causes(files: tuple[Path, ...]) -> ExitStatus:
+    """Show why requests failed; raises `REPORT_MALFORMED` without any failure."""
+    summary = summarize_failures(read_log_files(files))
+    if not summary.groups:
+        raise KnapweedrockError(
+            Code.REPORT_MALFORMED, "no log line tells of a failed request"
+        )
+    click.echo(format_summary(summary))
+    return ExitStatus.SUCCESS
--- a/knapweedrock/operators/definition.py
+++ b/knapweedrock/operators/definition.py
@@ -57,6 +57,15 @@
     return show_story(attempt_id, files)
 
 
+@click.command(epilog=format_example("knapweedrock causes logs/*.jsonl"))
+@click.argument("files", nargs=-1, required=True, type=FILE_TYPE)
+def causes(files: tuple[Path, ...]) -> Any:
+    """Count why requests failed, by service and over time, from the logs of nodes."""
+    from knapweedrock.operators.commands import show_causes
+
+    return show_causes(files)
+
+
 @click.group(
     epilog=format_example(
         "knapweedrock report take --node 127.0.0.1:7005 --node 127.0.0.1:7015 now.json"
@@ -105,4 +114,4 @@
     return plot_files(files)
 
 
-COMMANDS = (status, dump, owner, story, report)
+COMMANDS = (status, dump, owner, story, causes, report)
