--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN = $(VENV)/bin
 RUN = PYTHONPATH=$(CURDIR) $(BIN)/python
 
-.PHONY: all demo test lint format lock binary binary-check measure guards
+.PHONY: all demo test lint format lock binary binary-check measure guards experiment
 
 all: lint test
 
@@ -43,3 +43,6 @@
 
 guards: $(VENV)/installed
 	$(RUN) tools/guards.py $(GUARDS)
+
+experiment: $(VENV)/installed
+	$(RUN) tools/experiment.py
