--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -57,6 +57,8 @@
         self._history = BoardHistory(self._board)
         # Epoch and version of the board that each member is known to have.
         self._member_versions: dict[str, tuple[int, int]] = {}
+        # Many members may have a newer configuration, and a document may be large.
+        self._is_fetching = False
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
 
@@ -132,9 +134,10 @@
     def _fetch_configuration(self, request: Renew) -> None:
         """Fetch a newer configuration from a member if the store did not give it."""
         versions = (request.config_version, request.zones_revision)
-        if not self._config_watcher.is_older(*versions):
+        if self._is_fetching or not self._config_watcher.is_older(*versions):
             return
         member = request.member
+        self._is_fetching = True
         try:
             message = self._links.request(
                 member.peer, ReadConfiguration(), PUBLISH_TIMEOUT_MS
@@ -143,6 +146,8 @@
             reason = error.detail
             log.info("configuration not fetched", about=member.node_id, reason=reason)
             return
+        finally:
+            self._is_fetching = False
         log.info("configuration fetched", about=member.node_id, version=message.version)
         self._config_watcher.handle_push(message)
 
