--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,18 +11,19 @@
 from collections import Counter
 from pathlib import Path
 
-from review.stand_ins.mesh import CALLER_HOST, Mesh, Record
+from review.stand_ins.mesh import BROKEN, CALLER_HOST, Mesh, Record
 from review.stand_ins.target import KEY_COUNT
 from review.stand_ins.wire import call, encode, get_status
 
-PLACES = 3
+PLACES = 5
 RATE_PER_S = 80.0
 LOAD_S = 80.0
 DEADLINE_MS = 1500
 # A site file has both troubles at these doses.
 SHED_SHARE = 0.45
 REPEATED_SHARE = 0.03
-REPEATING_TARGETS = 2
+# A share of 0.6, the site's limit.
+REPEATING_TARGETS = 3
 # Each spell lasts 5 s, and the next one begins 10 s later.
 SPELL_S = 5.0
 SPELL_INTERVAL_S = 10.0
@@ -30,7 +31,7 @@
 
 
 def main() -> int:
-    """Run the case; return 1 if the rule was broken, 0 if it held, 2 without a run."""
+    """Run the case; return `BROKEN`, 0 if the rule held, or 2 without a run."""
     record = Record(Path(__file__).with_name("record.txt"))
     mesh = Mesh(record, PLACES)
     try:
@@ -94,7 +95,7 @@
 
 
 def judge(record: Record) -> int:
-    """Print what was seen; return 1 if a refused order ran or an order ran twice."""
+    """Return `BROKEN` if a refused order ran or an order ran twice."""
     runs = Counter(e["id"] for e in record.events if e["event"] == "runs")
     answers = {e["id"]: e["status"] for e in record.events if e["event"] == "answered"}
     refused = [
@@ -110,7 +111,7 @@
     print(f"TWICE: {len(twice)} orders ran more than once {twice[:5]}")
     if not answers or not any(status == 200 for status in answers.values()):
         return 2
-    return 1 if refused or twice else 0
+    return BROKEN if refused or twice else 0
 
 
 if __name__ == "__main__":
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,18 @@
 #!/usr/bin/env bash
 # Runs this case; `TROUBLE=0` leaves the disruption out. See `claim.txt`.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-exec env PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD" python3 review/1/case.py
+export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD"
+python3 review/1/case.py &
+case_pid=$!
+trap 'kill "$case_pid"' TERM INT
+wait "$case_pid"
+status=$?
+trap - TERM INT
+# A signal ends the first wait early; the case still ends its processes.
+wait "$case_pid" 2> /dev/null
+case $status in
+    0) exit 0 ;;
+    10) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/stand_ins/mesh.py
+++ b/review/stand_ins/mesh.py
@@ -23,6 +23,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+# Exit status of a case that saw its rule broken; an uncaught error exits with 1, so
+# `run.sh` turns this status into 1 and every other one but 0 into 2.
+BROKEN = 10
 FIRST_PORT, LAST_PORT = 20_000, 32_000
 SETTLE_TIMEOUT_S = 30.0
 KEY_STEP = 256
