Send an attempt only once on a connection to a target

Cause: a target refuses an order whose key has no other target, so the router sends the same attempt to the same node again at once, and the pool hands out the connection on which the refusal came. A faulty target sends that refusal a second time, before the response to the second send. Its attempt id is the one that is awaited, so it counted as the response, while the target worked on the order.

Change: a connection remembers the attempts that were sent on it until their deadlines (mesh/sent_attempts), and the pool passes it over for the same attempt; at the limit of connections an idle one is closed for a new one. The same holds for requests without an id after a response without one. The counter target_connections_passed_over shows it. With an id sent once on a connection, a copy can only bear another id than the awaited one, and those were left out already.

The emulated target sends its heartbeats by a client of its own, since these have no ids. The soak has the fault repeat_refusals, and the emulated target can refuse requests, as the model's could.

--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -16,7 +16,7 @@
 from features.support.mesh_builders import create_document
 from features.support.mesh_harness import Place
 from features.support.mesh_processes import ProcessMesh
-from features.support.proxies import Proxy
+from features.support.proxies import Proxy, TargetProxy
 from knapweedrock.clock import NS_PER_MS, NS_PER_S, Clock
 from knapweedrock.codes import NOT_RUN_STATUSES
 from knapweedrock.emulator.addresses import create_address
@@ -85,7 +85,7 @@
         # Proxies of each node by the kind of their traffic.
         self.proxies: dict[str, dict[str, Proxy]] = {}
         for number, place in enumerate(self.mesh.places):
-            self.mesh.places[number] = self._add_proxies(place)
+            self.mesh.places[number] = self._add_proxies(number, place)
         self.sent_requests: list[SentRequest] = []
         self.limits = LimitMonitor()
         self.faults: list[str] = []
@@ -164,14 +164,14 @@
         """Count the requests that were served."""
         return sum(1 for request in self.sent_requests if request.status == 200)
 
-    def _add_proxies(self, place: Place) -> Place:
+    def _add_proxies(self, number: int, place: Place) -> Place:
         """Put proxies in front of a node's listeners, its target and its store."""
         settings, listen = place.settings, create_address()
         proxies = self.proxies[settings.node_id] = {
             "peers": Proxy(settings.peer, listen),
             "callers": Proxy(create_address(), settings.caller),
             "heartbeats": Proxy(create_address(), settings.heartbeat),
-            "target": Proxy(create_address(), settings.target),
+            "target": TargetProxy(create_address(), settings.target, number),
             "store": Proxy(create_address(), settings.store),
         }
         place.holder.set_heartbeat(proxies["heartbeats"].listen_address)
@@ -361,6 +361,19 @@
         gevent.sleep(self._random.uniform(1.0, 4.0))
         self.crash_target(place)
 
+    @register_fault
+    def repeat_refusals(self, place: Place) -> None:
+        """Make a target refuse requests and send its refusals a second time, late."""
+        place.holder.shed_share = self._random.uniform(0.1, 0.5)
+        proxy = self.proxies[place.settings.node_id]["target"]
+        proxy.repeat_share = self._random.uniform(0.1, 1.0)
+        gevent.spawn_later(
+            self._random.uniform(1.0, 5.0), self._end_refusals, place, proxy
+        )
+
+    def _end_refusals(self, place: Place, proxy: TargetProxy) -> None:
+        place.holder.shed_share = proxy.repeat_share = 0.0
+
     def _choose_proxy(self, place: Place) -> Proxy:
         proxies = self.proxies[place.settings.node_id]
         return proxies[self._random.choice(sorted(proxies))]
@@ -437,6 +450,7 @@
             proxy.restore()
         self._restore_load()
         for place in self.mesh.places:
+            place.holder.shed_share = 0.0
             self._restore_store(place)
             self._restore_heartbeats(place)
             if place.settings.node_id not in self.mesh.nodes:
--- a/features/support/proxies.py
+++ b/features/support/proxies.py
@@ -1,5 +1,6 @@
 """TCP proxies on loopback that delay, reset, block or silence their connections."""
 
+import random
 from contextlib import suppress
 
 import gevent
@@ -11,6 +12,7 @@
 
 CHUNK_BYTES = 65536
 DIAL_TIMEOUT_S = 2.0
+REFUSAL_PREFIX = b"HTTP/1.1 503 "
 
 
 class Direction:
@@ -96,6 +98,58 @@
                     gevent.sleep(direction.delay_s)
                 direction.open.wait()
                 if source not in self._silenced:
+                    self._before_sending(data, source, sink, direction)
                     sink.sendall(data)
         with suppress(OSError):
             sink.shutdown(socket.SHUT_WR)
+
+    def _before_sending(
+        self,
+        data: bytes,
+        source: socket.socket,
+        sink: socket.socket,
+        direction: Direction,
+    ) -> None:
+        """Handle bytes that are about to be sent; subclasses may send others first."""
+
+
+class TargetProxy(Proxy):
+    """Proxy of a target that sends refusals a second time, before the next response.
+
+    `repeat_share` is the share of the refusals that come twice.
+    """
+
+    def __init__(
+        self,
+        listen_address: tuple[str, int],
+        upstream_address: tuple[str, int],
+        seed: int = 1,
+    ) -> None:
+        super().__init__(listen_address, upstream_address)
+        self.repeat_share = 0.0
+        self.repeat_count = 0
+        self._random = random.Random(seed)
+        # Refusals to send again, by the socket of the node's connection.
+        self._late_copies: dict[socket.socket, bytes] = {}
+
+    def restore(self) -> None:
+        """Forward bytes without delay again, and each response once."""
+        super().restore()
+        self.repeat_share = 0.0
+
+    def _before_sending(
+        self,
+        data: bytes,
+        source: socket.socket,
+        sink: socket.socket,
+        direction: Direction,
+    ) -> None:
+        if direction is self.directions[0]:
+            if copy := self._late_copies.pop(source, b""):
+                self.repeat_count += 1
+                source.sendall(copy)
+            return
+        if data.startswith(REFUSAL_PREFIX) and self._random.random() < (
+            self.repeat_share
+        ):
+            self._late_copies[sink] = data
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -9,12 +9,11 @@
 from gevent.lock import BoundedSemaphore
 
 from knapweedrock.clock import NS_PER_MS, Clock
-from knapweedrock.counters import Counters
+from knapweedrock.emulator.heartbeats import HeartbeatClient
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
-from knapweedrock.mesh.http import JSON_HEADERS, Request, Response
-from knapweedrock.mesh.http_client import HttpClient
+from knapweedrock.mesh.http import MalformedMessageError, Request, Response
 from knapweedrock.platform.headers import (
     ATTEMPT_ID,
     COLD_MS,
@@ -32,7 +31,6 @@
 RESTART_DELAY_S = 0.4
 HEARTBEAT_INTERVAL_S = 0.3
 RELEASE_INTERVAL_S = 0.05
-HEARTBEAT_TIMEOUT_S = 1.0
 SLOT_WAIT_TIMEOUT_S = 5.0
 RETRY_DELAY_S = 0.1
 
@@ -109,6 +107,8 @@
         self.leaving = False
         self.arrivals: list[Arrival] = []
         self.lost_response_share = 0.0
+        # Share of the requests that the target refuses without running them.
+        self.shed_share = 0.0
         self.requests: list[Request] = []
         self.runs: list[ExecutedRequest] = []
         self.slot_overflows: list[SlotOverflow] = []
@@ -217,6 +217,8 @@
 
     def _wait_for_slot(self, request: Request, attempt_id: str, key: int) -> Reply:
         """Wait for a free slot and execute the request."""
+        if self._random.random() < self.shed_share:
+            return create_refusal(503, attempt_id)
         self._in_flight += 1
         if self._in_flight > self.slots:
             self.slot_overflows.append(
@@ -273,18 +275,18 @@
         return 200
 
     def _run_heartbeats(self) -> None:
-        http_client: HttpClient | None = None
+        client: HeartbeatClient | None = None
         while True:
-            if http_client is None:
-                http_client = self._create_heartbeat_client()
+            if client is None:
+                client = self._create_heartbeat_client()
             if self.silent_heartbeats:
                 gevent.sleep(RETRY_DELAY_S)
                 continue
             sent_ns = self._clock.now_ns()
             try:
-                response = self._send_heartbeat(http_client)
-            except (KnapweedrockError, OSError):
-                http_client = None
+                response = self._send_heartbeat(client)
+            except (KnapweedrockError, MalformedMessageError, OSError):
+                client = None
                 gevent.sleep(RETRY_DELAY_S)
                 continue
             is_released = response.status != 200 or self._apply_response(
@@ -294,10 +296,10 @@
                 self.heartbeat_interval_s if is_released else RELEASE_INTERVAL_S
             )
 
-    def _create_heartbeat_client(self) -> HttpClient:
-        return HttpClient(self._heartbeat, self._clock, Counters())
+    def _create_heartbeat_client(self) -> HeartbeatClient:
+        return HeartbeatClient(self._heartbeat)
 
-    def _send_heartbeat(self, http_client: HttpClient) -> Response:
+    def _send_heartbeat(self, client: HeartbeatClient) -> Response:
         self._heartbeat_number += 1
         instance, _, born = self.target.rpartition("@")
         body = {
@@ -318,9 +320,7 @@
             "freed": self._released,
         }
         path = f"/instances/{instance}/heartbeat"
-        data = msgspec.json.encode(body)
-        headers = [("Host", "node"), *JSON_HEADERS]
-        return http_client.request("POST", path, headers, data, "", HEARTBEAT_TIMEOUT_S)
+        return client.send(path, msgspec.json.encode(body))
 
     def _list_unexpired_holds(self) -> list[Hold]:
         now_ns = self._clock.now_ns()
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from knapweedrock.clock import create_clock
+from knapweedrock.mesh.sent_attempts import SentAttempts
 from knapweedrock.sockets import (
     disable_nagle,
     receive_next,
@@ -307,6 +308,7 @@
         self.sock = sock
         self.idle_since_ns = 0
         self.idle_limit_ns = 0
+        self.attempts = SentAttempts()
 
     def send(self, data: bytes, timeout_s: float) -> None:
         """Send the bytes of a request; raises `OSError`, also at a timeout."""
--- a/knapweedrock/mesh/http_client.py
+++ b/knapweedrock/mesh/http_client.py
@@ -71,7 +71,8 @@
         no process listens, and `BrokenExchangeError`.
         """
         deadline_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
-        connection = self._pop_idle() or self._dial(timeout_s)
+        connection = self._pop_idle(attempt_id) or self._dial(timeout_s)
+        connection.attempts.add(attempt_id, deadline_ns)
         reusable = False
         try:
             data = encode_request(method, path, headers, body)
@@ -125,19 +126,29 @@
     def _compute_remaining_s(self, deadline_ns: int) -> float:
         return (deadline_ns - self._clock.now_ns()) / NS_PER_S
 
-    def _pop_idle(self) -> Connection | None:
+    def _pop_idle(self, attempt_id: str) -> Connection | None:
+        """Return the connection used last that has not carried the attempt."""
         now_ns = self._clock.now_ns()
-        while self._idle:
+        passed_over = []
+        found = None
+        while self._idle and found is None:
             connection = self._idle.pop()
-            idle_ns = now_ns - connection.idle_since_ns
-            is_fresh = idle_ns < UNCHECKED_IDLE_NS or connection.is_reusable()
-            if idle_ns < connection.idle_limit_ns and is_fresh:
-                return connection
-            self._discard(connection)
-        return None
+            if not is_usable(connection, now_ns):
+                self._discard(connection)
+            elif connection.attempts.has(attempt_id):
+                passed_over.append(connection)
+            else:
+                found = connection
+        if passed_over:
+            self._counters.count("target_connections_passed_over")
+            self._idle += reversed(passed_over)
+        return found
 
     def _dial(self, timeout_s: float) -> Connection:
-        if self.max_connections and self._open_count >= self.max_connections:
+        if self._is_full() and self._idle:
+            # Only connections that have carried the same attempt are left idle.
+            self._discard(self._idle.pop(0))
+        if self._is_full():
             raise RefusalError(Code.OVERLOADED, "all connections are in use", 50)
         self._open_count += 1
         try:
@@ -154,8 +165,14 @@
         self._counters.count("target_connects")
         return connection
 
+    def _is_full(self) -> bool:
+        return 0 < self.max_connections <= self._open_count
+
     def _return_to_pool(self, connection: Connection, response: Response) -> None:
         connection.idle_since_ns = self._clock.now_ns()
+        connection.attempts.remove_expired(connection.idle_since_ns)
+        if not response.get_header(ATTEMPT_ID):
+            connection.attempts.add("", 0)
         connection.idle_limit_ns = int(get_idle_limit_s(response) * NS_PER_S)
         self._idle.append(connection)
 
@@ -164,6 +181,14 @@
         connection.close()
 
 
+def is_usable(connection: Connection, now_ns: int) -> bool:
+    """Return whether an idle connection is open and within its idle time."""
+    idle_ns = now_ns - connection.idle_since_ns
+    if idle_ns >= connection.idle_limit_ns:
+        return False
+    return idle_ns < UNCHECKED_IDLE_NS or connection.is_reusable()
+
+
 def is_response_to(response: Response, attempt_id: str, is_new: bool) -> bool:
     """Return whether a response belongs to the request with an attempt id.
 
--- a/knapweedrock/model/target.py
+++ b/knapweedrock/model/target.py
@@ -2,16 +2,15 @@
 
 import math
 from collections.abc import Callable
-from typing import Any
 
 import gevent
 
 from knapweedrock.clock import Clock
 from knapweedrock.codes import Code
-from knapweedrock.emulator.target import EmulatedTarget, create_refusal
+from knapweedrock.emulator.target import EmulatedTarget
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.callers import Reply
-from knapweedrock.mesh.http import Headers, Request, Response
+from knapweedrock.mesh.http import JSON_HEADERS, Headers, Request, Response
 from knapweedrock.model.patterns import Kind, ServiceSpec
 from knapweedrock.platform.headers import ATTEMPT_ID, REMAINING_MS, SIGNATURE
 from knapweedrock.timers import Timeout
@@ -21,35 +20,31 @@
 SERVICE_TIME_SIGMA = 0.5
 FAILED_CALL_STATUS = 500
 TIMED_OUT_STATUS = 504
-FULL_STATUS = 503
 
 # Sends a call of a kind with its remaining time in ms; returns whether it was served.
 CallSender = Callable[[str, float], bool]
 
 
-class HeartbeatClient:
+class ModelHeartbeatClient:
     """Sends heartbeats to the node beside the target, while a node runs there."""
 
     def __init__(self, target: "ModelTarget") -> None:
         self._target = target
 
-    def request(
-        self, method: str, path: str, headers: Headers, body: bytes, *_rest: Any
-    ) -> Response:
+    def send(self, path: str, body: bytes) -> Response:
         """Send a heartbeat and return the node's response."""
         gevent.sleep(NETWORK_MS / 1000)
         handle = self._target.heartbeat_handler
         if handle is None:
             raise PlatformError(Code.TARGET_UNREACHABLE, "connection refused")
-        reply = handle(create_request(method, path, headers, body), "")
+        reply = handle(create_request("POST", path, JSON_HEADERS, body), "")
         return Response(reply.status, reply.headers, reply.body, True)
 
 
 class ModelTarget(EmulatedTarget):
     """A target that its node calls without a network.
 
-    - `speed` divides its service times.
-    - `shed_share`: share of the requests that it refuses without running them.
+    `speed` divides its service times.
     """
 
     def __init__(
@@ -60,7 +55,6 @@
         self.slots = spec.slots
         self.speed = spec.speeds[number % len(spec.speeds)]
         self.keyed = spec.keyed
-        self.shed_share = 0.0
         # Handler of the node beside the target; None while no node runs there.
         self.heartbeat_handler: Callable[[Request, str], Reply] | None = None
         self.kinds: dict[str, Kind] = {}
@@ -93,13 +87,8 @@
     def _close(self) -> None:
         self._up = False
 
-    def _create_heartbeat_client(self) -> HeartbeatClient:
-        return HeartbeatClient(self)
-
-    def _wait_for_slot(self, request: Request, attempt_id: str, key: int) -> Reply:
-        if self._random.random() < self.shed_share:
-            return create_refusal(FULL_STATUS, attempt_id)
-        return super()._wait_for_slot(request, attempt_id, key)
+    def _create_heartbeat_client(self) -> ModelHeartbeatClient:
+        return ModelHeartbeatClient(self)
 
     def _work(self, request: Request) -> int:
         kind = self.kinds[request.target.split("/")[1]]
