Lose no sound object of the store beside an odd one

Here nodes did not end, but stopped following: on an object nested 2,000 deep beside the configuration or the evacuations raised RecursionError in the task that follows the kind, which was started again every 0.2 s for as long as the object was there; a number too large, bytes that are no text, missing metadata or a missing specification had the whole listing rejected; a name that no query takes ended it after a page. So nodes learned of no new version and no evacuation, and a node that started got no configuration. A heartbeat with such content had its connection closed without an answer.

Cause: a response was decoded in one piece, and each reader listed the errors it knew of.

Change: json_input decodes with a bound on nesting and one error; a response nested beyond it is split without recursion. The store's client decodes object by object: an unreadable value is said in StoredObject.error, an object without a readable name is left out, each is named once a revision in the log and counted (store_objects_unreadable). Integers of heartbeats are bounded; a port out of range was refused before. A write whose response is lost is recognized by what was sent, also if its value has tuples.

--- a/features/mesh_input.feature
+++ b/features/mesh_input.feature
@@ -13,6 +13,14 @@
       | bytes that are not JSON |
       | a list as its body      |
       | a fractional start time |
+      | a holds list nested 2,000 deep |
+      | a body nested 500,000 deep |
+      | a number too large      |
+      | a cold time that no float holds |
+      | a sequence number of 400 digits |
+      | more slots than can be counted |
+      | a start time of 5,000 digits |
+      | a text as its information |
 
   Scenario: A valid heartbeat is decoded completely
     Given a heartbeat of a target
@@ -24,6 +32,22 @@
     When a heartbeat of its first incarnation arrives late
     Then the second incarnation is still the current one
 
+  # Guards against a heartbeat that ends the task that serves it: the target got no
+  # answer, and the error had no name
+  Scenario Outline: A node answers a heartbeat with <fault> by 400, and keeps its target
+    Given a mesh of 1 keyed targets
+    When its node receives a heartbeat with <fault>
+    Then the heartbeat gets the response status 400
+    And the node still has its own target
+
+    Examples:
+      | fault                   |
+      | a holds list nested 2,000 deep |
+      | a body nested 500,000 deep |
+      | a number too large      |
+      | a cold time that no float holds |
+      | a port out of range     |
+
   Scenario: A heartbeat for another service is refused
     Given a mesh of 1 keyed targets
     When its node receives a heartbeat for another service
--- a/features/steps/mesh_input.py
+++ b/features/steps/mesh_input.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import gevent
+import msgspec
 from behave import given, then, when
 from gevent import socket
 
@@ -14,6 +15,7 @@
     create_heartbeat,
     create_settings,
 )
+from features.support.odd_objects import LARGEST_DEPTH, create_nested
 from knapweedrock.codes import Code
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import RefusalError
@@ -58,9 +60,27 @@
             return b"[]"
         case "a fractional start time":
             fields["born"] = 1.5
+        case "a holds list nested 2,000 deep":
+            fields["holds"] = create_nested(2000)
+        case "a body nested 500,000 deep":
+            return bytes(create_nested(LARGEST_DEPTH))
+        case "a number too large":
+            fields["status"]["coldRemainingMs"] = msgspec.Raw(b"1e400")
+        case "a cold time that no float holds":
+            fields["status"]["coldRemainingMs"] = msgspec.Raw(b"9" * 400)
+        case "a sequence number of 400 digits":
+            fields["status"]["seq"] = msgspec.Raw(b"9" * 400)
+        case "more slots than can be counted":
+            fields["information"]["slots"] = 1 << 60
+        case "a start time of 5,000 digits":
+            fields["born"] = msgspec.Raw(b"9" * 5000)
+        case "a text as its information":
+            fields["information"] = "orders"
+        case "a port out of range":
+            fields["address"] = "10.0.0.1:99999"
         case _:
             raise AssertionError(f"unknown fault {fault}")
-    return json.dumps(fields).encode()
+    return msgspec.json.encode(fields)
 
 
 @given("a heartbeat of a target")
@@ -116,16 +136,15 @@
 @when("its node receives a heartbeat for another service")
 def send_foreign_heartbeat(context) -> None:
     """Send a heartbeat that does not come from the target beside the node."""
-    place = context.mesh.places[0]
     fields = deepcopy(HEARTBEAT_FIELDS)
     fields["information"]["service"] = "strangers"
-    connection = dial(place.settings.heartbeat, 2)
-    data = encode_request(
-        "POST", HEARTBEAT_PATH, [("Host", "node")], json.dumps(fields).encode()
-    )
-    connection.send(data, 2)
-    context.status = connection.read(ResponseParser(), 2).status
-    connection.close()
+    send_heartbeat(context, json.dumps(fields).encode())
+
+
+@when("its node receives a heartbeat with {fault}")
+def send_invalid_heartbeat(context, fault: str) -> None:
+    """Send a heartbeat with a fault to the node."""
+    send_heartbeat(context, encode_invalid_heartbeat(fault))
 
 
 @when("operators write a configuration without routes")
@@ -301,6 +320,14 @@
     assert f"content-length: {len('h3 1')}".encode() in head.lower(), head
 
 
+def send_heartbeat(context, body: bytes) -> None:
+    """Send the body of a heartbeat to the first node and keep the response status."""
+    connection = dial(context.mesh.places[0].settings.heartbeat, 2)
+    connection.send(encode_request("POST", HEARTBEAT_PATH, [("Host", "node")], body), 2)
+    context.status = connection.read(ResponseParser(), 2).status
+    connection.close()
+
+
 def send_lines(context, lines: list[str]) -> None:
     """Send the head of a request and keep the response status, or the error."""
     connection = dial(context.mesh.places[0].settings.caller, 2)
--- a/knapweedrock/emulator/direct_store.py
+++ b/knapweedrock/emulator/direct_store.py
@@ -16,7 +16,6 @@
     Listing,
     RevisionExpiredError,
     StoredObject,
-    decode_object,
 )
 
 CALL_MS = 4.0
@@ -44,7 +43,7 @@
         """Read an object; return None if it does not exist."""
         self._wait(timeout_s)
         try:
-            return decode_object(self._objects.get(kind, name))
+            return create_object(self._objects.get(kind, name))
         except CallRejectedError:
             return None
 
@@ -52,7 +51,7 @@
         """Read all objects of a kind."""
         self._wait(timeout_s)
         page = self._objects.list_kind(kind, "")
-        items = [decode_object(item) for item in page["items"]]
+        items = [create_object(item) for item in page["items"]]
         return Listing(items, page["atRevision"])
 
     def watch(self, kind: str, revision: int, wait_s: float) -> ChangeBatch:
@@ -66,7 +65,7 @@
             # What the watch would have reported is lost with its connection.
             self._wait(wait_s)
         changes = [
-            Change(decode_object(event["object"]), event["removed"])
+            Change(create_object(event["object"]), event["removed"])
             for event in page["events"]
         ]
         return ChangeBatch(changes, page["atRevision"])
@@ -103,9 +102,9 @@
 
     def _write(self, write: Any, *args: Any) -> StoredObject:
         try:
-            return decode_object(write(*args))
+            return create_object(write(*args))
         except CallRejectedError as error:
-            current = decode_object(error.current) if error.current else None
+            current = create_object(error.current) if error.current else None
             raise ConflictError(current) from error
 
     def _wait(self, timeout_s: float) -> None:
@@ -116,3 +115,9 @@
             gevent.sleep(timeout_s)
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "no response")
         gevent.sleep(delay_s)
+
+
+def create_object(fields: dict[str, Any]) -> StoredObject:
+    """Create the object that a client decodes from the store's fields."""
+    metadata = fields["metadata"]
+    return StoredObject(metadata["name"], metadata["revision"], fields["specification"])
--- a/knapweedrock/emulator/programs.py
+++ b/knapweedrock/emulator/programs.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import gevent
-import msgspec
 from gevent.event import Event
 from logbook import Logger
 
@@ -15,6 +14,7 @@
 from knapweedrock.emulator.store import ObjectStore, create_endpoint
 from knapweedrock.emulator.target import EmulatedTarget
 from knapweedrock.errors import KnapweedrockError
+from knapweedrock.json_input import InputError, decode_json
 from knapweedrock.platform.documents import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -67,19 +67,12 @@
 def read_configuration(path: Path) -> dict[str, Any]:
     """Read a JSON configuration file; raise `CONFIGURATION_MALFORMED` if invalid."""
     try:
-        document = msgspec.json.decode(path.read_bytes(), type=dict[str, Any])
+        document = decode_json(path.read_bytes(), dict[str, Any])
         decode_configuration(document)
     except OSError as error:
         raise create_configuration_error(path, error.strerror) from None
-    except (
-        msgspec.MsgspecError,
-        AttributeError,
-        KeyError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ) as error:
-        raise create_configuration_error(path, repr(error)) from None
+    except InputError as error:
+        raise create_configuration_error(path, str(error)) from None
     return document
 
 
--- a/knapweedrock/emulator/store.py
+++ b/knapweedrock/emulator/store.py
@@ -100,6 +100,11 @@
         """Write an object regardless of its revision, as operators do."""
         self._put(kind, name, value)
 
+    def write_raw(self, kind: str, name: str, item: Any) -> None:
+        """Write an object as it is, whatever its fields; `name` orders the listing."""
+        self.kinds.setdefault(kind, {})[name] = deepcopy(item)
+        self._record_event(kind, {"object": deepcopy(item), "removed": False})
+
     def forget_history(self) -> None:
         """Drop the history, so that watches from older revisions are rejected."""
         self.history.clear()
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -9,6 +9,7 @@
 from logbook import Logger
 
 from knapweedrock.errors import PlatformError
+from knapweedrock.json_input import InputError, decode_json
 from knapweedrock.mesh.definitions import Configuration
 from knapweedrock.mesh.messages import PublishConfiguration
 from knapweedrock.mesh.tasks import spawn_supervised
@@ -18,7 +19,13 @@
     EVACUATION_KIND,
     decode_configuration,
 )
-from knapweedrock.platform.store import Change, Listing, RevisionExpiredError, Store
+from knapweedrock.platform.store import (
+    Change,
+    Listing,
+    RevisionExpiredError,
+    Store,
+    StoredObject,
+)
 
 # A watch can stop delivering changes without an error, so it is renewed this often.
 WATCH_TIMEOUT_S = 6.0
@@ -94,7 +101,7 @@
         A push is also how a node that cannot read the store gets the configuration.
         """
         if message.document:
-            self._apply_document(msgspec.json.decode(message.document))
+            self._apply_pushed_document(message.document)
         else:
             self.refresh_if_newer(message.version, 0)
         if message.zones_revision > self.zones_revision:
@@ -175,8 +182,8 @@
     def _apply_changes(self, kind: str, changes: list[Change], revision: int) -> None:
         if kind == CONFIGURATION_KIND:
             for change in changes:
-                if not change.removed and change.item.name == CONFIGURATION_NAME:
-                    self._apply_document(change.item.value)
+                if not change.removed:
+                    self._apply_configuration(change.item)
             return
         zones = set(self.zones_out)
         for change in changes:
@@ -188,8 +195,20 @@
 
     def _apply_configuration_listing(self, listing: Listing) -> None:
         for item in listing.items:
-            if item.name == CONFIGURATION_NAME:
-                self._apply_document(item.value)
+            self._apply_configuration(item)
+
+    def _apply_configuration(self, item: StoredObject) -> None:
+        """Apply the stored configuration if it is readable; ignore other objects."""
+        if item.name == CONFIGURATION_NAME and not item.error:
+            self._apply_document(item.value)
+
+    def _apply_pushed_document(self, data: bytes) -> None:
+        try:
+            document = decode_json(data)
+        except InputError as error:
+            log.error("pushed configuration rejected", reason=str(error))
+            return
+        self._apply_document(document)
 
     def _apply_zone_listing(self, listing: Listing) -> None:
         if listing.revision >= self.zones_revision:
@@ -207,8 +226,8 @@
     def _apply_document(self, document: Any) -> None:
         try:
             configuration = decode_configuration(document)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.error("configuration rejected", reason=repr(error))
+        except InputError as error:
+            log.error("configuration rejected", reason=str(error))
             return
         if self.configuration and configuration.version <= self.configuration.version:
             return
--- a/knapweedrock/platform/documents.py
+++ b/knapweedrock/platform/documents.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from knapweedrock.json_input import InputError
 from knapweedrock.mesh.definitions import (
     Configuration,
     Limits,
@@ -21,8 +22,16 @@
 DEFAULT_OBJECTIVE_MS = 500
 
 
-def decode_configuration(fields: dict[str, Any]) -> Configuration:
-    """Decode a configuration; raise `KeyError`, `TypeError` or `ValueError`."""
+def decode_configuration(fields: Any) -> Configuration:
+    """Decode a configuration; raise `InputError`."""
+    try:
+        return build_configuration(fields)
+    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as e:
+        raise InputError(f"{type(e).__name__}: {e}") from e
+
+
+def build_configuration(fields: dict[str, Any]) -> Configuration:
+    """Build a configuration; raise the error of the first malformed field."""
     routes = [decode_route(name, item) for name, item in fields["routes"].items()]
     routes.sort(key=lambda route: -len(route.prefix))
     return Configuration(
--- a/knapweedrock/platform/heartbeats.py
+++ b/knapweedrock/platform/heartbeats.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from knapweedrock.codes import Code
+from knapweedrock.documents import MAX_COUNT
 from knapweedrock.errors import RefusalError
+from knapweedrock.json_input import decode_json
 from knapweedrock.mesh.definitions import (
     Grant,
     Heartbeat,
@@ -25,6 +27,7 @@
 # Space for the rest of a reply besides its grants, with the longest hold time.
 REPLY_OVERHEAD_BYTES = 64
 SEPARATOR_BYTES = 1
+MAX_REASON_CHARACTERS = 300
 
 
 class Deregistration(NamedTuple):
@@ -44,12 +47,13 @@
         raise RefusalError(Code.BAD_PATH, f"no such page: {path[:100]}")
     instance, action = match.groups()
     try:
-        fields = msgspec.json.decode(body) if body else {}
+        fields = decode_json(body) if body else {}
         if action == "deregister":
             return Deregistration(format_incarnation(instance, fields), instance)
         return decode_heartbeat(instance, fields)
-    except (msgspec.DecodeError, UnicodeError, KeyError, TypeError, ValueError) as e:
-        raise RefusalError(Code.BAD_ANNOUNCEMENT, f"{type(e).__name__}: {e}") from e
+    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as e:
+        reason = f"{type(e).__name__}: {e}"[:MAX_REASON_CHARACTERS]
+        raise RefusalError(Code.BAD_ANNOUNCEMENT, reason) from e
 
 
 def decode_heartbeat(instance: str, fields: dict[str, Any]) -> Heartbeat:
@@ -93,14 +97,14 @@
 
 
 def decode_count(value: Any) -> int:
-    """Return the value if it is an integer of 0 or more.
+    """Return the value if it is an integer from 0 to `MAX_COUNT`.
 
     Raises `TypeError` or `ValueError`.
     """
     if type(value) is not int:
         raise TypeError(f"expected an integer, found {value!r}")
-    if value < 0:
-        raise ValueError(f"expected an integer of 0 or more, found {value}")
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"expected an integer from 0 to {MAX_COUNT}, found {value}")
     return value
 
 
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -1,14 +1,23 @@
 """Client of the platform's store, which keeps objects by kind, name and revision."""
 
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
+from urllib.parse import quote
 
 import gevent
 import msgspec
+from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
+from knapweedrock.documents import Count
 from knapweedrock.errors import PlatformError
+from knapweedrock.json_input import (
+    InputError,
+    decode_json,
+    read_elements,
+    read_members,
+)
 from knapweedrock.mesh.http import (
     JSON_HEADERS,
     Connection,
@@ -30,14 +39,29 @@
 # Limit of one response: a page has about 1 MB, but a watch may return many objects of
 # 1 MB each.
 MAX_RESPONSE_BYTES = 16 << 20
+MAX_REPORTED_OBJECTS = 1000
+MAX_LOGGED_CHARACTERS = 200
+
+log = Logger("store")
 
 
 class StoredObject(NamedTuple):
-    """An object's name, its value and the revision of its last change."""
+    """An object's name, its value and the revision of its last change.
+
+    `error` says why the value is not readable; the value is then None.
+    """
 
     name: str
     revision: int
     value: Any
+    error: str = ""
+
+
+class ObjectMetadata(msgspec.Struct):
+    """Metadata that the store gives each object."""
+
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    revision: Count
 
 
 class Listing(NamedTuple):
@@ -88,6 +112,8 @@
         self._clock = clock
         self._counters = counters
         self._idle: list[Connection] = []
+        # Latest revision of each unreadable object that was logged, by kind and name.
+        self._reported_revisions: dict[tuple[str, str], int] = {}
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Send all later calls to another address."""
@@ -101,10 +127,15 @@
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> StoredObject | None:
         """Read an object; return None if it does not exist."""
-        response = self._call("GET", f"/objects/{kind}/{name}", None, timeout_s)
+        response = self._call(
+            "GET", f"/objects/{kind}/{quote_segment(name)}", None, timeout_s
+        )
         if response.status == 404:
             return None
-        return decode_object(decode_body(response))
+        item = decode_object(get_body(response))
+        if item.error:
+            self._report_unreadable(kind, item.name, item.revision, item.error)
+        return item
 
     def list_kind(self, kind: str, timeout_s: float = LIST_TIMEOUT_S) -> Listing:
         """Read all objects of a kind, page by page; the timeout applies to each page.
@@ -119,10 +150,13 @@
             if response.status == 404:
                 return Listing([], 0)
             page = decode_body(response)
-            items += [decode_object(item) for item in page.get("items") or ()]
-            if not page.get("hasMore") or not items:
-                return Listing(items, int(page["atRevision"]))
-            query = f"?after={items[-1].name}"
+            elements = decode_elements(page, "items")
+            items += self._decode_readable(kind, elements)
+            if not decode_member(page, "hasMore", bool | None, False):
+                return Listing(items, decode_member(page, "atRevision", Count))
+            if not items:
+                raise PlatformError(Code.PLATFORM_BAD_ANSWER, "a page without names")
+            query = f"?after={quote_segment(items[-1].name)}"
 
     def watch(self, kind: str, revision: int, wait_s: float) -> ChangeBatch:
         """Wait for changes after a revision; raise `RevisionExpiredError`."""
@@ -131,11 +165,56 @@
         if response.status == 410:
             raise RevisionExpiredError
         page = decode_body(response)
-        changes = [
-            Change(decode_object(event["object"]), bool(event.get("removed")))
-            for event in page.get("events") or ()
-        ]
-        return ChangeBatch(changes, int(page["atRevision"]))
+        changes = self._decode_readable_changes(kind, decode_elements(page, "events"))
+        return ChangeBatch(changes, decode_member(page, "atRevision", Count))
+
+    def _decode_readable(self, kind: str, elements: list[bytes]) -> list[StoredObject]:
+        """Decode the objects of a page, and leave out those without a readable name."""
+        items = []
+        for element in elements:
+            try:
+                item = decode_object(element)
+            except PlatformError as error:
+                self._report_unreadable(kind, "", 0, error.detail)
+                continue
+            if item.error:
+                self._report_unreadable(kind, item.name, item.revision, item.error)
+            items.append(item)
+        return items
+
+    def _decode_readable_changes(
+        self, kind: str, elements: list[bytes]
+    ) -> list[Change]:
+        """Decode the events of a watch, and leave out those that are not readable."""
+        changes = []
+        for element in elements:
+            try:
+                event = read_members(element)
+                is_removed = decode_member(event, "removed", bool | None, False)
+            except (InputError, PlatformError) as error:
+                self._report_unreadable(kind, "", 0, str(error))
+                continue
+            items = self._decode_readable(kind, [event.get("object", b"")])
+            changes += [Change(item, bool(is_removed)) for item in items]
+        return changes
+
+    def _report_unreadable(
+        self, kind: str, name: str, revision: int, reason: str
+    ) -> None:
+        """Count an unreadable object, and log each revision of it once."""
+        self._counters.count("store_objects_unreadable", kind=kind)
+        if self._reported_revisions.get((kind, name)) == revision:
+            return
+        if len(self._reported_revisions) >= MAX_REPORTED_OBJECTS:
+            self._reported_revisions.clear()
+        self._reported_revisions[kind, name] = revision
+        log.warning(
+            "stored object not readable",
+            kind=kind,
+            name=name[:MAX_LOGGED_CHARACTERS],
+            revision=revision,
+            reason=reason[:MAX_LOGGED_CHARACTERS],
+        )
 
     def create(
         self, kind: str, name: str, value: Any, timeout_s: float
@@ -153,7 +232,9 @@
             "specification": value,
             "status": None,
         }
-        return self._write("PUT", f"/objects/{kind}/{name}", body, timeout_s)
+        return self._write(
+            "PUT", f"/objects/{kind}/{quote_segment(name)}", body, timeout_s
+        )
 
     def put(
         self,
@@ -191,9 +272,9 @@
                 gevent.sleep(RETRY_DELAY_S)
                 continue
             if response.status != 409:
-                return decode_object(decode_body(response))
+                return decode_object(get_body(response))
             current = decode_current(response)
-            if current is not None and current.value == body["specification"]:
+            if current is not None and current.value == decode_specification(data):
                 return current
             raise ConflictError(current)
 
@@ -262,33 +343,83 @@
             connection.close()
 
 
-def decode_body(response: Response) -> dict[str, Any]:
-    """Decode the body of a successful response; raise `PlatformError`."""
+def quote_segment(text: str) -> str:
+    """Quote text for use in a path or a query."""
+    return quote(text, safe="")
+
+
+def get_body(response: Response) -> bytes:
+    """Return the body of a successful response; raise `PlatformError`."""
     if response.status >= 300:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"status {response.status}")
+    return response.body
+
+
+def decode_body(response: Response) -> dict[str, bytes]:
+    """Return the undecoded members of a successful response's body.
+
+    Raises `PlatformError`.
+    """
     try:
-        fields = msgspec.json.decode(response.body)
-    except (msgspec.DecodeError, UnicodeError) as error:
+        return read_members(get_body(response))
+    except InputError as error:
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
-    if not isinstance(fields, dict):
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, "expected a JSON object")
-    return fields
 
 
-def decode_object(fields: dict[str, Any]) -> StoredObject:
-    """Decode an object; raise `PlatformError`."""
+def decode_member(
+    members: dict[str, bytes], name: str, kind: Any, default: Any = None
+) -> Any:
+    """Decode a member of an object; raise `PlatformError`.
+
+    A member with a default other than None may be missing.
+    """
+    if name not in members and default is not None:
+        return default
     try:
-        metadata = fields["metadata"]
-        return StoredObject(
-            metadata["name"], int(metadata["revision"]), fields["specification"]
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, repr(error)) from error
+        return decode_json(members.get(name, b""), kind)
+    except InputError as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{name}: {error}") from error
+
+
+def decode_elements(members: dict[str, bytes], name: str) -> list[bytes]:
+    """Return the undecoded elements of an array, which may be missing or null.
+
+    Raises `PlatformError`.
+    """
+    data = members.get(name, b"null")
+    if data == b"null":
+        return []
+    try:
+        return read_elements(data)
+    except InputError as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{name}: {error}") from error
+
+
+def decode_object(data: bytes) -> StoredObject:
+    """Decode an object; raise `PlatformError` if its metadata is not readable."""
+    try:
+        members = read_members(data)
+    except InputError as error:
+        raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
+    metadata = decode_member(members, "metadata", ObjectMetadata)
+    if "specification" not in members:
+        error = "no specification"
+        return StoredObject(metadata.name, metadata.revision, None, error)
+    try:
+        value = decode_json(members["specification"])
+    except InputError as error:
+        return StoredObject(metadata.name, metadata.revision, None, str(error))
+    return StoredObject(metadata.name, metadata.revision, value)
+
+
+def decode_specification(data: bytes) -> Any:
+    """Return the value in the body of a write, as the store returns it."""
+    return msgspec.json.decode(data)["specification"]
 
 
 def decode_current(response: Response) -> StoredObject | None:
     """Decode the stored object from a conflict response, or return None."""
     try:
-        return decode_object(msgspec.json.decode(response.body))
-    except (msgspec.DecodeError, UnicodeError, PlatformError):
+        return decode_object(response.body)
+    except PlatformError:
         return None
