Let no odd object among the coordinator's own end an election

Cause: Term._fence_tables took each object of the kind for a table and raised TypeError at each claim. The leader record was read as a bare map in six places, with the same end.

Change: leader_records and tables.decode_stored_table decode both kinds with bounds. An object that is no table is named in the log and neither written to nor removed. A leader record that can't be read counts as one that assumes least, and the next epoch lies above those of the tables and of the board. An odd object under the name of a table fails the write and leaves the term as it is.

--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -9,7 +9,7 @@
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.emulator.store import ObjectStore, create_endpoint
 from knapweedrock.errors import PlatformError
-from knapweedrock.mesh.tables import read_stored_table, unpack_rows
+from knapweedrock.mesh.tables import decode_stored_table
 from knapweedrock.mesh.terms import LEADER_NAME, Term
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
 from knapweedrock.platform.store import ConflictError, RevisionExpiredError, Store
@@ -225,7 +225,7 @@
     stored = context.client.get(TABLE_KIND, "orders")
     assert stored.value["epoch"] == context.successor.epoch == 2, stored
     assert context.successor.list_tables() == {"orders": context.rows}
-    assert unpack_rows(read_stored_table(stored.value)) == context.rows
+    assert decode_stored_table(stored).rows == context.rows
 
 
 @when(
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -13,6 +13,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import LinkError, PlatformError
 from knapweedrock.mesh import ownership
+from knapweedrock.mesh.leader_records import read_leader_record
 from knapweedrock.mesh.messages import Board, Member, Renew, Renewed, Row
 from knapweedrock.mesh.moves import list_started_moves
 from knapweedrock.mesh.planning import Planner
@@ -92,7 +93,7 @@
 
         `leader_record` is the record as last read from the store.
         """
-        if not self.term.claim(leader_record):
+        if not self.term.claim(leader_record, self._node.board.epoch):
             return False
         self._begin_term(leader_record)
         return True
@@ -379,10 +380,10 @@
     """
     max_lease_ms, lost_lease_ms, lost = 0, 0, ()
     if leader_record is not None:
-        value = leader_record.value
-        max_lease_ms = value.get("lease_ms", MAX_LEASE_MS)
-        lost = value.get("lost", ())
-        may_still_run = value["released"] or value["node"] == node_id
+        leader = read_leader_record(leader_record)
+        max_lease_ms = MAX_LEASE_MS if leader.lease_ms is None else leader.lease_ms
+        lost = leader.lost
+        may_still_run = leader.released or leader.node == node_id
         lost_lease_ms = TERM_MS if may_still_run else 0
     return {
         name: Contact(
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -16,6 +16,7 @@
     RefusalError,
 )
 from knapweedrock.mesh.boards import apply_change
+from knapweedrock.mesh.leader_records import read_leader_record
 from knapweedrock.mesh.messages import (
     Board,
     BoardChange,
@@ -227,7 +228,7 @@
                 return
             record = self._node.store.get(LEADER_KIND, LEADER_NAME)
         if record is not None:
-            self._coordinator_peer = record.value["peer"]
+            self._coordinator_peer = read_leader_record(record).peer
 
     def _may_claim(self, record: StoredObject) -> bool:
         if self._node.coordinator.term.leading:
@@ -241,12 +242,13 @@
             self._leader_record = record
             self._leader_record_since_ns = now_ns
         unchanged_ms = (now_ns - self._leader_record_since_ns) / NS_PER_MS
-        if record.value["node"] == self._node.settings.node_id:
+        leader = read_leader_record(record)
+        if leader.node == self._node.settings.node_id:
             # The former process has ended, and no other node may claim before its term
             # has expired.
             return True
         is_new_node = not self._node.board.members
-        if record.value["released"]:
+        if leader.released:
             return not is_new_node or unchanged_ms > NEW_NODE_CLAIM_DELAY_MS
         if record.revision == self._term_revision and now_ns > self._term_end_ns:
             # The coordinator announced when its term ends and has not renewed it since.
--- a/knapweedrock/mesh/tables.py
+++ b/knapweedrock/mesh/tables.py
@@ -1,24 +1,31 @@
 """Compact encoding of row tables for links and the store, naming each owner once."""
 
 import zlib
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
 from knapweedrock.codes import Code
+from knapweedrock.documents import MAX_COUNT, Count
 from knapweedrock.errors import LinkError
+from knapweedrock.json_input import InputError
 from knapweedrock.mesh.messages import Row
+from knapweedrock.mesh.snapshots import KEY_COUNT
+from knapweedrock.platform.store import StoredObject
+
+# The end of an empty row lies below its start, so both may lie just outside the keys.
+KeyBound = Annotated[int, msgspec.Meta(ge=-1, le=KEY_COUNT)]
 
 
 class PackedRow(NamedTuple):
     """A row whose owner and next owner are indexes into the owners; -1 means none."""
 
-    start: int
-    end: int
-    owner: int
-    token: int
+    start: KeyBound
+    end: KeyBound
+    owner: Count
+    token: Count
     handover: str
-    next_owner: int
+    next_owner: Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNT)]
 
 
 class PackedTable(NamedTuple):
@@ -28,6 +35,21 @@
     rows: list[PackedRow]
 
 
+class StoredTableFields(msgspec.Struct):
+    """Fields of a stored table, with their bounds."""
+
+    epoch: Count
+    owners: list[tuple[str, str]]
+    rows: list[PackedRow]
+
+
+class StoredTable(NamedTuple):
+    """The rows of a service, and the epoch of the coordinator that stored them."""
+
+    epoch: int
+    rows: list[Row]
+
+
 # zlib level for rows on links, where each node that reconnects gets a whole table.
 COMPRESSION_LEVEL = 1
 TABLE_DECODER = msgspec.msgpack.Decoder(PackedTable)
@@ -78,6 +100,18 @@
         raise LinkError(Code.BAD_FRAME, f"rows: {error}") from error
 
 
-def read_stored_table(value: dict[str, Any]) -> PackedTable:
-    """Return the packed table from the value of a store object."""
-    return PackedTable(value["owners"], value["rows"])
+def encode_stored_table(epoch: int, rows: list[Row]) -> dict[str, Any]:
+    """Return the value to store for the rows of a service."""
+    return {"epoch": epoch, **pack_rows(rows)._asdict()}
+
+
+def decode_stored_table(stored: StoredObject) -> StoredTable:
+    """Decode the table of a service as a coordinator stores it; raise `InputError`."""
+    if stored.error:
+        raise InputError(stored.error)
+    try:
+        fields = msgspec.convert(stored.value, StoredTableFields)
+        rows = unpack_rows(PackedTable(fields.owners, fields.rows))
+    except (msgspec.ValidationError, IndexError) as error:
+        raise InputError(str(error)) from error
+    return StoredTable(fields.epoch, rows)
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -1,6 +1,7 @@
 """Leadership terms: a record in the platform's store that the coordinator renews."""
 
 from collections.abc import Collection
+from typing import Any
 
 import gevent
 from gevent.event import Event
@@ -9,8 +10,20 @@
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import Code
 from knapweedrock.errors import PlatformError
+from knapweedrock.json_input import InputError
+from knapweedrock.mesh.leader_records import (
+    NO_RECORD,
+    UNREADABLE_RECORD,
+    LeaderRecord,
+    decode_leader_record,
+    read_leader_record,
+)
 from knapweedrock.mesh.messages import Row
-from knapweedrock.mesh.tables import pack_rows, read_stored_table, unpack_rows
+from knapweedrock.mesh.tables import (
+    StoredTable,
+    decode_stored_table,
+    encode_stored_table,
+)
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
 from knapweedrock.platform.store import ConflictError, Store, StoredObject
 
@@ -105,20 +118,25 @@
             # These nodes get no lease until the store no longer lists them as lost.
             self._renew_now.set()
 
-    def claim(self, leader_record: StoredObject | None) -> bool:
-        """Try to start a term; `leader_record` is the record as last read."""
+    def claim(self, leader_record: StoredObject | None, known_epoch: int = 0) -> bool:
+        """Try to start a term; `leader_record` is the record as last read.
+
+        `known_epoch` is the latest epoch that this node has heard of, in case the
+        record is not readable.
+        """
         sent_ns = self._clock.now_ns()
-        epoch = int(leader_record.value["epoch"]) + 1 if leader_record else 1
-        self._lost_nodes = (
-            frozenset(leader_record.value.get("lost", ()))
-            if leader_record
-            else frozenset()
-        )
-        self._stored_lost_nodes = self._lost_nodes
-        value = self._build_record(epoch, 0)
+        former = read_leader_record(leader_record) if leader_record else NO_RECORD
+        self._lost_nodes = self._stored_lost_nodes = frozenset(former.lost)
+        epoch = former.epoch + 1
         try:
+            if former is UNREADABLE_RECORD:
+                epoch = max(known_epoch, self._find_latest_epoch()) + 1
             record = self._store.put(
-                LEADER_KIND, LEADER_NAME, value, leader_record, WRITE_TIMEOUT_S
+                LEADER_KIND,
+                LEADER_NAME,
+                self._build_record(epoch, 0),
+                leader_record,
+                WRITE_TIMEOUT_S,
             )
             self._tables = self._fence_tables(epoch)
         except PlatformError as error:
@@ -140,8 +158,7 @@
         if not self.leading:
             return
         self.leading = False
-        value = self._build_record(self.epoch, 0)
-        value |= {"released": True, "lease_ms": lease_ms}
+        value = self._build_record(self.epoch, 0, lease_ms)
         try:
             self._store.replace(
                 LEADER_KIND,
@@ -199,7 +216,7 @@
     def list_tables(self) -> dict[str, list[Row]]:
         """Return the rows of each service as last read from or written to the store."""
         return {
-            service: unpack_rows(read_stored_table(stored.value))
+            service: decode_stored_table(stored).rows
             for service, stored in self._tables.items()
         }
 
@@ -210,7 +227,7 @@
         ends the term.
         """
         epoch = self.epoch
-        value = {"epoch": epoch, **pack_rows(rows)._asdict()}
+        value = encode_stored_table(epoch, rows)
         known = self._tables.get(service)
         try:
             written = self._store.put(
@@ -229,27 +246,49 @@
         if until_ns > self._valid_until_ns:
             self._renewed_ns, self._valid_until_ns = sent_ns, until_ns
 
-    def _build_record(self, epoch: int, renewal_number: int) -> dict:
-        return {
-            "epoch": epoch,
-            "node": self._node_id,
-            "process": self._process,
-            "peer": self._peer,
-            "number": renewal_number,
-            "released": False,
-            "lost": sorted(self._lost_nodes),
-        }
+    def _build_record(
+        self, epoch: int, renewal_number: int, lease_ms: int | None = None
+    ) -> dict[str, Any]:
+        """Build the record of a term; with `lease_ms` the term is released."""
+        record = LeaderRecord(
+            epoch,
+            self._node_id,
+            self._process,
+            self._peer,
+            renewal_number,
+            lease_ms is not None,
+            tuple(sorted(self._lost_nodes)),
+            lease_ms,
+        )
+        return record.to_value()
 
     def _fence_tables(self, epoch: int) -> dict[str, StoredObject]:
         """Store the epoch in each table, so that a former coordinator cannot write."""
         tables = {}
-        for item in self._store.list_kind(TABLE_KIND).items:
-            value = {**item.value, "epoch": epoch}
+        for item, table in self._read_tables():
+            value = encode_stored_table(epoch, table.rows)
             tables[item.name] = self._store.replace(
                 TABLE_KIND, item.name, value, item.revision, WRITE_TIMEOUT_S
             )
         return tables
 
+    def _read_tables(self) -> list[tuple[StoredObject, StoredTable]]:
+        """Read the stored tables; leave out objects that are not tables."""
+        tables = []
+        for item in self._store.list_kind(TABLE_KIND).items:
+            try:
+                tables.append((item, decode_stored_table(item)))
+            except InputError as error:
+                log.error(
+                    "stored table not readable", service=item.name, reason=str(error)
+                )
+        return tables
+
+    def _find_latest_epoch(self) -> int:
+        """Return the latest epoch in the stored tables and of this node's terms."""
+        epochs = [table.epoch for _, table in self._read_tables()]
+        return max([self.epoch, *epochs])
+
     def _read_back_renewal(self) -> None:
         """Check whether a renewal without a response has taken effect."""
         try:
@@ -264,15 +303,15 @@
 
         Returns whether the stored record belongs to this term.
         """
-        if current is None or current.value["released"]:
+        record = decode_leader_record(current) if current is not None else None
+        if record is None or record.released:
             return False
-        owner = (current.value["process"], current.value["epoch"])
-        if owner != (self._process, self.epoch):
+        if (record.process, record.epoch) != (self._process, self.epoch):
             return False
         self._leader_record = current
         # The term runs from the time when the renewal was sent, however late the store
         # wrote it.
-        sent_ns = self._unconfirmed_sent_ns.pop(current.value["number"], None)
+        sent_ns = self._unconfirmed_sent_ns.pop(record.number, None)
         if sent_ns is not None:
             self._record_renewal(sent_ns)
         return True
@@ -282,7 +321,12 @@
 
         The late table was never published, so the next write may replace it.
         """
-        if current is not None and current.value["epoch"] == self.epoch:
+        try:
+            table = decode_stored_table(current) if current is not None else None
+        except InputError as error:
+            log.error("stored table not readable", service=service, reason=str(error))
+            return
+        if table is not None and table.epoch == self.epoch:
             self._tables[service] = current
         else:
             log.warning(
