--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -1,5 +1,6 @@
 """Steps for complete, broken and lost answers of targets."""
 
+import itertools
 import struct
 from unittest import mock
 
@@ -23,7 +24,7 @@
 from knapweedrock.mesh.node import KILL_MARGIN_MS
 from knapweedrock.mesh.quarantine import Quarantine
 from knapweedrock.mesh.routed_requests import RoutedRequestFactory
-from knapweedrock.platform.headers import REMAINING_MS
+from knapweedrock.platform.headers import ATTEMPT_ID, REMAINING_MS
 
 TIMEOUT_S = 0.4
 # Delay before the rest of a request is sent.
@@ -56,7 +57,7 @@
 
 
 class ScriptedTarget:
-    """A target that answers each request with the same bytes."""
+    """A target that answers each request with the same bytes, but for its id."""
 
     def __init__(self, kind: str) -> None:
         self.connections = 0
@@ -65,8 +66,9 @@
     def serve(self, sock: socket.socket, _address: tuple) -> None:
         """Answer the requests of one connection."""
         self.connections += 1
-        while sock.recv(65536):
-            sock.sendall(ANSWERS[self._kind])
+        while request := sock.recv(65536):
+            attempt_id = request.partition(b"x-attempt-id: ")[2].partition(b"\r\n")[0]
+            sock.sendall(ANSWERS[self._kind].replace(b"a1", attempt_id))
             if self._kind in RESET:
                 gevent.sleep(0.05)
                 linger = struct.pack("ii", 1, 0)
@@ -83,6 +85,7 @@
     address = start_listener(context, context.target.serve)
     context.http_client = HttpClient(address, create_clock(), Counters())
     context.answer = context.error = None
+    context.attempt_numbers = itertools.count(1)
 
 
 @given("a mesh without a configuration")
@@ -113,10 +116,12 @@
 
 @when("a request is sent to it")
 def send_scripted(context) -> None:
-    """Send a request to the scripted target."""
+    """Send a request with an attempt id of its own to the scripted target."""
+    attempt_id = f"a{next(context.attempt_numbers)}"
+    headers = [("host", "t"), (ATTEMPT_ID, attempt_id)]
     try:
         context.answer = context.http_client.request(
-            "GET", "/x", [("host", "t")], b"", "a1", TIMEOUT_S
+            "GET", "/x", headers, b"", attempt_id, TIMEOUT_S
         )
     except BrokenExchangeError as error:
         context.error = error
