Let no heartbeat of another writer end a target's start

Cause: missing lists counted as empty, a missing cold time as 0, the version was not read; and a heartbeat alone could end the incarnation that is up.

A heartbeat that would end an incarnation that may be up is answered with 503 until the health page names the same instance.

The meshes with proxies before targets of two features are one builder now.

--- a/features/mesh_input.feature
+++ b/features/mesh_input.feature
@@ -21,6 +21,11 @@
       | more slots than can be counted |
       | a start time of 5,000 digits |
       | a text as its information |
+      | no version              |
+      | no cold time            |
+      | no sequence number      |
+      | a zone of 2,000 characters |
+      | a row of four fields    |
 
   Scenario: A valid heartbeat is decoded completely
     Given a heartbeat of a target
--- a/features/steps/mesh_copies.py
+++ b/features/steps/mesh_copies.py
@@ -7,14 +7,14 @@
 from gevent.pool import Pool
 
 from features.support.mesh_builders import OTHER_SERVICE, create_forward
-from features.support.mesh_harness import Mesh, Place
+from features.support.mesh_harness import Mesh
+from features.support.mesh_target_proxies import TargetProxyMesh
 from features.support.offline_node import OfflineNode
 from features.support.proxies import TargetProxy
 from features.support.servers import start_listener
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import INFO, NOT_RUN_STATUSES, Outcome, parse_code
 from knapweedrock.counters import Counters
-from knapweedrock.emulator.addresses import create_address
 from knapweedrock.mesh.http import Headers, Response, ResponseParser
 from knapweedrock.mesh.http_client import BrokenExchangeError, HttpClient
 from knapweedrock.mesh.sent_attempts import SentAttempts
@@ -23,7 +23,6 @@
 
 TIMEOUT_S = 0.4
 MESH_TIMEOUT_S = 3.0
-SETTLE_TIMEOUT_S = 10.0
 KEY_STEP = 997
 KEY = 7
 EMPTY_BODY = b"Content-Length: 0\r\n\r\n"
@@ -158,11 +157,13 @@
 @given("a mesh of {count:d} keyed targets that refuse and repeat their refusals late")
 def start_repeating_mesh(context, count: int) -> None:
     """Start a mesh whose targets stand behind proxies that repeat refusals."""
-    context.mesh = RepeatingMesh(count)
+    context.mesh = TargetProxyMesh(count, TargetProxy)
     context.add_cleanup(context.mesh.stop)
     context.mesh.start()
-    context.mesh.wait_until(context.mesh.is_settled, SETTLE_TIMEOUT_S)
-    context.mesh.refuse(SHED_SHARE)
+    for place in context.mesh.places:
+        place.holder.shed_share = SHED_SHARE
+    for proxy in context.mesh.target_proxies:
+        proxy.repeat_share = 1.0
 
 
 @when("the order is sent to it twice")
@@ -247,7 +248,7 @@
     ]
     assert not refused_and_run, refused_and_run
     assert max(runs.values()) == 1, runs.most_common(3)
-    assert context.mesh.count_repeats(), "no refusal was repeated"
+    assert any(proxy.repeat_count for proxy in context.mesh.target_proxies)
 
 
 @then("some orders were refused, and some have run")
@@ -342,43 +343,6 @@
     assert INFO[code].outcome is expected, (code, context.result)
 
 
-class RepeatingMesh(Mesh):
-    """Mesh with a proxy before each target that can repeat the target's refusals."""
-
-    def __init__(self, keyed: int) -> None:
-        super().__init__(keyed)
-        self._proxies: list[TargetProxy] = []
-        self.places = [self._add_proxy(place) for place in self.places]
-
-    def start(self) -> None:
-        """Start the proxies, then everything else."""
-        for proxy in self._proxies:
-            proxy.start()
-        super().start()
-
-    def stop(self) -> None:
-        """End everything at once."""
-        super().stop()
-        for proxy in self._proxies:
-            proxy.stop()
-
-    def refuse(self, shed_share: float) -> None:
-        """Let targets refuse a share of their requests, and repeat each refusal."""
-        for place, proxy in zip(self.places, self._proxies, strict=True):
-            place.holder.shed_share = shed_share
-            proxy.repeat_share = 1.0
-
-    def count_repeats(self) -> int:
-        """Return how many refusals were sent a second time."""
-        return sum(proxy.repeat_count for proxy in self._proxies)
-
-    def _add_proxy(self, place: Place) -> Place:
-        listen = create_address()
-        self._proxies.append(TargetProxy(listen, place.settings.target))
-        place.holder.announce(listen)
-        return place._replace(settings=place.settings._replace(target=listen))
-
-
 def send_order(context) -> None:
     """Send an attempt of the order to a single target and keep the response."""
     context.response = context.client.request(
--- a/features/steps/mesh_cuts.py
+++ b/features/steps/mesh_cuts.py
@@ -3,9 +3,8 @@
 from behave import given, then, when
 from gevent import socket
 
-from features.support.mesh_harness import Mesh, Place
+from features.support.mesh_target_proxies import TargetProxyMesh
 from features.support.proxies import Direction, Proxy
-from knapweedrock.emulator.addresses import create_address
 from knapweedrock.mesh.http import (
     MalformedMessageError,
     Response,
@@ -33,7 +32,6 @@
 # Responses that precede the one that is cut, and are taken out first.
 EARLIER_COUNTS = {"a 200 after a copy of an earlier one": 1}
 HEAD_END = b"\r\n\r\n"
-SETTLE_TIMEOUT_S = 10.0
 # Only every so many bytes are tried in a mesh.
 CUT_STEP = 6
 DEADLINE_MS = 700
@@ -67,46 +65,12 @@
         raise ConnectionAbortedError("cut")
 
 
-class CuttingMesh(Mesh):
-    """Mesh with a proxy before each target that can cut the target's responses."""
-
-    def __init__(self, keyed: int) -> None:
-        super().__init__(keyed)
-        self.proxies: list[CuttingProxy] = []
-        self.places = [self._add_proxy(place) for place in self.places]
-
-    def start(self) -> None:
-        """Start the proxies, then everything else."""
-        for proxy in self.proxies:
-            proxy.start()
-        super().start()
-
-    def stop(self) -> None:
-        """End everything at once."""
-        super().stop()
-        for proxy in self.proxies:
-            proxy.stop()
-
-    def cut(self, count: int, once: bool) -> None:
-        """Cut responses after a number of bytes, 0 for none, or only the next one."""
-        for proxy in self.proxies:
-            proxy.cut_bytes, proxy.cuts_once = count, once
-
-    def _add_proxy(self, place: Place) -> Place:
-        listen = create_address()
-        self.proxies.append(CuttingProxy(listen, place.settings.target))
-        place.holder.announce(listen)
-        settings = place.settings._replace(target=listen, retry_slack=RETRY_SLACK)
-        return place._replace(settings=settings)
-
-
 @given("a mesh of {count:d} keyed targets that close after some bytes of a response")
 def start_cutting_mesh(context, count: int) -> None:
-    """Start a mesh that does not cut yet, and measure a whole head."""
-    context.mesh = CuttingMesh(count)
+    """Start a mesh whose proxies do not cut yet."""
+    context.mesh = TargetProxyMesh(count, CuttingProxy, retry_slack=RETRY_SLACK)
     context.add_cleanup(context.mesh.stop)
     context.mesh.start()
-    context.mesh.wait_until(context.mesh.is_settled, SETTLE_TIMEOUT_S)
 
 
 @when("the connection is closed after each byte of the head of {response}")
@@ -212,7 +176,13 @@
         len(f"{name}: {value}\r\n") for name, value in whole.headers
     )
     for count in range(1, head_bytes, CUT_STEP):
-        mesh.cut(count, once)
+        set_cut(mesh, count, once)
         response = mesh.call("node-0", path, 1, method, b"b", DEADLINE_MS)
         context.responses.append(response)
-        mesh.cut(0, once)
+        set_cut(mesh, 0, once)
+
+
+def set_cut(mesh: TargetProxyMesh, count: int, once: bool) -> None:
+    """Cut responses after a number of bytes, 0 for none, or only the next one."""
+    for proxy in mesh.target_proxies:
+        proxy.cut_bytes, proxy.cuts_once = count, once
--- a/features/steps/mesh_input.py
+++ b/features/steps/mesh_input.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 from gevent import socket
 
+from features.support.heartbeats import send_heartbeat
 from features.support.mesh_builders import (
     FakeClock,
     create_heartbeat,
@@ -20,7 +21,7 @@
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.admission import Admission
-from knapweedrock.mesh.http import ResponseParser, dial, encode_request
+from knapweedrock.mesh.http import ResponseParser, dial
 from knapweedrock.mesh.settings import parse_settings, read_file
 from knapweedrock.mesh.targets import Target
 from knapweedrock.platform.heartbeats import decode_message
@@ -76,6 +77,16 @@
             fields["born"] = msgspec.Raw(b"9" * 5000)
         case "a text as its information":
             fields["information"] = "orders"
+        case "no version":
+            del fields["information"]["version"]
+        case "no cold time":
+            del fields["status"]["coldRemainingMs"]
+        case "no sequence number":
+            del fields["status"]["seq"]
+        case "a zone of 2,000 characters":
+            fields["information"]["zone"] = "z" * 2000
+        case "a row of four fields":
+            fields["holds"] = [[0, 99, 4, 5]]
         case "a port out of range":
             fields["address"] = "10.0.0.1:99999"
         case _:
@@ -138,13 +149,13 @@
     """Send a heartbeat that does not come from the target beside the node."""
     fields = deepcopy(HEARTBEAT_FIELDS)
     fields["information"]["service"] = "strangers"
-    send_heartbeat(context, json.dumps(fields).encode())
+    send_body(context, json.dumps(fields).encode())
 
 
 @when("its node receives a heartbeat with {fault}")
 def send_invalid_heartbeat(context, fault: str) -> None:
     """Send a heartbeat with a fault to the node."""
-    send_heartbeat(context, encode_invalid_heartbeat(fault))
+    send_body(context, encode_invalid_heartbeat(fault))
 
 
 @when("operators write a configuration without routes")
@@ -320,12 +331,9 @@
     assert f"content-length: {len('h3 1')}".encode() in head.lower(), head
 
 
-def send_heartbeat(context, body: bytes) -> None:
+def send_body(context, body: bytes) -> None:
     """Send the body of a heartbeat to the first node and keep the response status."""
-    connection = dial(context.mesh.places[0].settings.heartbeat, 2)
-    connection.send(encode_request("POST", HEARTBEAT_PATH, [("Host", "node")], body), 2)
-    context.status = connection.read(ResponseParser(), 2).status
-    connection.close()
+    context.status = send_heartbeat(context.mesh.places[0], "i-1", body)
 
 
 def send_lines(context, lines: list[str]) -> None:
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -98,7 +98,8 @@
     """Heartbeat of a target.
 
     `target` identifies the target incarnation; `instance` is the id that the target
-    checks on requests. `cold_ms` is how long the target stays cold.
+    checks on requests. `cold_ms` is how long the target stays cold. `lists_keys` says
+    whether the heartbeat lists held and released keys, even if these lists are empty.
     """
 
     target: str
@@ -112,6 +113,7 @@
     cold_ms: float
     held: tuple[HeldRange, ...]
     released: tuple[ReleasedRange, ...]
+    lists_keys: bool = True
 
 
 class Grant(NamedTuple):
--- a/knapweedrock/mesh/endpoints.py
+++ b/knapweedrock/mesh/endpoints.py
@@ -74,6 +74,7 @@
             address and heartbeat.address != "{}:{}".format(*address)
         ):
             raise RefusalError(Code.BAD_ANNOUNCEMENT, "not this node's target")
+        self._check_sender(heartbeat)
         before = self._node.membership.describe_member()
         received_ns = self._node.clock.now_ns()
         is_current = self._node.target.handle_heartbeat(heartbeat)
@@ -99,6 +100,25 @@
                 renewal.wait(DRAIN_RENEWAL_TIMEOUT_S)
         return encode_reply(reply)
 
+    def _check_sender(self, heartbeat: Heartbeat) -> None:
+        """Raise `RefusalError` unless the heartbeat comes from the local target.
+
+        A heartbeat that begins an incarnation would end the one that is up, so the
+        health page has to name the same instance.
+        """
+        service = self._node.get_own_service()
+        if service is not None and service.keyed and not heartbeat.lists_keys:
+            raise RefusalError(Code.BAD_ANNOUNCEMENT, "no lists of held and freed keys")
+        if not self._node.target.would_supersede(heartbeat):
+            return
+        instance = self._node.gateway.fetch_instance()
+        if instance != heartbeat.instance:
+            raise RefusalError(
+                Code.NO_LIVE_TARGET,
+                f"heartbeat of {heartbeat.target}, but the health page names"
+                f" {instance or 'no instance'}",
+            )
+
     def _wait_for_rows(self, target: str) -> None:
         """Wait until a new target incarnation owns the rows of the previous one.
 
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -12,6 +12,7 @@
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.headers import HOP_BY_HOP_HEADERS
 from knapweedrock.mesh.admission import MAX_KINDS, Admission
+from knapweedrock.mesh.definitions import Service
 from knapweedrock.mesh.http import Headers, Response, dial
 from knapweedrock.mesh.http_client import (
     BrokenExchangeError,
@@ -414,20 +415,31 @@
         )
         return TargetNotice(self._target.name, self._target.draining, interval_ms)
 
+    def fetch_instance(self) -> str:
+        """Return the instance id on the target's health page, empty without one."""
+        service = self._node.get_own_service()
+        if service is None or not self._node.settings.target:
+            return ""
+        try:
+            return self._fetch_health(service).get_header(INSTANCE_ID)
+        except (ConnectionRefusedError, KnapweedrockError) as error:
+            log.info("no answer from the health page", reason=str(error))
+            return ""
+
+    def _fetch_health(self, service: Service) -> Response:
+        headers: Headers = [("host", "{}:{}".format(*self.http_client.address))]
+        return self.http_client.request(
+            "GET", service.health_path, headers, b"", "", PROBE_TIMEOUT_S
+        )
+
     def probe(self) -> None:
         """Check the target's health page, since a late heartbeat proves no failure."""
         node, target = self._node, self._target
-        configuration = node.configuration
-        service = (
-            configuration.services.get(node.settings.service) if configuration else None
-        )
+        service = node.get_own_service()
         if service is None or not node.settings.target:
             return
-        headers: Headers = [("host", "{}:{}".format(*self.http_client.address))]
         try:
-            response = self.http_client.request(
-                "GET", service.health_path, headers, b"", "", PROBE_TIMEOUT_S
-            )
+            response = self._fetch_health(service)
         except ConnectionRefusedError:
             target.mark_dead(target.name)
             node.membership.request_renewal()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -17,6 +17,7 @@
     Configuration,
     Limits,
     NodeSettings,
+    Service,
 )
 from knapweedrock.mesh.endpoints import create_servers
 from knapweedrock.mesh.gateway import Gateway
@@ -169,6 +170,12 @@
         """Return the rows of a service's table, empty if it has none."""
         return self.board.tables.get(service, [])
 
+    def get_own_service(self) -> Service | None:
+        """Return the definition of the local target's service, None if unknown."""
+        if self.configuration is None:
+            return None
+        return self.configuration.services.get(self.settings.service)
+
     def list_members(self, service: str) -> list[Member]:
         """List the members whose targets serve a service."""
         return [m for m in self.board.members.values() if m.service == service]
--- a/knapweedrock/mesh/targets.py
+++ b/knapweedrock/mesh/targets.py
@@ -106,6 +106,19 @@
         limit_ms = LATE_HEARTBEAT_INTERVALS * self.heartbeat_interval_ms
         return self.get_heartbeat_age_ms() > limit_ms
 
+    def would_supersede(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat would end an incarnation that may be up.
+
+        A target that starts again under its id is told apart by its start time alone.
+        """
+        if not self.name or self.dead_incarnation:
+            return False
+        return (
+            heartbeat.instance != self.instance
+            and heartbeat.target not in self._ended_incarnations
+            and self._is_later(heartbeat.target)
+        )
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat; return False if it is stale.
 
--- a/knapweedrock/platform/heartbeats.py
+++ b/knapweedrock/platform/heartbeats.py
@@ -2,14 +2,14 @@
 
 import re
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import Annotated, Literal, NamedTuple
 
 import msgspec
 
 from knapweedrock.codes import Code
-from knapweedrock.documents import MAX_COUNT
+from knapweedrock.documents import Count
 from knapweedrock.errors import RefusalError
-from knapweedrock.json_input import decode_json
+from knapweedrock.json_input import InputError, decode_json
 from knapweedrock.mesh.definitions import (
     Grant,
     Heartbeat,
@@ -17,17 +17,58 @@
     HeldRange,
     ReleasedRange,
 )
-from knapweedrock.platform.reports import decode_cold_ms
+from knapweedrock.platform.reports import MAX_COLD_MS
 
 PATH_PATTERN = re.compile(r"/instances/([^/?]+)/(heartbeat|deregister)")
-STATES = frozenset({"ready", "draining"})
 MAX_KEY = 65535
 # Largest reply to a heartbeat that a target accepts.
 MAX_REPLY_BYTES = 4096
 # Space for the rest of a reply besides its grants, with the longest hold time.
 REPLY_OVERHEAD_BYTES = 64
 SEPARATOR_BYTES = 1
-MAX_REASON_CHARACTERS = 300
+MAX_TEXT_CHARACTERS = 1000
+
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARACTERS)]
+Key = Annotated[int, msgspec.Meta(ge=0, le=MAX_KEY)]
+ColdTime = Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
+
+
+class Information(msgspec.Struct):
+    """What a heartbeat says about the target that does not change while it runs."""
+
+    service: Text
+    version: Text | int
+    zone: Text
+    slots: Count
+
+
+class Status(msgspec.Struct):
+    """What a heartbeat says about the target's present state."""
+
+    state: Literal["ready", "draining"]
+    sequence: Count = msgspec.field(name="seq")
+    cold_ms: ColdTime = msgspec.field(name="coldRemainingMs")
+
+
+class HeartbeatFields(msgspec.Struct):
+    """The body of a heartbeat; targets of services without keys list no keys."""
+
+    address: Text
+    information: Information
+    status: Status
+    born: Count = 0
+    held: list[tuple[Key, Key, Count]] | None = msgspec.field(
+        name="holds", default=None
+    )
+    released: list[tuple[Key, Key, Text]] | None = msgspec.field(
+        name="freed", default=None
+    )
+
+
+class DeregistrationFields(msgspec.Struct):
+    """The body of a deregistration."""
+
+    born: Count = 0
 
 
 class Deregistration(NamedTuple):
@@ -47,85 +88,46 @@
         raise RefusalError(Code.BAD_PATH, f"no such page: {path[:100]}")
     instance, action = match.groups()
     try:
-        fields = decode_json(body) if body else {}
         if action == "deregister":
-            return Deregistration(format_incarnation(instance, fields), instance)
-        return decode_heartbeat(instance, fields)
-    except (LookupError, TypeError, ValueError, AttributeError, ArithmeticError) as e:
-        reason = f"{type(e).__name__}: {e}"[:MAX_REASON_CHARACTERS]
-        raise RefusalError(Code.BAD_ANNOUNCEMENT, reason) from e
-
-
-def decode_heartbeat(instance: str, fields: dict[str, Any]) -> Heartbeat:
-    """Decode a heartbeat; raise `KeyError`, `TypeError` or `ValueError`."""
-    information, status = fields["information"], fields["status"]
-    state = status["state"]
-    if state not in STATES:
-        raise ValueError(f"unknown state {state!r}")
+            return decode_deregistration(instance, body)
+        return decode_heartbeat(instance, body)
+    except InputError as error:
+        raise RefusalError(Code.BAD_ANNOUNCEMENT, str(error)) from error
+
+
+def decode_deregistration(instance: str, body: bytes) -> Deregistration:
+    """Decode a deregistration, whose body may be empty; raise `InputError`."""
+    fields = decode_json(body or b"{}", DeregistrationFields)
+    return Deregistration(format_incarnation(instance, fields.born), instance)
+
+
+def decode_heartbeat(instance: str, body: bytes) -> Heartbeat:
+    """Decode a heartbeat; raise `InputError`."""
+    fields = decode_json(body, HeartbeatFields)
+    information, status = fields.information, fields.status
     return Heartbeat(
-        target=format_incarnation(instance, fields),
+        target=format_incarnation(instance, fields.born),
         instance=instance,
-        service=decode_text(information["service"]),
-        zone=decode_text(information["zone"]),
-        address=decode_text(fields["address"]),
-        slots=decode_count(information["slots"]),
-        draining=state == "draining",
+        service=information.service,
+        zone=information.zone,
+        address=fields.address,
+        slots=information.slots,
+        draining=status.state == "draining",
         # The sequence starts again with each restart of the target.
-        sequence=decode_count(status["seq"]),
-        cold_ms=decode_cold_ms(status.get("coldRemainingMs", 0)),
-        held=tuple(
-            HeldRange(*decode_held_range(row)) for row in fields.get("holds") or ()
-        ),
-        released=tuple(decode_released(row) for row in fields.get("freed") or ()),
+        sequence=status.sequence,
+        cold_ms=status.cold_ms,
+        held=tuple(HeldRange(*row) for row in fields.held or ()),
+        released=tuple(ReleasedRange(*row) for row in fields.released or ()),
+        lists_keys=fields.held is not None and fields.released is not None,
     )
 
 
-def format_incarnation(instance: str, fields: dict[str, Any]) -> str:
+def format_incarnation(instance: str, born: int) -> str:
     """Format the name of a target incarnation, `id@start-time`.
 
     A restarted target may reuse its id, but not its start time.
     """
-    born = fields.get("born", 0)
-    return f"{instance}@{decode_count(born)}"
-
-
-def decode_text(value: Any) -> str:
-    """Return the value if it is a string, else raise `TypeError`."""
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, found {value!r}")
-    return value
-
-
-def decode_count(value: Any) -> int:
-    """Return the value if it is an integer from 0 to `MAX_COUNT`.
-
-    Raises `TypeError` or `ValueError`.
-    """
-    if type(value) is not int:
-        raise TypeError(f"expected an integer, found {value!r}")
-    if not 0 <= value <= MAX_COUNT:
-        raise ValueError(f"expected an integer from 0 to {MAX_COUNT}, found {value}")
-    return value
-
-
-def decode_held_range(row: Any) -> tuple[int, int, int]:
-    """Decode a held range: its first key, last key and fencing token."""
-    start, end, token = row
-    return decode_key(start), decode_key(end), decode_count(token)
-
-
-def decode_released(row: Any) -> ReleasedRange:
-    """Decode a range of keys that the target released, with its handover."""
-    start, end, handover = row
-    return ReleasedRange(decode_key(start), decode_key(end), decode_text(handover))
-
-
-def decode_key(value: Any) -> int:
-    """Return the value if it is a shard key; raise `TypeError` or `ValueError`."""
-    key = decode_count(value)
-    if key > MAX_KEY:
-        raise ValueError(f"expected a key of at most {MAX_KEY}, found {key}")
-    return key
+    return f"{instance}@{born}"
 
 
 def count_fitting(grants: Iterable[Grant]) -> int:
