Test the splitting of JSON, and keep its turns short

json_input had no test of its own. Random arrays and objects are split into what a decoder finds, random bytes and damaged documents raise nothing but InputError, and documents of 1 MB in six patterns beside a nested value hold up no other task for 250 ms.

The last one found a fault at its first run: small objects with strings took 253 ms in one turn of the event loop, as all strings were masked at once. Recorded attempts are removed only once they have doubled, so that a connection with many unexpired ones does not copy them at each response.

--- a/knapweedrock/json_input.py
+++ b/knapweedrock/json_input.py
@@ -16,6 +16,8 @@
 MAX_BLOCK_BYTES = 1 << 16
 MIN_BLOCK_BYTES = 1 << 8
 BLOCK_DIVISOR = 4
+# Strings that are masked before other greenlets run, for a few ms.
+STRINGS_PER_TURN = 10_000
 # A string that does not end extends to the end of the data.
 STRING_PATTERN = re.compile(rb'"(?:[^"\\]++|\\.)*+"?', re.DOTALL)
 TOKEN_PATTERN = re.compile(rb"[\[\]{},:]")
@@ -75,7 +77,7 @@
 
     An object gives its names and values by turns. The parts are not checked.
     """
-    masked = STRING_PATTERN.sub(mask_string, data)
+    masked = mask_strings(data)
     parts = []
     start = position = masked.index(b"{" if is_object(data) else b"[") + 1
     while token := TOKEN_PATTERN.search(masked, position):
@@ -95,9 +97,14 @@
     return data.lstrip().startswith(b"{")
 
 
-def mask_string(match: re.Match[bytes]) -> bytes:
-    """Return blanks in place of a string."""
-    return b" " * len(match[0])
+def mask_strings(data: bytes) -> bytes:
+    """Return data of the same length, with blanks in place of its strings."""
+    masked = bytearray(data)
+    for number, match in enumerate(STRING_PATTERN.finditer(data), 1):
+        masked[match.start() : match.end()] = b" " * len(match[0])
+        if number % STRINGS_PER_TURN == 0:
+            gevent.sleep(0)
+    return bytes(masked)
 
 
 def skip_container(masked: bytes, position: int) -> int:
--- a/knapweedrock/mesh/sent_attempts.py
+++ b/knapweedrock/mesh/sent_attempts.py
@@ -5,7 +5,7 @@
 on the connection once more.
 """
 
-# Expired attempts are removed once this many are recorded.
+# Expired attempts are removed once at least this many are recorded.
 MIN_REMOVAL_COUNT = 64
 
 
@@ -15,6 +15,8 @@
     def __init__(self) -> None:
         self._deadlines_ns: dict[str, int] = {}
         self._has_unnamed = False
+        # Doubles with the attempts that remain, so that removals stay rare.
+        self._removal_count = MIN_REMOVAL_COUNT
 
     def add(self, attempt_id: str, deadline_ns: int) -> None:
         """Record an attempt; an empty id stands for all requests without one."""
@@ -31,10 +33,11 @@
 
     def remove_expired(self, now_ns: int) -> None:
         """Forget attempts whose deadline has passed: they are not sent again."""
-        if len(self._deadlines_ns) < MIN_REMOVAL_COUNT:
+        if len(self._deadlines_ns) < self._removal_count:
             return
         self._deadlines_ns = {
             attempt_id: deadline_ns
             for attempt_id, deadline_ns in self._deadlines_ns.items()
             if deadline_ns > now_ns
         }
+        self._removal_count = max(2 * len(self._deadlines_ns), MIN_REMOVAL_COUNT)
