Split a row into no empty parts where releases overlap

Cause: split_released compared a release with the first key that no part contains yet before it cut the release at the row's end. Where two releases overlap and both reach past the end, the second one made a part of no keys.

Change: the end is cut first. Two of the five cases of the new scenario outline of mesh_rows failed before ([29353, 29352] after [29000, 29352]); all pass now.

--- a/features/mesh_rows.feature
+++ b/features/mesh_rows.feature
@@ -37,3 +37,17 @@
       | way         |
       | rebalancing |
       | relief      |
+
+  # Guards against a row without keys, [end + 1, end], which no target can take
+  Scenario Outline: A row is split without empty parts where releases <overlap>
+    Given a row of the keys 29000 to 29352
+    When it is split at releases of the keys <releases>
+    Then its parts are <parts>
+
+    Examples:
+      | overlap                    | releases                 | parts                    |
+      | overlap beyond its end     | 28000-29400, 29000-29400 | 29000-29352              |
+      | overlap within it          | 29000-29100, 29050-29200 | 29000-29100, 29101-29200, 29201-29352 |
+      | are the same               | 29010-29020, 29010-29020 | 29000-29009, 29010-29020, 29021-29352 |
+      | end before it              | 28000-28999              | 29000-29352              |
+      | are its last key, twice    | 29352-29352, 29352-29400 | 29000-29351, 29352-29352 |
--- a/features/steps/mesh_rows.py
+++ b/features/steps/mesh_rows.py
@@ -18,6 +18,7 @@
 from knapweedrock.mesh.holds import Holds
 from knapweedrock.mesh.messages import Row
 from knapweedrock.mesh.moves import rebalance, relieve_overloaded
+from knapweedrock.mesh.ownership import split_released
 from knapweedrock.mesh.snapshots import KEY_COUNT
 from knapweedrock.platform.heartbeats import count_fitting, encode_reply
 
@@ -200,3 +201,29 @@
     destinations = Counter(row.next_node for row in context.moved if row.next_node)
     assert destinations, "nothing moves"
     assert AT_LIMIT not in destinations, destinations
+
+
+@given("a row of the keys {start:d} to {end:d}")
+def create_split_row(context, start: int, end: int) -> None:
+    """Create a row that a target owns."""
+    context.row = create_row(start, end, "n0")
+
+
+@when("it is split at releases of the keys {releases}")
+def split_row(context, releases: str) -> None:
+    """Split the row at key ranges that targets have released."""
+    released = tuple((*span, "mark") for span in parse_spans(releases))
+    snapshot = create_snapshot({}, released=released)
+    context.parts = split_released(context.row, snapshot)
+
+
+@then("its parts are {parts}")
+def check_split_parts(context, parts: str) -> None:
+    """Check the keys of the parts."""
+    found = [(part.start, part.end) for part in context.parts]
+    assert found == parse_spans(parts), found
+
+
+def parse_spans(text: str) -> list[tuple[int, int]]:
+    """Parse key ranges such as `0-9, 10-19`."""
+    return [tuple(map(int, span.split("-"))) for span in text.split(", ")]
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -169,14 +169,16 @@
 def split_released(row: Row, snapshot: Snapshot) -> list[Row]:
     """Split a row into the ranges that were released together, with their handovers."""
     parts = []
+    # First key that no part contains yet.
     start = row.start
     for released_start, released_end, handover in sorted(snapshot.released):
-        if released_end < start or released_start > row.end:
+        end = min(released_end, row.end)
+        # Releases may overlap: an earlier one may have covered all of this one.
+        if end < start or released_start > row.end:
             continue
         if released_start > start:
             parts.append(row._replace(start=start, end=released_start - 1, handover=""))
             start = released_start
-        end = min(released_end, row.end)
         parts.append(row._replace(start=start, end=end, handover=handover))
         start = end + 1
     if start <= row.end:
