Count and log the boards that a coordinator sends

Each second in which it sends whole boards it now logs their number, that of changes and the bytes of their tables; counters boards_sent and board_table_bytes_sent show the same.

--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -14,6 +14,7 @@
     create_row,
 )
 from knapweedrock.clock import create_clock
+from knapweedrock.counters import Counters
 from knapweedrock.mesh.boards import BoardHistory, apply_change, diff_boards
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.messages import Board, Publish, Published, Renew, Row
@@ -115,7 +116,7 @@
 
     links = mock.Mock(request=record_push)
     context.publisher = Publisher(
-        "n0", links, mock.Mock(), create_clock(), lambda: True
+        "n0", links, mock.Mock(), create_clock(), Counters(), lambda: True
     )
     rows = [create_row(0, KEY_COUNT - 1, "n1")]
     context.board = Board(1, 1, "n0:1", create_members(2), {"orders": rows})
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -71,7 +71,12 @@
         self._clock = clock
         self._counters = counters
         self._publisher = Publisher(
-            name, node.links, node.config_watcher, clock, lambda: self.term.leading
+            name,
+            node.links,
+            node.config_watcher,
+            clock,
+            counters,
+            lambda: self.term.leading,
         )
         self._term_started_ns = 0
         self._contacts: dict[str, Contact] = {}
@@ -238,6 +243,7 @@
         if now_ns - self._last_push_ns > PUSH_RETRY_MS * NS_PER_MS:
             self._last_push_ns = now_ns
             self._publisher.push_to_unreached()
+            self._publisher.report_sent()
 
     def _plan_service(self, service: str) -> None:
         rows = self.board.tables.get(service)
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -1,11 +1,13 @@
 """Publishing of boards and configurations from the coordinator to the members."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import gevent
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
+from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.boards import BoardHistory
 from knapweedrock.mesh.config_watcher import ConfigWatcher
@@ -35,6 +37,14 @@
 log = Logger("coordinator")
 
 
+class SentBoards(NamedTuple):
+    """Number of whole boards and of changes sent, and the bytes of their tables."""
+
+    whole: int
+    changes: int
+    table_bytes: int
+
+
 class Publisher:
     """Publisher of boards; pushes to each member the changes that it lacks."""
 
@@ -44,8 +54,12 @@
         links: Links,
         config_watcher: ConfigWatcher,
         clock: Clock,
+        counters: Counters,
         is_leading: Callable[[], bool],
     ) -> None:
+        self._counters = counters
+        # Boards and changes sent since the last report, and the bytes of their tables.
+        self._sent = SentBoards(0, 0, 0)
         self._node_id = node_id
         self._links = links
         self._config_watcher = config_watcher
@@ -94,7 +108,15 @@
         # The answer to the renewal carries the change. If the answer is lost, the next
         # renewal still names the old version.
         self._member_versions[request.member.node_id] = self._get_version()
-        return self._history.get_change(*known_version)
+        change = self._history.get_change(*known_version)
+        self._count_sent(change)
+        return change
+
+    def report_sent(self) -> None:
+        """Log what was sent since the last report, if whole boards are among it."""
+        sent, self._sent = self._sent, SentBoards(0, 0, 0)
+        if sent.whole:
+            log.info("boards sent", **sent._asdict())
 
     def sync_configuration(self, request: Renew) -> None:
         """Push the configuration to a node with an older one, else read a newer one."""
@@ -170,6 +192,7 @@
                 gevent.sleep(PUSH_BATCH_DELAY_S)
                 known_version = self._member_versions.get(name, (0, 0))
                 change = self._history.get_change(*known_version)
+                self._count_sent(change)
                 answer = self._links.request(
                     member.peer, Publish(change), PUBLISH_TIMEOUT_MS
                 )
@@ -183,5 +206,17 @@
         finally:
             self._publishing.discard(name)
 
+    def _count_sent(self, change: BoardChange) -> None:
+        is_whole = change.base == 0
+        table_bytes = sum(len(data) for data in change.tables.values())
+        sent = self._sent
+        self._sent = SentBoards(
+            sent.whole + is_whole,
+            sent.changes + (not is_whole),
+            sent.table_bytes + table_bytes,
+        )
+        self._counters.count("boards_sent", size="whole" if is_whole else "change")
+        self._counters.count("board_table_bytes_sent", table_bytes)
+
     def _get_version(self) -> tuple[int, int]:
         return self._board.epoch, self._board.version
