--- a/features/mesh_patterns.feature
+++ b/features/mesh_patterns.feature
@@ -37,3 +37,9 @@
   Scenario: A new configuration reaches all nodes while the store turns the coordinator away
     When a configuration is written while the coordinator gets no response of the store
     Then all nodes have the new configuration within 2000 ms
+
+  # Guards against a coordinator that fills its VM's link with boards, so that neither
+  # leases nor its calls of the store get through (issue 40)
+  Scenario: Keys are served on after an outage of the store beside narrow links
+    When the pattern "store-outage-beside-narrow-links" is run with the seeds 1 to 2
+    Then at least 80 percent as many of the kind "read" as before second 2 are served in time from second 10 to 14
--- a/knapweedrock/emulator/direct_store.py
+++ b/knapweedrock/emulator/direct_store.py
@@ -1,5 +1,6 @@
 """Client of an emulated store in the same process, with delays and outages."""
 
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -17,8 +18,11 @@
     RevisionExpiredError,
     StoredObject,
 )
+from knapweedrock.timers import Timeout
 
 CALL_MS = 4.0
+# Size of a call without a large value.
+CALL_BYTES = 400
 
 
 class DirectStore:
@@ -26,12 +30,17 @@
 
     - `delay_factor` multiplies the time of each call.
     - `silent`: calls get no response.
+
+    `carry` waits until a number of bytes has left the client's VM.
     """
 
-    def __init__(self, objects: ObjectStore) -> None:
+    def __init__(
+        self, objects: ObjectStore, carry: Callable[[int], None] = lambda _size: None
+    ) -> None:
         self.delay_factor = 1.0
         self.silent = False
         self.call_count = 0
+        self._carry = carry
         self._objects = objects
 
     def change_address(self, address: tuple[str, int]) -> None:
@@ -111,10 +120,14 @@
         """Wait for the store's response; raise `PlatformError` if none comes."""
         self.call_count += 1
         delay_s = CALL_MS * self.delay_factor / 1000
-        if self.silent or delay_s > timeout_s:
-            gevent.sleep(timeout_s)
+        try:
+            with Timeout(timeout_s):
+                self._carry(CALL_BYTES)
+                gevent.sleep(timeout_s if self.silent else delay_s)
+        except TimeoutError as error:
+            raise PlatformError(Code.PLATFORM_UNAVAILABLE, "no response") from error
+        if self.silent:
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, "no response")
-        gevent.sleep(delay_s)
 
 
 def create_object(fields: dict[str, Any]) -> StoredObject:
--- a/knapweedrock/model/links.py
+++ b/knapweedrock/model/links.py
@@ -11,6 +11,7 @@
 from knapweedrock.mesh.links import Outage
 from knapweedrock.mesh.messages import Done, Probe
 from knapweedrock.mesh.pacing import Pacer
+from knapweedrock.model.uplinks import Uplink
 from knapweedrock.timers import Timeout
 
 TRANSIT_MS = 1.4
@@ -28,12 +29,15 @@
 class ModelLinks:
     """Links of one node, with the interface of `knapweedrock.mesh.links.Links`."""
 
-    def __init__(self, network: ModelNetwork, peer: str, sender: str) -> None:
+    def __init__(
+        self, network: ModelNetwork, peer: str, sender: str, uplink: Uplink
+    ) -> None:
         self.handlers: dict[type, Handler] = {Probe: lambda _sender, _message: Done()}
         self.pacer = Pacer(0.0, network.clock)
         self._network = network
         self._peer = peer
         self._sender = sender
+        self._uplink = uplink
         self._outages: dict[str, Outage] = {}
         self._running: set[gevent.Greenlet] = set()
 
@@ -82,7 +86,7 @@
             self._outages.setdefault(peer, Outage(now_ns, True))
             raise LinkError(Code.PEER_UNREACHABLE, f"{peer}: connection refused")
         self._outages.pop(peer, None)
-        task = gevent.spawn(other.handle, self._sender, message)
+        task = gevent.spawn(self._exchange, other, message)
         other._running.add(task)
         try:
             with Timeout(max(timeout_ms, 1) / 1000):
@@ -99,6 +103,13 @@
             raise LinkError(answer.code, answer.detail)
         return answer
 
+    def _exchange(self, other: "ModelLinks", message: Any) -> Any:
+        """Carry a request to a peer, let it be handled, and carry the answer back."""
+        self._uplink.carry_message(message)
+        answer = other.handle(self._sender, message)
+        other._uplink.carry_message(answer)
+        return answer
+
     def handle(self, sender: str, message: Any) -> Any:
         """Handle a peer's request and return its answer, or the error it ended with."""
         try:
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -24,6 +24,7 @@
 from knapweedrock.model.outcomes import Outcome, Outcomes
 from knapweedrock.model.patterns import Kind, Pattern, ServiceSpec
 from knapweedrock.model.target import ModelTarget, create_headers
+from knapweedrock.model.uplinks import Uplink
 from knapweedrock.model.virtual_time import VirtualLoop, run_in_virtual_time
 from knapweedrock.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from knapweedrock.platform.headers import SHARD_KEY
@@ -35,6 +36,9 @@
 MAX_HOLD_MS = 10_000
 SHUTDOWN_MS = 6000
 CORES = 0.86
+# Strong VMs have more processor time, and links that are faster by this factor.
+STRONG_CORES = 2.15
+STRONG_LINK_FACTOR = 10.0
 # Time from the start of the nodes until callers begin.
 LEAD_S = 6.0
 # Time after the last request, in which all requests end.
@@ -51,11 +55,12 @@
 
 
 class Vm(NamedTuple):
-    """A VM: the settings of its node, its target and its client of the store."""
+    """A VM: its node's settings, its target, its client of the store, and its link."""
 
     settings: NodeSettings
     target: ModelTarget
     store: DirectStore
+    uplink: Uplink
 
 
 class HotKeys(NamedTuple):
@@ -122,7 +127,7 @@
         vm = self.vms[name]
         process = f"{self._random.getrandbits(48):012x}"
         peer = "{}:{}".format(*vm.settings.peer)
-        links = ModelLinks(self._network, peer, f"{name}/{process}")
+        links = ModelLinks(self._network, peer, f"{name}/{process}", vm.uplink)
         node = Node(vm.settings, self._loop, links, vm.store, process)
         node.gateway.http_client.request = vm.target.request
         links.start()
@@ -167,6 +172,11 @@
         for vm in self.vms.values():
             vm.store.delay_factor = factor
 
+    def set_store_silent(self, silent: bool) -> None:
+        """Let the store answer no call of any VM, or all calls again."""
+        for vm in self.vms.values():
+            vm.store.silent = silent
+
     def set_hot_keys(self, share: float, key_count: int) -> None:
         """Let a share of the requests be for neighbouring keys, anywhere."""
         first_key = self._random.randrange(KEY_COUNT - key_count)
@@ -178,6 +188,8 @@
         target = ModelTarget(spec, zone, index, self._loop, index)
         target.kinds = self._kinds
         target.heartbeat_interval_s = HEARTBEAT_INTERVAL_MS / 1000
+        is_strong = index < self._pattern.strong_vms
+        link_mbps = self._pattern.link_mbps * (STRONG_LINK_FACTOR if is_strong else 1)
         settings = NodeSettings(
             node_id=name,
             zone=zone,
@@ -194,9 +206,12 @@
             shutdown_ms=SHUTDOWN_MS,
             retry_ratio=self._pattern.retry_ratio,
             retry_slack=self._pattern.retry_slack,
-            cores=CORES,
+            cores=STRONG_CORES if is_strong else CORES,
+            link_mbps=link_mbps,
         )
-        self.vms[name] = Vm(settings, target, DirectStore(self._objects))
+        uplink = Uplink(link_mbps, self._loop)
+        store = DirectStore(self._objects, uplink.carry)
+        self.vms[name] = Vm(settings, target, store, uplink)
 
     def _run_callers(self, kind: Kind) -> None:
         """Send the requests of a kind at random times."""
--- a/knapweedrock/model/patterns.py
+++ b/knapweedrock/model/patterns.py
@@ -48,7 +48,11 @@
 
 
 class Pattern(NamedTuple):
-    """A load on some services with its events."""
+    """A load on some services with its events.
+
+    The first `strong_vms` have more processor time and faster links; `link_mbps` of 0
+    means that links have no limit.
+    """
 
     services: tuple[ServiceSpec, ...]
     kinds: tuple[Kind, ...]
@@ -56,6 +60,8 @@
     events: tuple[Event, ...] = ()
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
+    link_mbps: float = 0.0
+    strong_vms: int = 0
 
 
 PATTERNS: dict[str, Callable[[], Pattern]] = {}
@@ -72,6 +78,11 @@
 READ = Kind("read", "search", 120.0, 120.0, 400.0, 1000.0, True, 2)
 ORDER = Kind("order", "booking", 50.0, 100.0, 400.0, 1000.0, False, 1)
 
+# A mesh of which most VMs have narrow links.
+NARROW_LINK_MBPS = 5.0
+MANY_SEARCHES = SEARCHES._replace(target_count=46)
+MANY_BOOKINGS = BOOKINGS._replace(target_count=14)
+
 
 @pattern
 def create_calm() -> Pattern:
@@ -123,6 +134,46 @@
     return Pattern((SEARCHES, BOOKINGS), (READ, ORDER), 9.0, events)
 
 
+@pattern
+def create_store_outage_beside_narrow_links() -> Pattern:
+    """Create a load during which the store is away for almost as long as leases last.
+
+    The VMs of most nodes have narrow links.
+    """
+
+    def silence(mesh: "ModelMesh") -> None:
+        mesh.set_store_silent(True)
+
+    def end(mesh: "ModelMesh") -> None:
+        mesh.set_store_silent(False)
+
+    return Pattern(
+        (MANY_SEARCHES, MANY_BOOKINGS),
+        (READ, ORDER),
+        14.0,
+        (Event(2.0, silence), Event(10.0, end)),
+        link_mbps=NARROW_LINK_MBPS,
+        strong_vms=3,
+    )
+
+
+@pattern
+def create_restart_beside_narrow_links() -> Pattern:
+    """Create a load during which all nodes restart at once beside narrow links."""
+
+    def kill_all(mesh: "ModelMesh") -> None:
+        mesh.restart_nodes(list(mesh.vms), 0.7)
+
+    return Pattern(
+        (MANY_SEARCHES, MANY_BOOKINGS),
+        (READ, ORDER),
+        9.0,
+        (Event(3.0, kill_all),),
+        link_mbps=NARROW_LINK_MBPS,
+        strong_vms=3,
+    )
+
+
 @pattern
 def create_hot_keys() -> Pattern:
     """Create a load of which a third is suddenly for some neighbouring keys."""
