Send boards in turn, and to most members only what has changed

Cause: a new coordinator sent its whole board to all members at once, again with each answer to a renewal, and again each 0.5 s to members that had not answered. Leases and its own calls of the store waited behind them; leases ran out, and it lost its term, as its successor did.

Change: changes may build on a board of a former epoch, and nodes keep their latest boards, so members that have the same as the successor get the difference. A change of more than 8 KiB is never part of an answer with a lease; it is pushed to two members at a time, and the answer says that it follows. Until then the node gets no lease, as it may grant rows by its old board. A member whose version is unknown gets an empty change first, which it answers with its version.

Three scenarios in mesh_ownership failed before (1,423,920 bytes sent to 60 members for one changed row; now under 60,000).

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -110,6 +110,27 @@
     When the member renews its lease with an old board and a change is published
     Then only the change is pushed to the member
 
+  # Guards against a successor that fills its VM's link with whole boards (issue 40)
+  Scenario: A successor sends members that have the former board only what has changed
+    Given 60 members that have the board of a former coordinator
+    When another node publishes its first board, in which one row has changed
+    Then all members have the new board
+    And fewer than 60000 bytes of boards were sent
+
+  # Guards against leases that wait behind boards for other members (issue 40)
+  Scenario: Members that lack the whole board get it a few at a time, apart from leases
+    Given 60 members that have no board
+    When all of them renew their leases at once with the coordinator
+    Then no answer has a board, and each says that the board follows
+    And at most 2 boards are on their way at any time
+    And all members have the new board
+
+  # Guards against whole boards for VMs that may be down (issue 40)
+  Scenario: A member that no push has reached is sent no board before it answers
+    Given 60 members that have the board of a former coordinator
+    When another node publishes its first board, but no member answers for 2 s
+    Then fewer than 60000 bytes of boards were sent
+
   Scenario: Among similarly loaded targets, keys go to the target whose heartbeat is due next
     Given a table of 9 members under even load
     And 200 adjacent keys of one target get 35 concurrent requests
--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -14,15 +14,27 @@
     create_row,
 )
 from knapweedrock.clock import create_clock
+from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
+from knapweedrock.errors import LinkError
 from knapweedrock.mesh.boards import BoardHistory, apply_change, diff_boards
+from knapweedrock.mesh.coordinator import PUSH_RETRY_MS
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.messages import Board, Publish, Published, Renew, Row
 from knapweedrock.mesh.ownership import create_initial_table
-from knapweedrock.mesh.publishing import PUSH_BATCH_DELAY_S, Publisher
+from knapweedrock.mesh.publishing import (
+    LARGE_CHANGE_BYTES,
+    PUSH_BATCH_DELAY_S,
+    MissingChange,
+    Publisher,
+)
 from knapweedrock.mesh.snapshots import KEY_COUNT
 from knapweedrock.mesh.tables import decode_rows
 
+# Time of a push on its way, in the tests of turns.
+PUSH_MS = 20.0
+MAX_PUSHES_S = 5.0
+
 
 @when("random boards are published as changes, and some pushes are lost")
 def publish_boards(context) -> None:
@@ -130,7 +142,7 @@
     """Answer the renewal of a restarted node, and publish a change at the same time."""
     member = context.board.members["n1"]
     renew = Renew(member, 0, 0, 0, 0, [], [], [], 0)
-    assert context.publisher.get_missing_change(renew).base == 0
+    assert context.publisher.get_missing_change(renew).change.base == 0
     rows = [create_row(0, KEY_COUNT - 1, "n1", 2)]
     context.publisher.publish(
         context.board._replace(version=2, tables={"orders": rows})
@@ -142,3 +154,134 @@
 def check_pushed_change(context) -> None:
     """Check that the push builds on the board that the lease renewal returned."""
     assert [push.change.base for push in context.pushed] == [1], context.pushed
+
+
+class BoardReceivers:
+    """Members that apply pushes, each of which takes some time on the way."""
+
+    def __init__(self, boards: dict[str, Board]) -> None:
+        self.boards = boards
+        self.answering = True
+        self.sent_bytes = 0
+        self.max_large_pushes = 0
+        self._large_pushes = 0
+
+    def request(self, peer: str, message: Publish, timeout_ms: float) -> Published:
+        """Apply a push to the member with a peer address; raise without an answer."""
+        change = message.change
+        size = len(encode_frame(Frame(1, False, message)))
+        self.sent_bytes += size
+        is_large = size > LARGE_CHANGE_BYTES
+        self._large_pushes += is_large
+        self.max_large_pushes = max(self.max_large_pushes, self._large_pushes)
+        gevent.sleep(PUSH_MS / 1000)
+        self._large_pushes -= is_large
+        if not self.answering:
+            gevent.sleep(timeout_ms / 1000)
+            raise LinkError(Code.PEER_LOST, "no answer within the timeout")
+        name = next(n for n, m in self.members.items() if m.peer == peer)
+        board = apply_change(self.boards[name], change)
+        self.boards[name] = board or self.boards[name]
+        return Published(self.boards[name].epoch, self.boards[name].version)
+
+
+def create_receivers(context, count: int, board: Board) -> None:
+    """Create members that have a board, and the publisher of a new coordinator."""
+    context.members = create_members(count)
+    rows = create_initial_table(list(context.members.values()))
+    context.rows = [row._replace(handover=f"{row.start:032x}") for row in rows]
+    context.receivers = BoardReceivers(dict.fromkeys(context.members, board))
+    context.receivers.members = context.members
+    context.publisher = Publisher(
+        "leader",
+        context.receivers,
+        mock.Mock(),
+        create_clock(),
+        Counters(),
+        lambda: True,
+    )
+    context.new_board = Board(
+        2, 1, "n0:1", context.members, {"orders": mark_row(context.rows)}
+    )
+
+
+def mark_row(rows: list[Row]) -> list[Row]:
+    """Return the rows, of which one has another token."""
+    return [rows[0]._replace(token=rows[0].token + 1), *rows[1:]]
+
+
+@given("{count:d} members that have the board of a former coordinator")
+def create_members_with_board(context, count: int) -> None:
+    """Create members that have a whole board."""
+    create_receivers(context, count, Board(0, 0, "", {}, {}))
+    context.former = Board(1, 7, "n1:1", context.members, {"orders": context.rows})
+    context.receivers.boards = dict.fromkeys(context.members, context.former)
+
+
+@given("{count:d} members that have no board")
+def create_members_without_board(context, count: int) -> None:
+    """Create members whose nodes have just started."""
+    create_receivers(context, count, Board(0, 0, "", {}, {}))
+    context.publisher.start_term(context.new_board._replace(members={}))
+    context.publisher.publish(context.new_board._replace(version=2))
+    context.new_board = context.new_board._replace(version=2)
+
+
+@when("another node publishes its first board, in which one row has changed")
+def publish_first_board(context) -> None:
+    """Start the term of a successor that had the same board as the members."""
+    context.publisher.start_term(context.new_board, [context.former])
+    gevent.sleep(PUSH_MS * 10 / 1000)
+
+
+@when("another node publishes its first board, but no member answers for {wait_s:d} s")
+def publish_unanswered(context, wait_s: int) -> None:
+    """Start a term in which no push is answered, and push again at intervals."""
+    context.receivers.answering = False
+    context.publisher.start_term(context.new_board, [context.former])
+    for _ in range(wait_s * 1000 // PUSH_RETRY_MS):
+        gevent.sleep(PUSH_RETRY_MS / 1000)
+        context.publisher.push_to_unreached()
+
+
+@when("all of them renew their leases at once with the coordinator")
+def renew_all(context) -> None:
+    """Answer the renewals of all members, twice in short succession."""
+    context.missing = []
+    for _ in range(2):
+        for member in context.members.values():
+            renew = Renew(member, 0, 0, 0, 0, [], [], [], 0)
+            context.missing.append(context.publisher.get_missing_change(renew))
+        gevent.sleep(PUSH_MS / 1000)
+
+
+@then("no answer has a board, and each says that the board follows")
+def check_board_follows(context) -> None:
+    """Check what the answers to renewals have."""
+    assert all(missing == MissingChange(None, True) for missing in context.missing)
+
+
+@then("at most {count:d} boards are on their way at any time")
+def check_large_pushes(context, count: int) -> None:
+    """Wait until all members have the board, and check the pushes meanwhile."""
+    version = (context.new_board.epoch, context.new_board.version)
+    with gevent.Timeout(MAX_PUSHES_S):
+        while any(
+            (board.epoch, board.version) != version
+            for board in context.receivers.boards.values()
+        ):
+            gevent.sleep(PUSH_MS / 1000)
+    assert context.receivers.max_large_pushes <= count, context.receivers
+
+
+@then("all members have the new board")
+def check_new_board(context) -> None:
+    """Compare the boards of all members with that of the coordinator."""
+    for board in context.receivers.boards.values():
+        assert board == context.new_board
+
+
+@then("fewer than {size:d} bytes of boards were sent")
+def check_sent_bytes(context, size: int) -> None:
+    """Check the bytes of all pushes together."""
+    assert context.receivers.sent_bytes < size, context.receivers.sent_bytes
--- a/knapweedrock/mesh/boards.py
+++ b/knapweedrock/mesh/boards.py
@@ -2,18 +2,24 @@
 
 from bisect import bisect_left, bisect_right
 from collections import deque
+from collections.abc import Iterable
 
 from knapweedrock.mesh.messages import Board, BoardChange, Row
 from knapweedrock.mesh.tables import decode_rows, encode_rows
 
 MAX_BOARDS = 64
+# Approximate size of a member in a change.
+MEMBER_BYTES = 150
 
 
 class BoardHistory:
-    """The latest boards of a coordinator, from which it computes changes."""
+    """The latest boards of a coordinator, from which it computes changes.
 
-    def __init__(self, board: Board) -> None:
-        self._boards: deque[Board] = deque([board], maxlen=MAX_BOARDS)
+    `former` are boards of former coordinators, which members may still have.
+    """
+
+    def __init__(self, board: Board, former: Iterable[Board] = ()) -> None:
+        self._boards: deque[Board] = deque([*former, board], maxlen=MAX_BOARDS)
         # Changes that lead to the latest board, by the epoch and version that they
         # build on. Most members have the same version, so they share one change.
         self._changes: dict[tuple[int, int], BoardChange] = {}
@@ -28,17 +34,19 @@
 
         A version that is not in the history gets a change with the whole board.
         """
-        change = self._changes.get((epoch, version))
+        base = self._find(epoch, version)
+        key = (base.epoch, base.version)
+        change = self._changes.get(key)
         if change is None:
-            change = self._changes[epoch, version] = self._diff(epoch, version)
+            change = self._changes[key] = diff_boards(base, self._boards[-1])
         return change
 
-    def _diff(self, epoch: int, version: int) -> BoardChange:
-        newest = self._boards[-1]
+    def _find(self, epoch: int, version: int) -> Board:
+        """Return the board with a version, or an empty one if it is not here."""
         for board in self._boards:
             if (board.epoch, board.version) == (epoch, version):
-                return diff_boards(board, newest)
-        return diff_boards(Board(newest.epoch, 0, "", {}, {}), newest)
+                return board
+        return Board(self._boards[-1].epoch, 0, "", {}, {})
 
 
 def diff_boards(old: Board, new: Board) -> BoardChange:
@@ -56,10 +64,23 @@
         if changed:
             tables[service] = encode_rows(changed)
     return BoardChange(
-        new.epoch, old.version, new.version, new.coordinator, members, removed, tables
+        new.epoch,
+        old.version,
+        new.version,
+        new.coordinator,
+        members,
+        removed,
+        tables,
+        old.epoch,
     )
 
 
+def estimate_size(change: BoardChange) -> int:
+    """Return the approximate size of a change on a link, in bytes."""
+    table_bytes = sum(len(data) for data in change.tables.values())
+    return table_bytes + MEMBER_BYTES * len(change.members)
+
+
 def apply_change(board: Board, change: BoardChange) -> Board | None:
     """Return the changed board, or None if the change builds on another version.
 
@@ -67,7 +88,10 @@
     """
     if change.base == 0:
         board = Board(change.epoch, 0, "", {}, {})
-    elif (board.epoch, board.version) != (change.epoch, change.base):
+    elif (board.epoch, board.version) != (
+        change.base_epoch or change.epoch,
+        change.base,
+    ):
         return None
     members = {
         n: m for n, m in board.members.items() if n not in change.removed_members
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -118,7 +118,6 @@
         now_ns = self._clock.now_ns()
         name = request.member.node_id
         member = restore_known_target(request.member, self.board.members.get(name))
-        lease_ms = self._grant_lease(name, now_ns)
         self._loads[name] = request.loads
         self._heartbeat_at_ms[name] = now_ns / NS_PER_MS - request.heartbeat_age_ms
         rows = self.board.tables.get(member.service, [])
@@ -127,14 +126,19 @@
             self._log_member(member)
             self._publish_change(members={**self.board.members, name: member})
         self._publisher.sync_configuration(request)
+        missing = self._publisher.get_missing_change(request)
+        # The node may grant rows by its old board: no lease before it has the change.
+        lease_ms = 0 if missing.follows else self._compute_lease_ms(name)
+        self._record_lease(name, lease_ms, now_ns)
         term = self.term
         return Renewed(
             term.epoch,
             lease_ms,
             self.board.coordinator,
-            self._publisher.get_missing_change(request),
+            missing.change,
             term.get_revision(),
             term.get_remaining_ms(),
+            missing.follows,
         )
 
     def get_silence_ms(self, node_id: str) -> float:
@@ -159,22 +163,23 @@
             except PlatformError as error:
                 log.warning("table not written", reason=error.detail)
 
-    def _grant_lease(self, name: str, now_ns: int) -> int:
-        """Record contact with a node and return the length of its lease in ms."""
-        contact = self._contacts.get(name, Contact(0, 0))
-        max_lease_ms = self.term.get_max_lease_ms()
-        lease_ms = compute_lease_ms(self._node.settings.heartbeat_interval_ms)
-        if self.term.is_store_unavailable():
-            # No key can move during a store outage, so leases last through it.
-            lease_ms = max_lease_ms
+    def _compute_lease_ms(self, name: str) -> int:
+        """Return the length in ms of the lease that a node may get now."""
         if not self.term.may_lease(name):
             # The store lists the node as lost, so a successor may reassign its keys
             # without waiting for a lease.
-            lease_ms = 0
+            return 0
+        if self.term.is_store_unavailable():
+            # No key can move during a store outage, so leases last through it.
+            return self.term.get_max_lease_ms()
+        return compute_lease_ms(self._node.settings.heartbeat_interval_ms)
+
+    def _record_lease(self, name: str, lease_ms: int, now_ns: int) -> None:
+        """Record contact with a node and the lease that it gets."""
+        contact = self._contacts.get(name, Contact(0, 0))
         until_ns = max(contact.lease_until_ns, now_ns + lease_ms * NS_PER_MS)
         self._contacts[name] = Contact(now_ns, until_ns)
         self._max_lease_until_ns = max(self._max_lease_until_ns, until_ns)
-        return lease_ms
 
     def _begin_term(self, leader_record: StoredObject | None) -> None:
         now_ns = self._clock.now_ns()
@@ -194,10 +199,11 @@
         epoch = self.term.epoch
         self.board = Board(epoch, 1, self._node.peer, dict(known), tables)
         log.info("elected", epoch=epoch, members=len(known))
+        former_boards = list(self._node.recent_boards)
         self._node.accept_board(self.board)
         spawn_supervised(partial(self.term.run, epoch))
         spawn_supervised(partial(self.run_planning, epoch))
-        self._publisher.start_term(self.board)
+        self._publisher.start_term(self.board, former_boards)
 
     def _list_services(self) -> list[str]:
         configuration = self._node.configuration
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -94,6 +94,8 @@
         self._term_revision = 0
         self._term_end_ns = 0
         self._renewed_at_ns = node.clock.now_ns()
+        # True if the coordinator grants a lease only once it has pushed its board.
+        self._awaits_board = False
         # Earliest time of a claim if no node has ever coordinated.
         self._first_claim_ns = 0
 
@@ -187,7 +189,8 @@
         if answer.term_ms <= 0:
             # The coordinator cannot reach the store, but other nodes may.
             self._find_coordinator("the coordinator's term has expired")
-        return answer.lease_ms > 0
+        self._awaits_board = answer.change_follows
+        return answer.lease_ms > 0 or answer.change_follows
 
     def _record_term(self, answer: Renewed) -> None:
         """Record when the coordinator's term ends unless it is renewed."""
@@ -268,8 +271,10 @@
     def handle_publish(self, _sender: str, message: Publish) -> Published:
         """Apply a board change that the coordinator pushes, and confirm the version."""
         if message.change.epoch >= self._node.board.epoch:
-            self._coordinator_peer = ""
+            self._coordinator_peer = message.change.coordinator
         self._apply_change(message.change)
+        if self._awaits_board:
+            self._renewal_requested.set()
         return Published(self._node.board.epoch, self._node.board.version)
 
     def _apply_change(self, change: BoardChange) -> None:
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -158,9 +158,10 @@
 
 
 class BoardChange(NamedTuple):
-    """Difference of a board to the board of the same epoch with the version `base`.
+    """Difference of a board to the board with the version `base`.
 
-    With a `base` of 0 it contains the whole board. `removed_members` lists node ids.
+    `base_epoch` is the epoch of that board; 0 stands for the same epoch. With a `base`
+    of 0 the change contains the whole board. `removed_members` lists node ids.
     `tables` contains rows as encoded by `tables.encode_rows`; each replaces the rows
     that it overlaps.
     """
@@ -172,6 +173,7 @@
     members: list[Member]
     removed_members: list[str]
     tables: dict[str, bytes]
+    base_epoch: int = 0
 
 
 @register_message(50)
@@ -261,7 +263,8 @@
 class Renewed(NamedTuple):
     """Lease of a node, which starts at the time when the node sent `Renew`.
 
-    `change` is None if the node has the newest board. A `lease_ms` of 0 grants no
+    `change` is None if the node has the newest board, or if `change_follows`: it is
+    pushed later, and the node gets no lease until then. A `lease_ms` of 0 grants no
     lease. `coordinator` is the peer address of the coordinator that the answering node
     knows. `lock_revision` is the revision of the leader record in the store, and
     `term_ms` is the remaining time of the coordinator's term.
@@ -273,6 +276,7 @@
     change: BoardChange | None
     lock_revision: int
     term_ms: float
+    change_follows: bool = False
 
 
 @register_message(54)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -1,6 +1,7 @@
 """A node of the mesh: its components, its tasks, its start and its shutdown."""
 
 import uuid
+from collections import deque
 
 import gevent
 from logbook import Logger
@@ -51,6 +52,7 @@
 from knapweedrock.platform.store import Store
 
 PROBE_INTERVAL_S = 0.3
+MAX_RECENT_BOARDS = 16
 # A target whose zone is taken out of service still serves its keys for this time, while
 # they move to other targets.
 ZONE_EVACUATION_MS = 3000
@@ -90,6 +92,8 @@
         self.request_log = RequestLog(clock, self.counters)
         self.closing = False
         self.board = Board(0, 0, "", {}, {})
+        # Boards that the node had, of which other members may have one still.
+        self.recent_boards: deque[Board] = deque(maxlen=MAX_RECENT_BOARDS)
         self.clock = clock
         admission = Admission(clock)
         admission.is_known = False
@@ -189,6 +193,7 @@
         if (board.epoch, board.version) <= (self.board.epoch, self.board.version):
             return
         self.board = board
+        self.recent_boards.append(board)
         self.coordinator.term.end_if_superseded(board.epoch)
         own_member = board.members.get(self.settings.node_id)
         if own_member is not None and self.target.restore(own_member):
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -1,15 +1,16 @@
 """Publishing of boards and configurations from the coordinator to the members."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import gevent
+from gevent.lock import BoundedSemaphore
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.mesh.boards import BoardHistory
+from knapweedrock.mesh.boards import BoardHistory, diff_boards, estimate_size
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.links import Links
 from knapweedrock.mesh.messages import (
@@ -18,6 +19,7 @@
     Member,
     Publish,
     PublishConfiguration,
+    Published,
     ReadConfiguration,
     Renew,
 )
@@ -33,6 +35,11 @@
 STORE_READ_S = 0.2
 # Changes within this time are pushed to a member in one message.
 PUSH_BATCH_DELAY_S = 0.015
+# Changes above this size are pushed to a few members at a time, and never with a lease.
+# Sent to all members at once they would fill this VM's link, and leases and calls of
+# the store would wait behind them.
+LARGE_CHANGE_BYTES = 8192
+MAX_LARGE_PUSHES = 2
 
 log = Logger("coordinator")
 
@@ -45,6 +52,13 @@
     table_bytes: int
 
 
+class MissingChange(NamedTuple):
+    """Change that a member lacks; None if it lacks none, or if it follows later."""
+
+    change: BoardChange | None
+    follows: bool = False
+
+
 class Publisher:
     """Publisher of boards; pushes to each member the changes that it lacks."""
 
@@ -75,11 +89,19 @@
         self._is_fetching = False
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
+        self._large_pushes = BoundedSemaphore(MAX_LARGE_PUSHES)
+
+    def start_term(self, board: Board, former: Iterable[Board] = ()) -> None:
+        """Publish the first board of a term; `former` are boards of earlier terms.
 
-    def start_term(self, board: Board) -> None:
-        """Publish the first board of a term."""
-        self._history = BoardHistory(board)
+        Most members have the latest of them, so they are sent what changed since.
+        """
+        former = list(former)
+        self._history = BoardHistory(board, former)
         self._member_versions = {}
+        if former:
+            latest_version = (former[-1].epoch, former[-1].version)
+            self._member_versions = dict.fromkeys(board.members, latest_version)
         self._board = board
         self._push_all()
 
@@ -99,18 +121,25 @@
             if name not in self._member_versions:
                 self._start_push(name, member)
 
-    def get_missing_change(self, request: Renew) -> BoardChange | None:
-        """Return the board change that a renewing member lacks, or None."""
+    def get_missing_change(self, request: Renew) -> MissingChange:
+        """Return the board change that a renewing member lacks.
+
+        A large change is not returned but pushed when its turn comes.
+        """
+        name = request.member.node_id
         known_version = (request.epoch, request.version)
-        self._member_versions[request.member.node_id] = known_version
+        self._member_versions[name] = known_version
         if self._get_version() <= known_version:
-            return None
+            return MissingChange(None)
+        change = self._history.get_change(*known_version)
+        if estimate_size(change) > LARGE_CHANGE_BYTES:
+            self._start_push(name, request.member)
+            return MissingChange(None, follows=True)
         # The answer to the renewal carries the change. If the answer is lost, the next
         # renewal still names the old version.
-        self._member_versions[request.member.node_id] = self._get_version()
-        change = self._history.get_change(*known_version)
+        self._member_versions[name] = self._get_version()
         self._count_sent(change)
-        return change
+        return MissingChange(change)
 
     def report_sent(self) -> None:
         """Log what was sent since the last report, if whole boards are among it."""
@@ -190,12 +219,11 @@
                 and self._member_versions.get(name) != self._get_version()
             ):
                 gevent.sleep(PUSH_BATCH_DELAY_S)
-                known_version = self._member_versions.get(name, (0, 0))
-                change = self._history.get_change(*known_version)
-                self._count_sent(change)
-                answer = self._links.request(
-                    member.peer, Publish(change), PUBLISH_TIMEOUT_MS
-                )
+                if estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES:
+                    with self._large_pushes:
+                        answer = self._push_change(name, member)
+                else:
+                    answer = self._push_change(name, member)
                 self._member_versions[name] = (answer.epoch, answer.version)
                 if answer.epoch > self._board.epoch:
                     return
@@ -206,6 +234,22 @@
         finally:
             self._publishing.discard(name)
 
+    def _push_change(self, name: str, member: Member) -> Published:
+        change = self._get_change_for(name)
+        self._count_sent(change)
+        return self._links.request(member.peer, Publish(change), PUBLISH_TIMEOUT_MS)
+
+    def _get_change_for(self, name: str) -> BoardChange:
+        """Return the change to push to a member.
+
+        A member whose version is unknown may be down, so it gets an empty change first,
+        which it answers with its version.
+        """
+        known_version = self._member_versions.get(name)
+        if known_version is None:
+            return diff_boards(self._board, self._board)
+        return self._history.get_change(*known_version)
+
     def _count_sent(self, change: BoardChange) -> None:
         is_whole = change.base == 0
         table_bytes = sum(len(data) for data in change.tables.values())
