Refuse requests that arrive late at a stopping node and may outlast it

Cause: where requests enter, a stopping node did not look at the time that it has left. A request of which a part had come before the listener closed was passed on, and ended with 504 at the node's end while its target was at work.

Change: once the listener is closed, a request whose deadline lies after the node's own end is refused as not run; one that ends in time is served.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -97,6 +97,19 @@
     When a node stops within 1 s while its request waits at another node
     Then the request is answered with status 504 before the node has ended
 
+  # Guards against requests that are accepted late in the grace time of a stopping node,
+  # and are cut off at its end while their targets are at work (issue 40)
+  Scenario Outline: A request that is complete only after a node has closed its listener is <result>
+    Given a mesh of 2 keyed targets whose work takes 400 ms
+    When the rest of a request with 6000 ms arrives 300 ms after the listener of a node that ends in <end> ms is closed
+    Then the request is answered with status <status> before the node has ended
+    And <runs> of the targets ran it
+
+    Examples:
+      | result                             | end  | status | runs |
+      | refused if it may outlast the node | 600  | 503    | 0    |
+      | served if it ends in time          | 9000 | 200    | 1    |
+
   # Guards against answers that are lost because their node ends before they are sent
   Scenario: A stopping node sends the answers that are queued for its network link
     Given a mesh in which the VM of a target without keys has a network link of 2 Mbit/s
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -459,6 +459,40 @@
     context.end = gevent.spawn(end_process, node)
 
 
+@when(
+    "the rest of a request with {deadline_ms:d} ms arrives {late_ms:d} ms after the"
+    " listener of a node that ends in {end_ms:d} ms is closed"
+)
+def send_late_rest(context, deadline_ms: int, late_ms: int, end_ms: int) -> None:
+    """Send most of a request to a node, stop it, and send the rest."""
+    mesh = context.mesh
+    node = mesh.nodes.pop("node-0")
+    shutdown_ms = end_ms + KILL_MARGIN_MS
+    node.settings = node.settings._replace(shutdown_ms=shutdown_ms)
+    key = next(key for key in SAMPLED_KEYS if mesh.find_owner(key) is mesh.places[1])
+    data, context.attempt_id = mesh.encode_call(
+        "/order/1", key, "POST", b"body", deadline_ms
+    )
+    context.connection = mesh.open_connection("node-0")
+    context.connection.send(data[:-2], TIMEOUT_S)
+    gevent.sleep(LATE_PART_DELAY_S)
+    context.end = gevent.spawn(end_process, node)
+    gevent.sleep(late_ms / 1000)
+    context.connection.send(data[-2:], TIMEOUT_S)
+
+
+@then("{count:d} of the targets ran it")
+def check_runs(context, count: int) -> None:
+    """Count the executions of the request at all targets."""
+    runs = [
+        run
+        for place in context.mesh.places
+        for run in place.holder.runs
+        if run.attempt_id == context.attempt_id
+    ]
+    assert len(runs) == count, runs
+
+
 @then("the request is answered with status {status:d} before the node has ended")
 def check_last_answer(context, status: int) -> None:
     """Check the status of the answer, and that the node has ended."""
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -80,6 +80,8 @@
         get_limits: Callable[[], Limits],
     ) -> None:
         self.closing = False
+        # True once the listener and idle connections are closed.
+        self.stopped = False
         self.in_flight = 0
         self._handler = handler
         self._get_limits = get_limits
@@ -103,6 +105,7 @@
         Connections that callers have already opened are accepted first.
         """
         gevent.sleep(ACCEPT_WAIT_S)
+        self.stopped = True
         self._server.close()
         for sock in list(self._idle_sockets):
             if not has_unread_bytes(sock):
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -155,6 +155,10 @@
         out_ms = (self.clock.now_ns() - self._zone_out_since_ns) / NS_PER_MS
         return out_ms > ZONE_EVACUATION_MS
 
+    def is_too_late(self, deadline_ns: int) -> bool:
+        """Return whether a request that arrives now may outlast this stopping node."""
+        return self.callers.stopped and deadline_ns > self.gateway.shutdown_deadline_ns
+
     def start(self) -> None:
         """Open the listeners and start the tasks."""
         self.links.start()
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -138,6 +138,8 @@
             routed = self._request_factory.create(configuration, route, request)
         except KnapweedrockError as error:
             return create_refusal(error.code, 0)
+        if self._node.is_too_late(routed.deadline_ns):
+            return create_refusal(Code.LEAVING, RESTART_RETRY_MS)
         start_ns = self._clock.now_ns()
         progress = self._create_progress(routed)
         result = self._execute(routed, progress)
