Let a coordinator without a board ask one member for it

Change: at the first renewal that names a board it doesn't know, it reads that board from the member (message 59, ReadBoard), and sends others with that version what has changed.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -125,6 +125,14 @@
     And at most 2 boards are on their way at any time
     And all members have the new board
 
+  # Guards against a restarted coordinator, which knows no former board, that sends whole
+  # boards to members whose boards differ by one row (issue 40)
+  Scenario: A coordinator that has just started asks one member for the board that most have
+    Given 60 members that have the board of a former coordinator
+    When a node without a board publishes its first board, and all members renew their leases
+    Then all members have the new board
+    And fewer than 100000 bytes of boards were sent
+
   # Guards against whole boards for VMs that may be down (issue 40)
   Scenario: A member that no push has reached is sent no board before it answers
     Given 60 members that have the board of a former coordinator
--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -17,10 +17,15 @@
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import LinkError
-from knapweedrock.mesh.boards import BoardHistory, apply_change, diff_boards
+from knapweedrock.mesh.boards import (
+    BoardHistory,
+    apply_change,
+    create_whole_change,
+    diff_boards,
+)
 from knapweedrock.mesh.coordinator import PUSH_RETRY_MS
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
-from knapweedrock.mesh.messages import Board, Publish, Published, Renew, Row
+from knapweedrock.mesh.messages import Board, Publish, Published, ReadBoard, Renew, Row
 from knapweedrock.mesh.ownership import create_initial_table
 from knapweedrock.mesh.publishing import (
     LARGE_CHANGE_BYTES,
@@ -168,6 +173,9 @@
 
     def request(self, peer: str, message: Publish, timeout_ms: float) -> Published:
         """Apply a push to the member with a peer address; raise without an answer."""
+        name = next(n for n, m in self.members.items() if m.peer == peer)
+        if isinstance(message, ReadBoard):
+            return Publish(create_whole_change(self.boards[name]))
         change = message.change
         size = len(encode_frame(Frame(1, False, message)))
         self.sent_bytes += size
@@ -179,7 +187,6 @@
         if not self.answering:
             gevent.sleep(timeout_ms / 1000)
             raise LinkError(Code.PEER_LOST, "no answer within the timeout")
-        name = next(n for n, m in self.members.items() if m.peer == peer)
         board = apply_change(self.boards[name], change)
         self.boards[name] = board or self.boards[name]
         return Published(self.boards[name].epoch, self.boards[name].version)
@@ -234,6 +241,24 @@
     gevent.sleep(PUSH_MS * 10 / 1000)
 
 
+@when(
+    "a node without a board publishes its first board, and all members renew their"
+    " leases"
+)
+def publish_without_board(context) -> None:
+    """Start the term of a restarted node, and answer renewals until all are current."""
+    context.publisher.start_term(context.new_board._replace(members={}))
+    context.publisher.publish(context.new_board._replace(version=2))
+    context.new_board = context.new_board._replace(version=2)
+    for member in context.members.values():
+        board = context.receivers.boards[member.node_id]
+        renew = Renew(member, board.epoch, board.version, 0, 0, [], [], [], 0)
+        context.publisher.get_missing_change(renew)
+    with gevent.Timeout(MAX_PUSHES_S):
+        while any(b.epoch < 2 for b in context.receivers.boards.values()):
+            gevent.sleep(PUSH_MS / 1000)
+
+
 @when("another node publishes its first board, but no member answers for {wait_s:d} s")
 def publish_unanswered(context, wait_s: int) -> None:
     """Start a term in which no push is answered, and push again at intervals."""
--- a/knapweedrock/mesh/boards.py
+++ b/knapweedrock/mesh/boards.py
@@ -19,7 +19,8 @@
     """
 
     def __init__(self, board: Board, former: Iterable[Board] = ()) -> None:
-        self._boards: deque[Board] = deque([*former, board], maxlen=MAX_BOARDS)
+        self._former = {(board.epoch, board.version): board for board in former}
+        self._boards: deque[Board] = deque([board], maxlen=MAX_BOARDS)
         # Changes that lead to the latest board, by the epoch and version that they
         # build on. Most members have the same version, so they share one change.
         self._changes: dict[tuple[int, int], BoardChange] = {}
@@ -29,6 +30,14 @@
         self._boards.append(board)
         self._changes.clear()
 
+    def add_former(self, board: Board) -> None:
+        """Add a board of a former coordinator."""
+        self._former[board.epoch, board.version] = board
+
+    def has(self, epoch: int, version: int) -> bool:
+        """Return whether the history has the board with a version."""
+        return self._find(epoch, version).version > 0
+
     def get_change(self, epoch: int, version: int) -> BoardChange:
         """Return the change from a version to the latest board.
 
@@ -46,9 +55,17 @@
         for board in self._boards:
             if (board.epoch, board.version) == (epoch, version):
                 return board
+        former = self._former.get((epoch, version))
+        if former is not None:
+            return former
         return Board(self._boards[-1].epoch, 0, "", {}, {})
 
 
+def create_whole_change(board: Board) -> BoardChange:
+    """Create the change that contains a whole board."""
+    return diff_boards(Board(board.epoch, 0, "", {}, {}), board)
+
+
 def diff_boards(old: Board, new: Board) -> BoardChange:
     """Compute the change that turns an older board into a newer one."""
     members = [
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -318,3 +318,8 @@
 @register_message(58)
 class ReadConfiguration(NamedTuple):
     """Request for the configuration that a node has; answered like a push of it."""
+
+
+@register_message(59)
+class ReadBoard(NamedTuple):
+    """Request for the whole board that a node has; answered like a push of it."""
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -11,6 +11,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.admission import Admission
+from knapweedrock.mesh.boards import create_whole_change
 from knapweedrock.mesh.callers import CallerServer
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.coordinator import Coordinator
@@ -35,6 +36,7 @@
     Member,
     Publish,
     PublishConfiguration,
+    ReadBoard,
     ReadConfiguration,
     Renew,
     Row,
@@ -133,6 +135,7 @@
                 Publish: self.membership.handle_publish,
                 PublishConfiguration: self._handle_configuration,
                 ReadConfiguration: self._answer_configuration,
+                ReadBoard: self._answer_board,
                 Renew: lambda _sender, message: self.coordinator.renew(message),
                 CrashReport: self._handle_crash_report,
             }
@@ -315,6 +318,9 @@
             raise RefusalError(Code.CONFIG_STALE)
         return push
 
+    def _answer_board(self, _sender: str, _message: ReadBoard) -> Publish:
+        return Publish(create_whole_change(self.board))
+
     def _handle_forward(self, sender: str, message: Forward) -> Forwarded:
         return self.gateway.deliver(self.transit.deduct_delay(sender, message), sender)
 
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -10,7 +10,12 @@
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.mesh.boards import BoardHistory, diff_boards, estimate_size
+from knapweedrock.mesh.boards import (
+    BoardHistory,
+    apply_change,
+    diff_boards,
+    estimate_size,
+)
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.links import Links
 from knapweedrock.mesh.messages import (
@@ -20,6 +25,7 @@
     Publish,
     PublishConfiguration,
     Published,
+    ReadBoard,
     ReadConfiguration,
     Renew,
 )
@@ -90,6 +96,9 @@
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
         self._large_pushes = BoundedSemaphore(MAX_LARGE_PUSHES)
+        # Versions of boards that members were asked for, and the running request.
+        self._fetched_versions: set[tuple[int, int]] = set()
+        self._board_fetch: gevent.Greenlet | None = None
 
     def start_term(self, board: Board, former: Iterable[Board] = ()) -> None:
         """Publish the first board of a term; `former` are boards of earlier terms.
@@ -99,6 +108,7 @@
         former = list(former)
         self._history = BoardHistory(board, former)
         self._member_versions = {}
+        self._fetched_versions.clear()
         if former:
             latest_version = (former[-1].epoch, former[-1].version)
             self._member_versions = dict.fromkeys(board.members, latest_version)
@@ -133,6 +143,8 @@
             return MissingChange(None)
         change = self._history.get_change(*known_version)
         if estimate_size(change) > LARGE_CHANGE_BYTES:
+            if not self._history.has(*known_version):
+                self._start_fetch_board(request)
             self._start_push(name, request.member)
             return MissingChange(None, follows=True)
         # The answer to the renewal carries the change. If the answer is lost, the next
@@ -202,6 +214,37 @@
         log.info("configuration fetched", about=member.node_id, version=message.version)
         self._config_watcher.handle_push(message)
 
+    def _start_fetch_board(self, request: Renew) -> None:
+        """Fetch a board that this node never had from a member, once for each version.
+
+        A coordinator that has just started has no former board, and would send the
+        whole board to every member, most of which have the same.
+        """
+        version = (request.epoch, request.version)
+        is_first = version not in self._fetched_versions
+        if not request.version or not is_first or self._board_fetch is not None:
+            return
+        self._fetched_versions.add(version)
+        self._board_fetch = gevent.spawn(self._fetch_board, request.member)
+
+    def _fetch_board(self, member: Member) -> None:
+        try:
+            answer = self._links.request(member.peer, ReadBoard(), PUBLISH_TIMEOUT_MS)
+            board = apply_change(Board(0, 0, "", {}, {}), answer.change)
+        except KnapweedrockError as error:
+            reason = error.detail
+            log.info("board not fetched", about=member.node_id, reason=reason)
+            return
+        finally:
+            self._board_fetch = None
+        if board is not None:
+            log.info("board fetched", about=member.node_id, version=board.version)
+            self._history.add_former(board)
+
+    def _wait_for_fetch(self) -> None:
+        if self._board_fetch is not None:
+            self._board_fetch.join()
+
     def _push_all(self) -> None:
         for name, member in self._board.members.items():
             self._start_push(name, member)
@@ -219,6 +262,8 @@
                 and self._member_versions.get(name) != self._get_version()
             ):
                 gevent.sleep(PUSH_BATCH_DELAY_S)
+                if estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES:
+                    self._wait_for_fetch()
                 if estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES:
                     with self._large_pushes:
                         answer = self._push_change(name, member)
