Give other tasks turns while the responses of many slots are parsed

Here memory is bounded: 18 requests at once that get endless bytes allocate less than 100 MB. But other tasks waited 554 and 642 ms for the event loop, 250 allowed: each connection parses up to 64 KiB in its turn, and bytes with many small parts take about 30 ms. Now they are parsed in pieces of 2 KiB, with a turn for others after each millisecond.

--- a/features/mesh_endless.feature
+++ b/features/mesh_endless.feature
@@ -26,6 +26,22 @@
       | a slow body           |
       | another protocol      |
 
+  # Guards against a VM that runs out of memory because all slots of a faulty target send
+  # without end at the same time, in a head or in a body (issue 40)
+  Scenario Outline: A request in each of 18 slots of a target that sends <bytes> without end
+    Given a sender of <bytes> without end
+    When 18 requests with a timeout of 600 ms are sent to that sender at the same time
+    Then all of them fail as possibly executed, at most 2500 ms after their timeout
+    And at most 100 MB were allocated meanwhile
+    And other tasks waited at most 250 ms for the event loop
+
+    Examples:
+      | bytes                 |
+      | a body without length |
+      | chunks of one byte    |
+      | headers               |
+      | another protocol      |
+
   # Guards against a limit that cuts off what a healthy target sends.
   Scenario Outline: The complete answer is returned if a server sends <answer> in time
     Given a server that sends <answer>
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -134,6 +134,39 @@
         send_request(context, timeout_ms)
 
 
+@when(
+    "{count:d} requests with a timeout of {timeout_ms:d} ms are sent to that sender at"
+    " the same time"
+)
+def send_many(context, count: int, timeout_ms: int) -> None:
+    """Send requests over connections of one client, and keep their errors."""
+    context.timeout_s = timeout_ms / 1000
+    client = HttpClient(context.address, create_clock(), Counters())
+    context.errors = []
+
+    def send(number: int) -> None:
+        try:
+            client.request(
+                "GET", "/x", [("host", "t")], b"", f"a{number}", context.timeout_s
+            )
+        except BrokenExchangeError as error:
+            context.errors.append(error)
+
+    with measure(context):
+        gevent.joinall([gevent.spawn(send, number) for number in range(count)])
+    context.request_count = count
+
+
+@then("all of them fail as possibly executed, at most {ms:d} ms after their timeout")
+def check_all_failed(context, ms: int) -> None:
+    """Check the number of errors, their codes and the time that they took."""
+    codes = {error.code for error in context.errors}
+    assert len(context.errors) == context.request_count, context.errors
+    assert codes <= {Code.ANSWER_LOST, Code.ANSWER_TRUNCATED}, codes
+    elapsed_s = context.measures.elapsed_s
+    assert elapsed_s <= context.timeout_s + ms / 1000, elapsed_s
+
+
 @when("a request with a timeout of {timeout_ms:d} ms is sent to that server")
 def send_to_target(context, timeout_ms: int) -> None:
     """Send a request to a server whose answer ends."""
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -4,10 +4,11 @@
 from contextlib import suppress
 from typing import NamedTuple
 
+import gevent
 import httptools
 from gevent import socket
 
-from knapweedrock.clock import create_clock
+from knapweedrock.clock import NS_PER_MS, create_clock
 from knapweedrock.mesh.sent_attempts import SentAttempts
 from knapweedrock.sockets import (
     disable_nagle,
@@ -22,6 +23,10 @@
 # Size of the final read at a timeout, since more may have arrived than fits into one
 # normal read.
 FINAL_RECEIVE_BYTES = 1 << 20
+# Received bytes are parsed in pieces of this size, without a turn for other tasks until
+# the given time has passed.
+PARSE_BYTES = 2048
+MAX_PARSE_NS = NS_PER_MS
 MIN_TIMEOUT_S = 0.001
 FIRST_FINAL_STATUS = 200
 # A header's colon and the CRLF at the end of its line.
@@ -372,14 +377,20 @@
 def feed_parser(parser: ResponseParser, data: bytes) -> None:
     """Parse received bytes, which are empty at the end of the connection.
 
+    Bytes with many small parts are slow to parse, so other tasks get turns meanwhile.
     Raises `MalformedMessageError`, and `ConnectionError` at an end without a response.
     """
-    if data:
-        parser.feed(data)
+    if not data:
+        parser.finish()
+        if not parser.responses:
+            raise ConnectionError("the connection was closed before the response")
         return
-    parser.finish()
-    if not parser.responses:
-        raise ConnectionError("the connection was closed before the response")
+    start_ns = read_now_ns()
+    for offset in range(0, len(data), PARSE_BYTES):
+        if read_now_ns() - start_ns > MAX_PARSE_NS:
+            gevent.sleep(0)
+            start_ns = read_now_ns()
+        parser.feed(data[offset : offset + PARSE_BYTES])
 
 
 def dial(address: tuple[str, int], timeout_s: float) -> Connection:
