--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -13,7 +13,6 @@
     create_members,
     create_row,
 )
-from knapweedrock.clock import create_clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import LinkError
@@ -132,9 +131,7 @@
         return Published(message.change.epoch, message.change.version)
 
     links = mock.Mock(request=record_push)
-    context.publisher = Publisher(
-        "n0", links, mock.Mock(), create_clock(), Counters(), lambda: True
-    )
+    context.publisher = Publisher("n0", links, Counters(), lambda: True)
     rows = [create_row(0, KEY_COUNT - 1, "n1")]
     context.board = Board(1, 1, "n0:1", create_members(2), {"orders": rows})
     context.publisher.start_term(context.board)
@@ -199,14 +196,7 @@
     context.rows = [row._replace(handover=f"{row.start:032x}") for row in rows]
     context.receivers = BoardReceivers(dict.fromkeys(context.members, board))
     context.receivers.members = context.members
-    context.publisher = Publisher(
-        "leader",
-        context.receivers,
-        mock.Mock(),
-        create_clock(),
-        Counters(),
-        lambda: True,
-    )
+    context.publisher = Publisher("leader", context.receivers, Counters(), lambda: True)
     context.new_board = Board(
         2, 1, "n0:1", context.members, {"orders": mark_row(context.rows)}
     )
--- a/features/steps/mesh_cuts.py
+++ b/features/steps/mesh_cuts.py
@@ -32,7 +32,7 @@
 # Responses that precede the one that is cut, and are taken out first.
 EARLIER_COUNTS = {"a 200 after a copy of an earlier one": 1}
 HEAD_END = b"\r\n\r\n"
-# Only every so many bytes are tried in a mesh.
+# Only every so many bytes are sent in a mesh.
 CUT_STEP = 6
 DEADLINE_MS = 700
 # Enough for a retry of each request, so that the budget does not decide.
--- a/features/steps/mesh_endless.py
+++ b/features/steps/mesh_endless.py
@@ -17,7 +17,8 @@
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.gateway import PROBE_TIMEOUT_S
 from knapweedrock.mesh.http_client import BrokenExchangeError, HttpClient
-from knapweedrock.platform.store import Listing, Store, StoredObject
+from knapweedrock.platform.store import Store
+from knapweedrock.platform.stored_objects import Listing, StoredObject
 
 MB = 1_000_000
 PIECE_INTERVAL_S = 0.1
--- a/knapweedrock/emulator/direct_store.py
+++ b/knapweedrock/emulator/direct_store.py
@@ -11,11 +11,13 @@
 from knapweedrock.platform.store import (
     CALL_TIMEOUT_S,
     LIST_TIMEOUT_S,
+    ConflictError,
+    RevisionExpiredError,
+)
+from knapweedrock.platform.stored_objects import (
     Change,
     ChangeBatch,
-    ConflictError,
     Listing,
-    RevisionExpiredError,
     StoredObject,
 )
 from knapweedrock.timers import Timeout
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -19,13 +19,8 @@
     EVACUATION_KIND,
     decode_configuration,
 )
-from knapweedrock.platform.store import (
-    Change,
-    Listing,
-    RevisionExpiredError,
-    Store,
-    StoredObject,
-)
+from knapweedrock.platform.store import RevisionExpiredError, Store
+from knapweedrock.platform.stored_objects import Change, Listing, StoredObject
 
 # A watch can stop delivering changes without an error, so it is renewed this often.
 WATCH_TIMEOUT_S = 6.0
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -13,6 +13,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import LinkError, PlatformError
 from knapweedrock.mesh import ownership
+from knapweedrock.mesh.config_publishing import ConfigurationPublisher
 from knapweedrock.mesh.leader_records import read_leader_record
 from knapweedrock.mesh.messages import Board, Member, Renew, Renewed, Row
 from knapweedrock.mesh.moves import list_started_moves
@@ -22,7 +23,8 @@
 from knapweedrock.mesh.snapshots import Snapshot, list_eligible_members
 from knapweedrock.mesh.tasks import spawn_supervised
 from knapweedrock.mesh.terms import MAX_OUTAGE_MS, TERM_MS, Term
-from knapweedrock.platform.store import Store, StoredObject
+from knapweedrock.platform.store import Store
+from knapweedrock.platform.stored_objects import StoredObject
 
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
@@ -71,12 +73,10 @@
         self._clock = clock
         self._counters = counters
         self._publisher = Publisher(
-            name,
-            node.links,
-            node.config_watcher,
-            clock,
-            counters,
-            lambda: self.term.leading,
+            name, node.links, counters, lambda: self.term.leading
+        )
+        self._configuration_publisher = ConfigurationPublisher(
+            node.links, node.config_watcher, clock
         )
         self._term_started_ns = 0
         self._contacts: dict[str, Contact] = {}
@@ -125,7 +125,7 @@
         if self.board.members.get(name) != member:
             self._log_member(member)
             self._publish_change(members={**self.board.members, name: member})
-        self._publisher.sync_configuration(request)
+        self._configuration_publisher.sync(request)
         missing = self._publisher.get_missing_change(request)
         # The node may grant rows by its old board: no lease before it has the change.
         lease_ms = 0 if missing.follows else self._compute_lease_ms(name)
--- a/knapweedrock/mesh/leader_records.py
+++ b/knapweedrock/mesh/leader_records.py
@@ -6,7 +6,7 @@
 from logbook import Logger
 
 from knapweedrock.documents import Count
-from knapweedrock.platform.store import StoredObject
+from knapweedrock.platform.stored_objects import StoredObject
 
 MAX_NAME_CHARACTERS = 1000
 
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -31,7 +31,7 @@
 from knapweedrock.mesh.row_loads import compute_row_loads
 from knapweedrock.mesh.terms import LEADER_NAME, TERM_MS
 from knapweedrock.platform.documents import LEADER_KIND
-from knapweedrock.platform.store import StoredObject
+from knapweedrock.platform.stored_objects import StoredObject
 
 if TYPE_CHECKING:
     from knapweedrock.mesh.node import Node
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -1,4 +1,4 @@
-"""Publishing of boards and configurations from the coordinator to the members."""
+"""Publishing of boards from the coordinator to the members."""
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -7,7 +7,6 @@
 from gevent.lock import BoundedSemaphore
 from logbook import Logger
 
-from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError
 from knapweedrock.mesh.boards import (
@@ -16,29 +15,18 @@
     diff_boards,
     estimate_size,
 )
-from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.links import Links
 from knapweedrock.mesh.messages import (
     Board,
     BoardChange,
     Member,
     Publish,
-    PublishConfiguration,
     Published,
     ReadBoard,
-    ReadConfiguration,
     Renew,
 )
 
 PUBLISH_TIMEOUT_MS = 500
-# If a member already has a configuration, a newer one above this size is announced by
-# its version alone. If the member has not read the document from the store within the
-# grace time, the coordinator pushes the document.
-LARGE_CONFIGURATION_BYTES = 8192
-STORE_READ_GRACE_MS = 700
-# Time after which the coordinator asks a member for a configuration that it could not
-# read from the store.
-STORE_READ_S = 0.2
 # Changes within this time are pushed to a member in one message.
 PUSH_BATCH_DELAY_S = 0.015
 # Changes above this size are pushed to a few members at a time, and never with a lease.
@@ -72,33 +60,25 @@
         self,
         node_id: str,
         links: Links,
-        config_watcher: ConfigWatcher,
-        clock: Clock,
         counters: Counters,
         is_leading: Callable[[], bool],
     ) -> None:
-        self._counters = counters
-        # Boards and changes sent since the last report, and the bytes of their tables.
-        self._sent = SentBoards(0, 0, 0)
         self._node_id = node_id
         self._links = links
-        self._config_watcher = config_watcher
-        self._clock = clock
-        # Time at which each member was first found to have an older configuration.
-        self._outdated_since_ns: dict[str, int] = {}
+        self._counters = counters
         self._is_leading = is_leading
         self._board = Board(0, 0, "", {}, {})
         self._history = BoardHistory(self._board)
         # Epoch and version of the board that each member is known to have.
         self._member_versions: dict[str, tuple[int, int]] = {}
-        # Many members may have a newer configuration, and a document may be large.
-        self._is_fetching = False
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
         self._large_pushes = BoundedSemaphore(MAX_LARGE_PUSHES)
         # Versions of boards that members were asked for, and the running request.
         self._fetched_versions: set[tuple[int, int]] = set()
         self._board_fetch: gevent.Greenlet | None = None
+        # What was sent since the last report.
+        self._sent = SentBoards(0, 0, 0)
 
     def start_term(self, board: Board, former: Iterable[Board] = ()) -> None:
         """Publish the first board of a term; `former` are boards of earlier terms.
@@ -159,61 +139,6 @@
         if sent.whole:
             log.info("boards sent", **sent._asdict())
 
-    def sync_configuration(self, request: Renew) -> None:
-        """Push the configuration to a node with an older one, else read a newer one."""
-        versions = (request.config_version, request.zones_revision)
-        self._config_watcher.refresh_if_newer(*versions)
-        if self._config_watcher.is_older(*versions):
-            gevent.spawn_later(STORE_READ_S, self._fetch_configuration, request)
-        name, now_ns = request.member.node_id, self._clock.now_ns()
-        message = self._config_watcher.create_push(*versions)
-        if message is None:
-            self._outdated_since_ns.pop(name, None)
-            return
-        outdated_since_ns = self._outdated_since_ns.setdefault(name, now_ns)
-        is_within_grace = now_ns - outdated_since_ns < STORE_READ_GRACE_MS * NS_PER_MS
-        if (
-            len(message.document) > LARGE_CONFIGURATION_BYTES
-            and request.config_version
-            and is_within_grace
-        ):
-            # The member reads the store itself, since a large document for every
-            # member would fill this VM's link.
-            message = message._replace(document=b"")
-        else:
-            del self._outdated_since_ns[name]
-        gevent.spawn(self._push_configuration, request.member, message)
-
-    def _push_configuration(
-        self, member: Member, message: PublishConfiguration
-    ) -> None:
-        try:
-            self._links.request(member.peer, message, PUBLISH_TIMEOUT_MS)
-            log.info("configuration pushed", about=member.node_id)
-        except KnapweedrockError as error:
-            reason = error.detail
-            log.info("configuration not pushed", about=member.node_id, reason=reason)
-
-    def _fetch_configuration(self, request: Renew) -> None:
-        """Fetch a newer configuration from a member if the store did not give it."""
-        versions = (request.config_version, request.zones_revision)
-        if self._is_fetching or not self._config_watcher.is_older(*versions):
-            return
-        member = request.member
-        self._is_fetching = True
-        try:
-            message = self._links.request(
-                member.peer, ReadConfiguration(), PUBLISH_TIMEOUT_MS
-            )
-        except KnapweedrockError as error:
-            reason = error.detail
-            log.info("configuration not fetched", about=member.node_id, reason=reason)
-            return
-        finally:
-            self._is_fetching = False
-        log.info("configuration fetched", about=member.node_id, version=message.version)
-        self._config_watcher.handle_push(message)
-
     def _start_fetch_board(self, request: Renew) -> None:
         """Fetch a board that this node never had from a member, once for each version.
 
--- a/knapweedrock/mesh/tables.py
+++ b/knapweedrock/mesh/tables.py
@@ -11,7 +11,7 @@
 from knapweedrock.json_input import InputError
 from knapweedrock.mesh.messages import Row
 from knapweedrock.mesh.snapshots import KEY_COUNT
-from knapweedrock.platform.store import StoredObject
+from knapweedrock.platform.stored_objects import StoredObject
 
 # The end of an empty row lies below its start, so both may lie just outside the keys.
 KeyBound = Annotated[int, msgspec.Meta(ge=-1, le=KEY_COUNT)]
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -25,7 +25,8 @@
     encode_stored_table,
 )
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
-from knapweedrock.platform.store import ConflictError, Store, StoredObject
+from knapweedrock.platform.store import ConflictError, Store
+from knapweedrock.platform.stored_objects import StoredObject
 
 LEADER_NAME = "coordinator"
 # Time for which a renewal keeps the term valid.
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's store, which keeps objects by kind, name and revision."""
 
-from typing import Annotated, Any, NamedTuple
+from typing import Any
 from urllib.parse import quote
 
 import gevent
@@ -12,12 +12,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.documents import Count
 from knapweedrock.errors import PlatformError
-from knapweedrock.json_input import (
-    InputError,
-    decode_json,
-    read_elements,
-    read_members,
-)
+from knapweedrock.json_input import InputError, read_members
 from knapweedrock.mesh.http import (
     JSON_HEADERS,
     Connection,
@@ -27,6 +22,19 @@
     dial,
     encode_request,
 )
+from knapweedrock.platform.stored_objects import (
+    Change,
+    ChangeBatch,
+    Listing,
+    StoredObject,
+    decode_body,
+    decode_current,
+    decode_elements,
+    decode_member,
+    decode_object,
+    decode_specification,
+    get_body,
+)
 
 CALL_TIMEOUT_S = 1.0
 # On a slow link a page of 1 MB takes longer than CALL_TIMEOUT_S, but its bytes keep
@@ -45,46 +53,6 @@
 log = Logger("store")
 
 
-class StoredObject(NamedTuple):
-    """An object's name, its value and the revision of its last change.
-
-    `error` says why the value is not readable; the value is then None.
-    """
-
-    name: str
-    revision: int
-    value: Any
-    error: str = ""
-
-
-class ObjectMetadata(msgspec.Struct):
-    """Metadata that the store gives each object."""
-
-    name: Annotated[str, msgspec.Meta(min_length=1)]
-    revision: Count
-
-
-class Listing(NamedTuple):
-    """All objects of a kind at one revision of the store."""
-
-    items: list[StoredObject]
-    revision: int
-
-
-class Change(NamedTuple):
-    """An object that was created, replaced or removed."""
-
-    item: StoredObject
-    removed: bool
-
-
-class ChangeBatch(NamedTuple):
-    """Changes up to a revision of the store."""
-
-    changes: list[Change]
-    revision: int
-
-
 class ConflictError(PlatformError):
     """A write whose precondition failed; `current` is the stored object, if any."""
 
@@ -346,80 +314,3 @@
 def quote_segment(text: str) -> str:
     """Quote text for use in a path or a query."""
     return quote(text, safe="")
-
-
-def get_body(response: Response) -> bytes:
-    """Return the body of a successful response; raise `PlatformError`."""
-    if response.status >= 300:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"status {response.status}")
-    return response.body
-
-
-def decode_body(response: Response) -> dict[str, bytes]:
-    """Return the undecoded members of a successful response's body.
-
-    Raises `PlatformError`.
-    """
-    try:
-        return read_members(get_body(response))
-    except InputError as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
-
-
-def decode_member(
-    members: dict[str, bytes], name: str, kind: Any, default: Any = None
-) -> Any:
-    """Decode a member of an object; raise `PlatformError`.
-
-    A member with a default other than None may be missing.
-    """
-    if name not in members and default is not None:
-        return default
-    try:
-        return decode_json(members.get(name, b""), kind)
-    except InputError as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{name}: {error}") from error
-
-
-def decode_elements(members: dict[str, bytes], name: str) -> list[bytes]:
-    """Return the undecoded elements of an array, which may be missing or null.
-
-    Raises `PlatformError`.
-    """
-    data = members.get(name, b"null")
-    if data == b"null":
-        return []
-    try:
-        return read_elements(data)
-    except InputError as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{name}: {error}") from error
-
-
-def decode_object(data: bytes) -> StoredObject:
-    """Decode an object; raise `PlatformError` if its metadata is not readable."""
-    try:
-        members = read_members(data)
-    except InputError as error:
-        raise PlatformError(Code.PLATFORM_BAD_ANSWER, str(error)) from error
-    metadata = decode_member(members, "metadata", ObjectMetadata)
-    if "specification" not in members:
-        error = "no specification"
-        return StoredObject(metadata.name, metadata.revision, None, error)
-    try:
-        value = decode_json(members["specification"])
-    except InputError as error:
-        return StoredObject(metadata.name, metadata.revision, None, str(error))
-    return StoredObject(metadata.name, metadata.revision, value)
-
-
-def decode_specification(data: bytes) -> Any:
-    """Return the value in the body of a write, as the store returns it."""
-    return msgspec.json.decode(data)["specification"]
-
-
-def decode_current(response: Response) -> StoredObject | None:
-    """Decode the stored object from a conflict response, or return None."""
-    try:
-        return decode_object(response.body)
-    except PlatformError:
-        return None
