--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -286,7 +286,9 @@
             for board in context.receivers.boards.values()
         ):
             gevent.sleep(PUSH_MS / 1000)
-    assert context.receivers.max_large_pushes <= count, context.receivers
+    assert context.receivers.max_large_pushes <= count, (
+        context.receivers.max_large_pushes
+    )
 
 
 @then("all members have the new board")
