--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -118,13 +118,26 @@
     And fewer than 60000 bytes of boards were sent
 
   # Guards against leases that wait behind boards for other members (issue 40)
-  Scenario: Members that lack the whole board get it a few at a time, apart from leases
-    Given 60 members that have no board
+  Scenario Outline: Members that lack the whole board get it some at a time, apart from leases
+    Given 60 members that have no board, and a coordinator whose link has <mbps> Mbit/s
     When all of them renew their leases at once with the coordinator
     Then no answer has a board, and each says that the board follows
-    And at most 2 boards are on their way at any time
+    And at most <boards> boards are on their way at any time
     And all members have the new board
 
+    Examples:
+      | mbps | boards |
+      | 5    | 2      |
+      | 20   | 7      |
+      | 200  | 60     |
+
+  # Guards against a member without a lease because only its own requests get through,
+  # but no push of its coordinator (issue 40)
+  Scenario: A member that pushes do not reach gets the whole board with its lease
+    Given 60 members that have no board, and a coordinator whose link has 20 Mbit/s
+    When one of them renews its lease twice, 1 s apart, and pushes do not reach it
+    Then the second answer has the whole board
+
   # Guards against a restarted coordinator, which knows no former board, that sends whole
   # boards to members whose boards differ by one row (issue 40)
   Scenario: A coordinator that has just started asks one member for the board that most have
--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -37,7 +37,7 @@
 
 # Time of a push on its way, in the tests of turns.
 PUSH_MS = 20.0
-MAX_PUSHES_S = 5.0
+MAX_PUSHES_S = 30.0
 
 
 @when("random boards are published as changes, and some pushes are lost")
@@ -189,14 +189,16 @@
         return Published(self.boards[name].epoch, self.boards[name].version)
 
 
-def create_receivers(context, count: int, board: Board) -> None:
+def create_receivers(context, count: int, board: Board, link_mbps: float = 5.0) -> None:
     """Create members that have a board, and the publisher of a new coordinator."""
     context.members = create_members(count)
     rows = create_initial_table(list(context.members.values()))
     context.rows = [row._replace(handover=f"{row.start:032x}") for row in rows]
     context.receivers = BoardReceivers(dict.fromkeys(context.members, board))
     context.receivers.members = context.members
-    context.publisher = Publisher("leader", context.receivers, Counters(), lambda: True)
+    context.publisher = Publisher(
+        "leader", context.receivers, Counters(), lambda: True, link_mbps
+    )
     context.new_board = Board(
         2, 1, "n0:1", context.members, {"orders": mark_row(context.rows)}
     )
@@ -207,6 +209,15 @@
     return [rows[0]._replace(token=rows[0].token + 1), *rows[1:]]
 
 
+def wait_for_pushes(context) -> None:
+    """Wait until all members have the version of the new board."""
+    version = (context.new_board.epoch, context.new_board.version)
+    boards = context.receivers.boards
+    with gevent.Timeout(MAX_PUSHES_S, False):
+        while any((b.epoch, b.version) != version for b in boards.values()):
+            gevent.sleep(PUSH_MS / 1000)
+
+
 @given("{count:d} members that have the board of a former coordinator")
 def create_members_with_board(context, count: int) -> None:
     """Create members that have a whole board."""
@@ -215,10 +226,13 @@
     context.receivers.boards = dict.fromkeys(context.members, context.former)
 
 
-@given("{count:d} members that have no board")
-def create_members_without_board(context, count: int) -> None:
+@given(
+    "{count:d} members that have no board, and a coordinator whose link has {mbps:d}"
+    " Mbit/s"
+)
+def create_members_without_board(context, count: int, mbps: int) -> None:
     """Create members whose nodes have just started."""
-    create_receivers(context, count, Board(0, 0, "", {}, {}))
+    create_receivers(context, count, Board(0, 0, "", {}, {}), mbps)
     context.publisher.start_term(context.new_board._replace(members={}))
     context.publisher.publish(context.new_board._replace(version=2))
     context.new_board = context.new_board._replace(version=2)
@@ -228,7 +242,7 @@
 def publish_first_board(context) -> None:
     """Start the term of a successor that had the same board as the members."""
     context.publisher.start_term(context.new_board, [context.former])
-    gevent.sleep(PUSH_MS * 10 / 1000)
+    wait_for_pushes(context)
 
 
 @when(
@@ -244,9 +258,7 @@
         board = context.receivers.boards[member.node_id]
         renew = Renew(member, board.epoch, board.version, 0, 0, [], [], [], 0)
         context.publisher.get_missing_change(renew)
-    with gevent.Timeout(MAX_PUSHES_S):
-        while any(b.epoch < 2 for b in context.receivers.boards.values()):
-            gevent.sleep(PUSH_MS / 1000)
+    wait_for_pushes(context)
 
 
 @when("another node publishes its first board, but no member answers for {wait_s:d} s")
@@ -270,6 +282,25 @@
         gevent.sleep(PUSH_MS / 1000)
 
 
+@when(
+    "one of them renews its lease twice, {wait_s:d} s apart, and pushes do not reach it"
+)
+def renew_unreached(context, wait_s: int) -> None:
+    """Answer two renewals of a member beside pushes that fail."""
+    context.receivers.answering = False
+    renew = Renew(context.members["n1"], 0, 0, 0, 0, [], [], [], 0)
+    assert context.publisher.get_missing_change(renew).follows
+    gevent.sleep(wait_s)
+    context.missing = context.publisher.get_missing_change(renew)
+
+
+@then("the second answer has the whole board")
+def check_whole_board(context) -> None:
+    """Apply the change of the answer to an empty board."""
+    board = apply_change(Board(0, 0, "", {}, {}), context.missing.change)
+    assert board == context.new_board
+
+
 @then("no answer has a board, and each says that the board follows")
 def check_board_follows(context) -> None:
     """Check what the answers to renewals have."""
@@ -279,13 +310,7 @@
 @then("at most {count:d} boards are on their way at any time")
 def check_large_pushes(context, count: int) -> None:
     """Wait until all members have the board, and check the pushes meanwhile."""
-    version = (context.new_board.epoch, context.new_board.version)
-    with gevent.Timeout(MAX_PUSHES_S):
-        while any(
-            (board.epoch, board.version) != version
-            for board in context.receivers.boards.values()
-        ):
-            gevent.sleep(PUSH_MS / 1000)
+    wait_for_pushes(context)
     assert context.receivers.max_large_pushes <= count, (
         context.receivers.max_large_pushes
     )
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -73,7 +73,11 @@
         self._clock = clock
         self._counters = counters
         self._publisher = Publisher(
-            name, node.links, counters, lambda: self.term.leading
+            name,
+            node.links,
+            counters,
+            lambda: self.term.leading,
+            node.settings.link_mbps,
         )
         self._configuration_publisher = ConfigurationPublisher(
             node.links, node.config_watcher, clock
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -190,6 +190,7 @@
         self._node.holds.extend_lease(sent_ns, answer.lease_ms)
         if answer.change is not None:
             self._apply_change(answer.change)
+        self._awaits_board = answer.change_follows
         for waiter in waiters:
             waiter.set()
         if answer.term_ms <= 0:
@@ -197,7 +198,6 @@
             self._find_coordinator(
                 "the coordinator's term has expired", is_answering=True
             )
-        self._awaits_board = answer.change_follows
         return answer.lease_ms > 0 or answer.change_follows
 
     def _record_term(self, answer: Renewed) -> None:
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -1,6 +1,7 @@
 """Publishing of boards from the coordinator to the members."""
 
 from collections.abc import Callable, Iterable
+from contextlib import nullcontext
 from typing import NamedTuple
 
 import gevent
@@ -25,15 +26,20 @@
     ReadBoard,
     Renew,
 )
+from knapweedrock.mesh.pacing import BYTES_PER_MS_PER_MBPS
 
 PUBLISH_TIMEOUT_MS = 500
 # Changes within this time are pushed to a member in one message.
 PUSH_BATCH_DELAY_S = 0.015
-# Changes above this size are pushed to a few members at a time, and never with a lease.
+# Changes above this size are pushed to some members at a time, and never with a lease.
 # Sent to all members at once they would fill this VM's link, and leases and calls of
 # the store would wait behind them.
 LARGE_CHANGE_BYTES = 8192
-MAX_LARGE_PUSHES = 2
+# The changes on their way at the same time occupy the link for about this time, if they
+# have the typical size of a whole board.
+MAX_QUEUED_MS = 100.0
+TYPICAL_BOARD_BYTES = 32 << 10
+MIN_LARGE_PUSHES = 2
 
 log = Logger("coordinator")
 
@@ -62,7 +68,9 @@
         links: Links,
         counters: Counters,
         is_leading: Callable[[], bool],
+        link_mbps: float = 0.0,
     ) -> None:
+        """Create a publisher on a VM whose link has `link_mbps`, 0 if unknown."""
         self._node_id = node_id
         self._links = links
         self._counters = counters
@@ -73,7 +81,9 @@
         self._member_versions: dict[str, tuple[int, int]] = {}
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
-        self._large_pushes = BoundedSemaphore(MAX_LARGE_PUSHES)
+        # Members that the last push did not reach.
+        self._unreached: set[str] = set()
+        self._large_pushes = BoundedSemaphore(compute_large_pushes(link_mbps))
         # Versions of boards that members were asked for, and the running request.
         self._fetched_versions: set[tuple[int, int]] = set()
         self._board_fetch: gevent.Greenlet | None = None
@@ -88,6 +98,7 @@
         former = list(former)
         self._history = BoardHistory(board, former)
         self._member_versions = {}
+        self._unreached.clear()
         self._fetched_versions.clear()
         if former:
             latest_version = (former[-1].epoch, former[-1].version)
@@ -114,7 +125,8 @@
     def get_missing_change(self, request: Renew) -> MissingChange:
         """Return the board change that a renewing member lacks.
 
-        A large change is not returned but pushed when its turn comes.
+        A large change is not returned but pushed when its turn comes, unless the last
+        push did not reach the member.
         """
         name = request.member.node_id
         known_version = (request.epoch, request.version)
@@ -122,9 +134,10 @@
         if self._get_version() <= known_version:
             return MissingChange(None)
         change = self._history.get_change(*known_version)
-        if estimate_size(change) > LARGE_CHANGE_BYTES:
+        is_large = estimate_size(change) > LARGE_CHANGE_BYTES
+        if is_large and name not in self._unreached:
             if not self._history.has(*known_version):
-                self._start_fetch_board(request)
+                self._start_board_fetch(request)
             self._start_push(name, request.member)
             return MissingChange(None, follows=True)
         # The answer to the renewal carries the change. If the answer is lost, the next
@@ -139,7 +152,7 @@
         if sent.whole:
             log.info("boards sent", **sent._asdict())
 
-    def _start_fetch_board(self, request: Renew) -> None:
+    def _start_board_fetch(self, request: Renew) -> None:
         """Fetch a board that this node never had from a member, once for each version.
 
         A coordinator that has just started has no former board, and would send the
@@ -187,23 +200,30 @@
                 and self._member_versions.get(name) != self._get_version()
             ):
                 gevent.sleep(PUSH_BATCH_DELAY_S)
-                if estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES:
-                    self._wait_for_fetch()
-                if estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES:
-                    with self._large_pushes:
-                        answer = self._push_change(name, member)
-                else:
-                    answer = self._push_change(name, member)
+                answer = self._push_in_turn(name, member)
                 self._member_versions[name] = (answer.epoch, answer.version)
+                self._unreached.discard(name)
                 if answer.epoch > self._board.epoch:
                     return
         except KnapweedrockError as error:
             # The member gets the board with its next lease renewal.
             self._member_versions.pop(name, None)
+            self._unreached.add(name)
             log.debug("board not pushed", about=name, reason=error.detail)
         finally:
             self._publishing.discard(name)
 
+    def _push_in_turn(self, name: str, member: Member) -> Published:
+        """Push the change that a member lacks; a large one waits for its turn."""
+        if self._is_large_for(name):
+            self._wait_for_fetch()
+        turn = self._large_pushes if self._is_large_for(name) else nullcontext()
+        with turn:
+            return self._push_change(name, member)
+
+    def _is_large_for(self, name: str) -> bool:
+        return estimate_size(self._get_change_for(name)) > LARGE_CHANGE_BYTES
+
     def _push_change(self, name: str, member: Member) -> Published:
         change = self._get_change_for(name)
         self._count_sent(change)
@@ -234,3 +254,9 @@
 
     def _get_version(self) -> tuple[int, int]:
         return self._board.epoch, self._board.version
+
+
+def compute_large_pushes(link_mbps: float) -> int:
+    """Compute to how many members large changes are pushed at the same time."""
+    queued_bytes = link_mbps * BYTES_PER_MS_PER_MBPS * MAX_QUEUED_MS
+    return max(MIN_LARGE_PUSHES, int(queued_bytes / TYPICAL_BOARD_BYTES))
