--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -36,6 +36,7 @@
     Publish,
     PublishConfiguration,
     Published,
+    ReadBoard,
     ReadConfiguration,
     Renew,
     Renewed,
@@ -142,6 +143,7 @@
         Published(3, 1),
         PublishConfiguration(2, b"{}", ["zone-a"], 5),
         CrashReport(["a", "b"]),
+        ReadBoard(),
         ReadConfiguration(),
     ]
 
