Send boards in turn also to members that were down while pushes failed

The new scenario of mesh_ownership failed before and passes now; that of a member which pushes don't reach still passes.

At most 8 boards of former coordinators are fetched and kept in a term; nothing bounded them. A request refused late at a stopping node counts in the metric of requests.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -131,6 +131,16 @@
       | 20   | 7      |
       | 200  | 60     |
 
+  # Guards against whole boards for all members at once when those that were down come back
+  # (issue 40)
+  Scenario: Members that were down when pushes failed get their boards in turn as well
+    Given 60 members that have no board, and a coordinator whose link has 20 Mbit/s
+    When pushes to all of them have failed for 1 s
+    And all of them renew their leases at once with the coordinator
+    Then no answer has a board, and each says that the board follows
+    And at most 7 boards are on their way at any time
+    And all members have the new board
+
   # Guards against a member without a lease because only its own requests get through,
   # but no push of its coordinator (issue 40)
   Scenario: A member that pushes do not reach gets the whole board with its lease
--- a/features/steps/mesh_boards.py
+++ b/features/steps/mesh_boards.py
@@ -282,6 +282,14 @@
         gevent.sleep(PUSH_MS / 1000)
 
 
+@when("pushes to all of them have failed for {wait_s:d} s")
+def fail_pushes(context, wait_s: int) -> None:
+    """Let pushes fail for some time, as while the members are down."""
+    context.receivers.answering = False
+    gevent.sleep(wait_s)
+    context.receivers.answering = True
+
+
 @when(
     "one of them renews its lease twice, {wait_s:d} s apart, and pushes do not reach it"
 )
--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -40,6 +40,8 @@
 MAX_QUEUED_MS = 100.0
 TYPICAL_BOARD_BYTES = 32 << 10
 MIN_LARGE_PUSHES = 2
+# Boards of former coordinators that are fetched in a term, each of which is kept.
+MAX_FETCHED_BOARDS = 8
 
 log = Logger("coordinator")
 
@@ -70,7 +72,7 @@
         is_leading: Callable[[], bool],
         link_mbps: float = 0.0,
     ) -> None:
-        """Create a publisher on a VM whose link has `link_mbps`, 0 if unknown."""
+        """Create a publisher; `link_mbps` is 0 if the rate of the link is unknown."""
         self._node_id = node_id
         self._links = links
         self._counters = counters
@@ -81,8 +83,10 @@
         self._member_versions: dict[str, tuple[int, int]] = {}
         # Members that a running task pushes to.
         self._publishing: set[str] = set()
-        # Members that the last push did not reach.
-        self._unreached: set[str] = set()
+        # Members that were told that a change follows, and those whose change did not
+        # arrive.
+        self._deferred: set[str] = set()
+        self._undelivered: set[str] = set()
         self._large_pushes = BoundedSemaphore(compute_large_pushes(link_mbps))
         # Versions of boards that members were asked for, and the running request.
         self._fetched_versions: set[tuple[int, int]] = set()
@@ -98,7 +102,8 @@
         former = list(former)
         self._history = BoardHistory(board, former)
         self._member_versions = {}
-        self._unreached.clear()
+        self._deferred.clear()
+        self._undelivered.clear()
         self._fetched_versions.clear()
         if former:
             latest_version = (former[-1].epoch, former[-1].version)
@@ -125,8 +130,8 @@
     def get_missing_change(self, request: Renew) -> MissingChange:
         """Return the board change that a renewing member lacks.
 
-        A large change is not returned but pushed when its turn comes, unless the last
-        push did not reach the member.
+        A large change is not returned but pushed when its turn comes, unless such a push
+        did not reach the member.
         """
         name = request.member.node_id
         known_version = (request.epoch, request.version)
@@ -135,11 +140,13 @@
             return MissingChange(None)
         change = self._history.get_change(*known_version)
         is_large = estimate_size(change) > LARGE_CHANGE_BYTES
-        if is_large and name not in self._unreached:
+        if is_large and name not in self._undelivered:
             if not self._history.has(*known_version):
                 self._start_board_fetch(request)
+            self._deferred.add(name)
             self._start_push(name, request.member)
             return MissingChange(None, follows=True)
+        self._undelivered.discard(name)
         # The answer to the renewal carries the change. If the answer is lost, the next
         # renewal still names the old version.
         self._member_versions[name] = self._get_version()
@@ -159,8 +166,11 @@
         whole board to every member, most of which have the same.
         """
         version = (request.epoch, request.version)
-        is_first = version not in self._fetched_versions
-        if not request.version or not is_first or self._board_fetch is not None:
+        if not request.version or version in self._fetched_versions:
+            return
+        if self._board_fetch is not None:
+            return
+        if len(self._fetched_versions) >= MAX_FETCHED_BOARDS:
             return
         self._fetched_versions.add(version)
         self._board_fetch = gevent.spawn(self._fetch_board, request.member)
@@ -202,13 +212,15 @@
                 gevent.sleep(PUSH_BATCH_DELAY_S)
                 answer = self._push_in_turn(name, member)
                 self._member_versions[name] = (answer.epoch, answer.version)
-                self._unreached.discard(name)
+                self._deferred.discard(name)
                 if answer.epoch > self._board.epoch:
                     return
         except KnapweedrockError as error:
             # The member gets the board with its next lease renewal.
             self._member_versions.pop(name, None)
-            self._unreached.add(name)
+            if name in self._deferred:
+                self._deferred.discard(name)
+                self._undelivered.add(name)
             log.debug("board not pushed", about=name, reason=error.detail)
         finally:
             self._publishing.discard(name)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -139,6 +139,9 @@
         except KnapweedrockError as error:
             return create_refusal(error.code, 0)
         if self._node.is_too_late(routed.deadline_ns):
+            self._counters.count(
+                "requests", code=Code.LEAVING.name, service=routed.service.name
+            )
             return create_refusal(Code.LEAVING, RESTART_RETRY_MS)
         start_ns = self._clock.now_ns()
         progress = self._create_progress(routed)
