--- a/knapweedrock/mesh/publishing.py
+++ b/knapweedrock/mesh/publishing.py
@@ -130,7 +130,7 @@
     def get_missing_change(self, request: Renew) -> MissingChange:
         """Return the board change that a renewing member lacks.
 
-        A large change is not returned but pushed when its turn comes, unless such a push
+        A large change is pushed when its turn comes, and returned only if such a push
         did not reach the member.
         """
         name = request.member.node_id
