--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -3,9 +3,15 @@
 from collections import deque
 from typing import NamedTuple
 
+from logbook import Logger
+
 from knapweedrock.clock import NS_PER_S, Clock
 
 WINDOW_S = 10
+# Shortest interval between two log lines about the use of a budget.
+REPORT_INTERVAL_S = 1
+
+log = Logger("budget")
 
 
 class BudgetUse(NamedTuple):
@@ -31,10 +37,17 @@
     """Limits the retries for one service by its requests that entered at this node."""
 
     def __init__(
-        self, clock: Clock, ratio: float, slack: float, use: BudgetUse = USE_WITH_CALLS
+        self,
+        clock: Clock,
+        ratio: float,
+        slack: float,
+        use: BudgetUse = USE_WITH_CALLS,
+        service: str = "",
     ) -> None:
         self._clock = clock
         self._use = use
+        self._service = service
+        self._reported_ns = 0
         self.configure(ratio, slack)
         self._requests: deque[int] = deque()
         self._retries: deque[int] = deque()
@@ -62,7 +75,22 @@
             while times and times[0] < now_ns - WINDOW_S * NS_PER_S:
                 times.popleft()
         allowed = self._ratio * len(self._requests) + self._slack / max(node_count, 1)
-        if len(self._retries) + cost > allowed:
-            return False
-        self._retries.extend([now_ns] * cost)
-        return True
+        is_allowed = len(self._retries) + cost <= allowed
+        if is_allowed:
+            self._retries.extend([now_ns] * cost)
+        self._report(now_ns, allowed, node_count)
+        return is_allowed
+
+    def _report(self, now_ns: int, allowed: float, node_count: int) -> None:
+        """Log how much of the budget is used, at most once in an interval."""
+        if now_ns - self._reported_ns < REPORT_INTERVAL_S * NS_PER_S:
+            return
+        self._reported_ns = now_ns
+        log.info(
+            "retry budget",
+            service=self._service,
+            used=len(self._retries),
+            allowed=round(allowed, 1),
+            requests=len(self._requests),
+            members=node_count,
+        )
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -447,7 +447,11 @@
         if budget is None:
             use = USE_WITH_KEYS if routed.service.keyed else USE_WITH_CALLS
             budget = self._budgets[routed.service.name] = RetryBudget(
-                self._clock, settings.retry_ratio, settings.retry_slack, use
+                self._clock,
+                settings.retry_ratio,
+                settings.retry_slack,
+                use,
+                routed.service.name,
             )
         return budget
 
