Give a process no slack for retries before a window has passed

Cause: each process began with its node's whole part of the slack, though its predecessor might have used it in the same window; the log shows a node use 18 of 18.2, be killed, and use 14 of 15 within three seconds.

A process now has only its share of its own requests until a window has passed since its start. Keeping the account over a restart was ruled out: no state is kept on a VM, and asking others for it would cost calls at the worst moment.

The set-up of the other scenarios starts its processes a window earlier, so that they still check the slack.

--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -9,6 +9,12 @@
     When 600 requests per second, each making 1.4 calls when it is executed, all fail for 20 s
     Then at most 0.2 of the calls plus 60 are retried in any 10 s
 
+  # Guards against a retry budget that begins anew with its process (issue 43)
+  Scenario: Nodes that restart again and again stay within the whole budget
+    Given 13 nodes with a retry ratio of 0.2 and a slack of 60
+    When each gets 10 requests with keys per second for 30 s, retries all it may, and restarts every 3 s
+    Then at most 0.2 of the requests plus 60 are retried in any 10 s
+
   Scenario: An exhausted budget recovers
     Given 1 nodes with a retry ratio of 0.2 and a slack of 60
     When the budget is exhausted and 11 s pass without requests
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -4,7 +4,13 @@
 
 from features.support.mesh_builders import FakeClock, create_forward
 from knapweedrock.clock import NS_PER_S
-from knapweedrock.mesh.budgets import WINDOW_S, RetryBudget
+from knapweedrock.mesh.budgets import (
+    USE_WITH_CALLS,
+    USE_WITH_KEYS,
+    WINDOW_S,
+    BudgetUse,
+    RetryBudget,
+)
 from knapweedrock.mesh.transit import TransitDelays
 
 STEP_MS = 10
@@ -15,15 +21,20 @@
     """Create the budgets of some nodes for two services."""
     context.clock = FakeClock()
     context.ratio, context.slack = ratio, slack
-    context.caller_budgets = [
-        RetryBudget(context.clock, ratio, slack) for _ in range(count)
-    ]
-    context.callee_budgets = [
-        RetryBudget(context.clock, ratio, slack) for _ in range(count)
-    ]
+    started_ns = context.clock.ns
+    context.clock.advance_ms(WINDOW_S * 1000)
+    context.caller_budgets = [create_budget(context, started_ns) for _ in range(count)]
+    context.callee_budgets = [create_budget(context, started_ns) for _ in range(count)]
     context.requests, context.retries = [], []
 
 
+def create_budget(
+    context, started_ns: int, use: BudgetUse = USE_WITH_CALLS
+) -> RetryBudget:
+    """Create the budget of a node whose process started at some time."""
+    return RetryBudget(context.clock, context.ratio, context.slack, started_ns, use)
+
+
 def record(context, events: list, count: float) -> None:
     """Record requests or retries at the current time."""
     events.append((context.clock.ns, count))
@@ -42,6 +53,28 @@
                     record(context, context.retries, 1)
 
 
+@when(
+    "each gets {rate:d} requests with keys per second for {seconds:d} s, retries all "
+    "it may, and restarts every {interval:d} s"
+)
+def restart_and_retry(context, rate: int, seconds: int, interval: int) -> None:
+    """Retry every request as far as the budgets allow; restart all nodes at times."""
+    count = len(context.caller_budgets)
+    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    for number in range(seconds * rate):
+        context.clock.advance_ms(1000 / rate)
+        if number % (interval * rate) == 0:
+            budgets = [
+                create_budget(context, context.clock.ns, USE_WITH_KEYS)
+                for _ in range(count)
+            ]
+        for budget in budgets:
+            budget.count_request()
+            record(context, context.requests, 1)
+            while budget.spend(count):
+                record(context, context.retries, 1)
+
+
 @when(
     "{rate:d} requests per second, each making {calls:g} calls when it is executed, "
     "all fail for {seconds:d} s"
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -34,17 +34,23 @@
 
 
 class RetryBudget:
-    """Limits the retries for one service by its requests that entered at this node."""
+    """Limits the retries for one service by its requests that entered at this node.
+
+    `started_ns` is when the process of this node started. Its predecessor may have used
+    the node's part of the slack, so there is none until a window has passed.
+    """
 
     def __init__(
         self,
         clock: Clock,
         ratio: float,
         slack: float,
+        started_ns: int,
         use: BudgetUse = USE_WITH_CALLS,
         service: str = "",
     ) -> None:
         self._clock = clock
+        self._started_ns = started_ns
         self._use = use
         self._service = service
         self._reported_ns = 0
@@ -74,7 +80,9 @@
         for times in (self._requests, self._retries):
             while times and times[0] < now_ns - WINDOW_S * NS_PER_S:
                 times.popleft()
-        allowed = self._ratio * len(self._requests) + self._slack / max(node_count, 1)
+        allowed = self._ratio * len(self._requests)
+        if now_ns - self._started_ns >= WINDOW_S * NS_PER_S:
+            allowed += self._slack / max(node_count, 1)
         is_allowed = len(self._retries) + cost <= allowed
         if is_allowed:
             self._retries.extend([now_ns] * cost)
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -115,6 +115,7 @@
         self._node = node
         self._clock = clock
         self._counters = counters
+        self._started_ns = clock.now_ns()
         self._budgets: dict[str, RetryBudget] = {}
         settings = node.settings
         self._request_factory = RoutedRequestFactory(settings.service, clock)
@@ -450,6 +451,7 @@
                 self._clock,
                 settings.retry_ratio,
                 settings.retry_slack,
+                self._started_ns,
                 use,
                 routed.service.name,
             )
