--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -15,6 +15,12 @@
     When each gets 10 requests with keys per second for 30 s, retries all it may, and restarts every 3 s
     Then at most 0.2 of the requests plus 60 are retried in any 10 s
 
+  # Guards against a slack divided by the few members that a new board names (issue 43)
+  Scenario: Nodes whose boards lose members for a while stay within the whole budget
+    Given 13 nodes with a retry ratio of 0.2 and a slack of 60
+    When each gets 10 requests with keys per second for 30 s, retries all it may, and each board names 4 members for 1 s in 5
+    Then at most 0.2 of the requests plus 60 are retried in any 10 s
+
   Scenario: An exhausted budget recovers
     Given 1 nodes with a retry ratio of 0.2 and a slack of 60
     When the budget is exhausted and 11 s pass without requests
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -9,6 +9,7 @@
     USE_WITH_KEYS,
     WINDOW_S,
     BudgetUse,
+    PeakCount,
     RetryBudget,
 )
 from knapweedrock.mesh.transit import TransitDelays
@@ -68,11 +69,35 @@
                 create_budget(context, context.clock.ns, USE_WITH_KEYS)
                 for _ in range(count)
             ]
-        for budget in budgets:
-            budget.count_request()
-            record(context, context.requests, 1)
-            while budget.spend(count):
-                record(context, context.retries, 1)
+        retry_requests(context, budgets, count)
+
+
+@when(
+    "each gets {rate:d} requests with keys per second for {seconds:d} s, retries all "
+    "it may, and each board names {few:d} members for 1 s in {interval:d}"
+)
+def shrink_boards_and_retry(
+    context, rate: int, seconds: int, few: int, interval: int
+) -> None:
+    """Retry every request as far as the budgets allow, with changing boards."""
+    count = len(context.caller_budgets)
+    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    member_count = PeakCount(context.clock)
+    member_count.record(count)
+    for number in range(seconds * rate):
+        context.clock.advance_ms(1000 / rate)
+        is_few = number // rate % interval == interval - 1
+        member_count.record(few if is_few else count)
+        retry_requests(context, budgets, member_count.get())
+
+
+def retry_requests(context, budgets: list[RetryBudget], node_count: int) -> None:
+    """Count one request at each node, and retry all that the budgets allow."""
+    for budget in budgets:
+        budget.count_request()
+        record(context, context.requests, 1)
+        while budget.spend(node_count):
+            record(context, context.retries, 1)
 
 
 @when(
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -33,6 +33,29 @@
 USE_WITH_KEYS = BudgetUse(0.9, 6)
 
 
+class PeakCount:
+    """Largest count within the last window; 0 before the first one."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._current = 0
+        # Former counts, each with the time until which it was the current one.
+        self._former: deque[tuple[int, int]] = deque()
+
+    def record(self, count: int) -> None:
+        """Record the current count."""
+        if count != self._current:
+            self._former.append((self._clock.now_ns(), self._current))
+            self._current = count
+
+    def get(self) -> int:
+        """Return the largest count that was current at any time in the window."""
+        first_ns = self._clock.now_ns() - WINDOW_S * NS_PER_S
+        while self._former and self._former[0][0] < first_ns:
+            self._former.popleft()
+        return max([self._current, *(count for _, count in self._former)])
+
+
 class RetryBudget:
     """Limits the retries for one service by its requests that entered at this node.
 
@@ -73,7 +96,8 @@
     def spend(self, node_count: int, was_executed: bool = False) -> bool:
         """Spend the cost of a retry if the budget allows it; return whether it did.
 
-        The slack is divided by `node_count`.
+        The slack is divided by `node_count`, the most nodes that may have used a part
+        of it within the window.
         """
         cost = self._use.executed_cost if was_executed else 1
         now_ns = self._clock.now_ns()
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -201,6 +201,7 @@
             return
         self.board = board
         self.recent_boards.append(board)
+        self.router.record_member_count(len(board.members))
         self.coordinator.term.end_if_superseded(board.epoch)
         own_member = board.members.get(self.settings.node_id)
         if own_member is not None and self.target.restore(own_member):
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -10,7 +10,12 @@
 from knapweedrock.codes import INFO, Code, Outcome, parse_code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.mesh.budgets import USE_WITH_CALLS, USE_WITH_KEYS, RetryBudget
+from knapweedrock.mesh.budgets import (
+    USE_WITH_CALLS,
+    USE_WITH_KEYS,
+    PeakCount,
+    RetryBudget,
+)
 from knapweedrock.mesh.callers import Reply, create_refusal
 from knapweedrock.mesh.calls import Call, SilentLinkError
 from knapweedrock.mesh.gateway import RESTART_RETRY_MS
@@ -117,6 +122,7 @@
         self._counters = counters
         self._started_ns = clock.now_ns()
         self._budgets: dict[str, RetryBudget] = {}
+        self._member_count = PeakCount(clock)
         settings = node.settings
         self._request_factory = RoutedRequestFactory(settings.service, clock)
         self._latencies = node.histograms.create("request_ms")
@@ -126,6 +132,10 @@
         for budget in self._budgets.values():
             budget.configure(ratio, slack)
 
+    def record_member_count(self, count: int) -> None:
+        """Record the number of members that the board names."""
+        self._member_count.record(count)
+
     def serve(self, request: Request, _address: str) -> Reply:
         """Route a caller's request and return the reply to it."""
         configuration = self._node.configuration
@@ -320,7 +330,7 @@
             return False
         if self._compute_remaining_ms(routed) < MIN_REMAINING_MS * 4:
             return False
-        node_count = len(self._node.board.members)
+        node_count = self._member_count.get()
         if not self._get_budget(routed).spend(node_count, was_executed):
             self._counters.count("retries_denied", service=routed.service.name)
             return False
