Count retry budgets in windows of the length that operators set

The platform's settings state the window of the budget (budgetWindowS); nodes counted 10 s whatever it said. All known deployments say 10, so this is not what was reported.

RETRY_WINDOW_S is a live setting of 0.1 to 3,600 s, 10 if left out.

--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -21,6 +21,12 @@
     When each gets 10 requests with keys per second for 30 s, retries all it may, and each board names 4 members for 1 s in 5
     Then at most 0.2 of the requests plus 60 are retried in any 10 s
 
+  # Guards against a budget that is counted over another time than the operators' (issue 43)
+  Scenario: The budget is kept in each window of the length that is set
+    Given 13 nodes with a retry ratio of 0.2 and a slack of 60 in 25 s
+    When each gets 2 requests with keys per second for 60 s and retries all it may
+    Then at most 0.2 of the requests plus 60 are retried in any 25 s
+
   Scenario: An exhausted budget recovers
     Given 1 nodes with a retry ratio of 0.2 and a slack of 60
     When the budget is exhausted and 11 s pass without requests
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -7,7 +7,7 @@
 from knapweedrock.mesh.budgets import (
     USE_WITH_CALLS,
     USE_WITH_KEYS,
-    WINDOW_S,
+    BudgetTerms,
     BudgetUse,
     PeakCount,
     RetryBudget,
@@ -15,15 +15,22 @@
 from knapweedrock.mesh.transit import TransitDelays
 
 STEP_MS = 10
+WINDOW_S = 10
 
 
 @given("{count:d} nodes with a retry ratio of {ratio:g} and a slack of {slack:d}")
-def create_budgets(context, count: int, ratio: float, slack: int) -> None:
+@given(
+    "{count:d} nodes with a retry ratio of {ratio:g} and a slack of {slack:d} in "
+    "{window_s:d} s"
+)
+def create_budgets(
+    context, count: int, ratio: float, slack: int, window_s: int = WINDOW_S
+) -> None:
     """Create the budgets of some nodes for two services."""
     context.clock = FakeClock()
-    context.ratio, context.slack = ratio, slack
+    context.terms = BudgetTerms(ratio, slack, window_s)
     started_ns = context.clock.ns
-    context.clock.advance_ms(WINDOW_S * 1000)
+    context.clock.advance_ms(window_s * 1000)
     context.caller_budgets = [create_budget(context, started_ns) for _ in range(count)]
     context.callee_budgets = [create_budget(context, started_ns) for _ in range(count)]
     context.requests, context.retries = [], []
@@ -33,7 +40,7 @@
     context, started_ns: int, use: BudgetUse = USE_WITH_CALLS
 ) -> RetryBudget:
     """Create the budget of a node whose process started at some time."""
-    return RetryBudget(context.clock, context.ratio, context.slack, started_ns, use)
+    return RetryBudget(context.clock, context.terms, started_ns, use)
 
 
 def record(context, events: list, count: float) -> None:
@@ -54,6 +61,19 @@
                     record(context, context.retries, 1)
 
 
+@when(
+    "each gets {rate:d} requests with keys per second for {seconds:d} s and retries "
+    "all it may"
+)
+def retry_with_keys(context, rate: int, seconds: int) -> None:
+    """Retry every request for a key as far as the budgets allow."""
+    count = len(context.caller_budgets)
+    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    for _ in range(seconds * rate):
+        context.clock.advance_ms(1000 / rate)
+        retry_requests(context, budgets, count)
+
+
 @when(
     "each gets {rate:d} requests with keys per second for {seconds:d} s, retries all "
     "it may, and restarts every {interval:d} s"
@@ -82,7 +102,7 @@
     """Retry every request as far as the budgets allow, with changing boards."""
     count = len(context.caller_budgets)
     budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
-    member_count = PeakCount(context.clock)
+    member_count = PeakCount(context.clock, context.terms.window_s)
     member_count.record(count)
     for number in range(seconds * rate):
         context.clock.advance_ms(1000 / rate)
@@ -147,10 +167,10 @@
 @then("at most {ratio:g} of the calls plus {slack:d} are retried in any {seconds:d} s")
 def check_windows(context, seconds: int, ratio: float, slack: int) -> None:
     """Check the windows that begin at every half second."""
-    assert seconds == WINDOW_S
+    assert seconds == context.terms.window_s
     assert context.retries
     for first_ns in range(context.requests[0][0], context.clock.ns, NS_PER_S // 2):
-        last_ns = first_ns + WINDOW_S * NS_PER_S
+        last_ns = first_ns + seconds * NS_PER_S
         requests = sum(n for at, n in context.requests if first_ns <= at < last_ns)
         retries = sum(n for at, n in context.retries if first_ns <= at < last_ns)
         assert retries <= requests * ratio + slack, (retries, requests)
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -6,14 +6,26 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock
+from knapweedrock.mesh.definitions import NodeSettings
 
-WINDOW_S = 10
 # Shortest interval between two log lines about the use of a budget.
 REPORT_INTERVAL_S = 1
 
 log = Logger("budget")
 
 
+class BudgetTerms(NamedTuple):
+    """Limit of the retries for a service, over all nodes.
+
+    In each window of `window_s` at most `ratio` of the requests and `slack` in addition
+    may be retried.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
 class BudgetUse(NamedTuple):
     """How a service's retry budget is used.
 
@@ -33,10 +45,18 @@
 USE_WITH_KEYS = BudgetUse(0.9, 6)
 
 
+def create_budget_terms(settings: NodeSettings) -> BudgetTerms:
+    """Create the limit that a node's settings state."""
+    return BudgetTerms(
+        settings.retry_ratio, settings.retry_slack, settings.retry_window_s
+    )
+
+
 class PeakCount:
-    """Largest count within the last window; 0 before the first one."""
+    """Largest count within the last window of `window_s`; 0 before the first one."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, window_s: float) -> None:
+        self.window_s = window_s
         self._clock = clock
         self._current = 0
         # Former counts, each with the time until which it was the current one.
@@ -50,7 +70,7 @@
 
     def get(self) -> int:
         """Return the largest count that was current at any time in the window."""
-        first_ns = self._clock.now_ns() - WINDOW_S * NS_PER_S
+        first_ns = self._clock.now_ns() - int(self.window_s * NS_PER_S)
         while self._former and self._former[0][0] < first_ns:
             self._former.popleft()
         return max([self._current, *(count for _, count in self._former)])
@@ -66,8 +86,7 @@
     def __init__(
         self,
         clock: Clock,
-        ratio: float,
-        slack: float,
+        terms: BudgetTerms,
         started_ns: int,
         use: BudgetUse = USE_WITH_CALLS,
         service: str = "",
@@ -77,17 +96,15 @@
         self._use = use
         self._service = service
         self._reported_ns = 0
-        self.configure(ratio, slack)
+        self.configure(terms)
         self._requests: deque[int] = deque()
         self._retries: deque[int] = deque()
 
-    def configure(self, ratio: float, slack: float) -> None:
-        """Set the share of requests that may be retried and the slack on top of it.
-
-        `slack` is in retries per `WINDOW_S`, over all nodes.
-        """
-        self._ratio = ratio * self._use.share
-        self._slack = slack * self._use.share
+    def configure(self, terms: BudgetTerms) -> None:
+        """Change the limit."""
+        self._ratio = terms.ratio * self._use.share
+        self._slack = terms.slack * self._use.share
+        self._window_ns = int(terms.window_s * NS_PER_S)
 
     def count_request(self) -> None:
         """Count a request for the service."""
@@ -102,10 +119,10 @@
         cost = self._use.executed_cost if was_executed else 1
         now_ns = self._clock.now_ns()
         for times in (self._requests, self._retries):
-            while times and times[0] < now_ns - WINDOW_S * NS_PER_S:
+            while times and times[0] < now_ns - self._window_ns:
                 times.popleft()
         allowed = self._ratio * len(self._requests)
-        if now_ns - self._started_ns >= WINDOW_S * NS_PER_S:
+        if now_ns - self._started_ns >= self._window_ns:
             allowed += self._slack / max(node_count, 1)
         is_allowed = len(self._retries) + cost <= allowed
         if is_allowed:
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -137,6 +137,7 @@
 
     `target` is the address of the local target, `service` the target's service.
     Peers dial `peer`; the node listens there, or on `peer_listen` if that is set.
+    Retries are limited in each window of `retry_window_s`.
     `cores` is the processor capacity of the node, in cores. `link_mbps` is the network
     bandwidth of its VM, in Mbit/s; 0 means unknown.
     """
@@ -156,6 +157,7 @@
     shutdown_ms: int
     retry_ratio: float
     retry_slack: float
+    retry_window_s: float = 10.0
     peer_listen: tuple[str, int] | None = None
     cores: float = 1.0
     link_mbps: float = 0.0
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -12,6 +12,7 @@
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.boards import create_whole_change
+from knapweedrock.mesh.budgets import create_budget_terms
 from knapweedrock.mesh.callers import CallerServer
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.coordinator import Coordinator
@@ -230,7 +231,7 @@
         self.store.change_address(settings.store)
         self.target.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.holds.max_hold_ms = settings.max_hold_ms
-        self.router.set_retry_budget(settings.retry_ratio, settings.retry_slack)
+        self.router.set_retry_budget(create_budget_terms(settings))
         log.info("settings changed", settings=settings._asdict())
 
     def abort(self) -> None:
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -13,8 +13,10 @@
 from knapweedrock.mesh.budgets import (
     USE_WITH_CALLS,
     USE_WITH_KEYS,
+    BudgetTerms,
     PeakCount,
     RetryBudget,
+    create_budget_terms,
 )
 from knapweedrock.mesh.callers import Reply, create_refusal
 from knapweedrock.mesh.calls import Call, SilentLinkError
@@ -122,15 +124,18 @@
         self._counters = counters
         self._started_ns = clock.now_ns()
         self._budgets: dict[str, RetryBudget] = {}
-        self._member_count = PeakCount(clock)
         settings = node.settings
+        self._budget_terms = create_budget_terms(settings)
+        self._member_count = PeakCount(clock, settings.retry_window_s)
         self._request_factory = RoutedRequestFactory(settings.service, clock)
         self._latencies = node.histograms.create("request_ms")
 
-    def set_retry_budget(self, ratio: float, slack: float) -> None:
+    def set_retry_budget(self, terms: BudgetTerms) -> None:
         """Change the retry budget of all services."""
+        self._budget_terms = terms
+        self._member_count.window_s = terms.window_s
         for budget in self._budgets.values():
-            budget.configure(ratio, slack)
+            budget.configure(terms)
 
     def record_member_count(self, count: int) -> None:
         """Record the number of members that the board names."""
@@ -453,14 +458,12 @@
         return (routed.deadline_ns - self._clock.now_ns()) / NS_PER_MS
 
     def _get_budget(self, routed: RoutedRequest) -> RetryBudget:
-        settings = self._node.settings
         budget = self._budgets.get(routed.service.name)
         if budget is None:
             use = USE_WITH_KEYS if routed.service.keyed else USE_WITH_CALLS
             budget = self._budgets[routed.service.name] = RetryBudget(
                 self._clock,
-                settings.retry_ratio,
-                settings.retry_slack,
+                self._budget_terms,
                 self._started_ns,
                 use,
                 routed.service.name,
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -16,11 +16,16 @@
         "shutdown_ms",
         "retry_ratio",
         "retry_slack",
+        "retry_window_s",
     }
 )
 MAX_MS = 3_600_000
 MAX_RATIO = 1000.0
 MAX_CORES = 1024.0
+DEFAULT_RETRY_WINDOW_S = 10.0
+MIN_RETRY_WINDOW_S = 0.1
+# A node keeps the times of all requests within the window.
+MAX_RETRY_WINDOW_S = 3600.0
 MAX_MBPS = 1_000_000.0
 
 
@@ -67,6 +72,7 @@
         shutdown_ms=int(checker.read_number("shutdown_s", 0, MAX_MS) * 1000),
         retry_ratio=checker.read_number("retry_ratio", 0, MAX_RATIO),
         retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
+        retry_window_s=read_retry_window(checker),
         peer_listen=read_optional_address(checker, "peer_listen"),
         cores=read_cores(checker),
         link_mbps=read_optional_number(checker, "link_mbps", 0.0, MAX_MBPS),
@@ -92,6 +98,13 @@
     return share * speed
 
 
+def read_retry_window(checker: Checker) -> float:
+    """Read the length in s of the window in which retries are limited."""
+    if not checker.raw.get("retry_window_s"):
+        return DEFAULT_RETRY_WINDOW_S
+    return checker.read_number("retry_window_s", MIN_RETRY_WINDOW_S, MAX_RETRY_WINDOW_S)
+
+
 def read_optional_number(
     checker: Checker, name: str, default: float, maximum: float
 ) -> float:
