Give the mesh of the cut responses a short retry window

Its reads are retried by slack alone, which a process has after one window now. The checks are unchanged.

--- a/features/steps/mesh_cuts.py
+++ b/features/steps/mesh_cuts.py
@@ -37,6 +37,8 @@
 DEADLINE_MS = 700
 # Enough for a retry of each request, so that the budget does not decide.
 RETRY_SLACK = 10_000
+# Nodes have slack for retries once a window has passed since their start.
+RETRY_WINDOW_S = 1.0
 
 
 class CuttingProxy(Proxy):
@@ -68,7 +70,12 @@
 @given("a mesh of {count:d} keyed targets that close after some bytes of a response")
 def start_cutting_mesh(context, count: int) -> None:
     """Start a mesh whose proxies do not cut yet."""
-    context.mesh = TargetProxyMesh(count, CuttingProxy, retry_slack=RETRY_SLACK)
+    context.mesh = TargetProxyMesh(
+        count,
+        CuttingProxy,
+        retry_slack=RETRY_SLACK,
+        retry_window_s=RETRY_WINDOW_S,
+    )
     context.add_cleanup(context.mesh.stop)
     context.mesh.start()
 
