Read the store when its revisions show a change that no watch reported

When all open connections fall silent, or the store forgets its watches, that holds for all watches of a mesh at once; the coordinator's own renewals succeed again on a new connection, and told nobody.

The store numbers all changes with one counter, and each renewal of the term returns it. A number that is neither a write of the coordinator nor one that a watch has reported within 0.2 s belongs to a change that was missed: it reads both kinds, and members get them with their next renewal. A calm mesh makes no further call. A node without a coordinator reads the store once, too.

Meshes with proxies share a base.

--- /dev/null
+++ b/features/mesh_watches.feature
@@ -0,0 +1,25 @@
+Feature: Operators' changes reach all nodes in time, whatever becomes of watches
+  # Guards against watches that wait on silent connections while a change is in force
+  # for operators (issue 43)
+  Scenario: A configuration reaches all nodes after all connections to the store fell silent
+    Given a mesh of 6 keyed targets with proxies before the store
+    When all open connections to the store fall silent
+    And 500 ms later operators write a configuration
+    Then every node has the newest configuration within 2000 ms
+
+  # Guards against the same for zones that are taken out of service (issue 43)
+  Scenario: A zone out of service is known to all nodes after all connections to the store fell silent
+    Given a mesh of 6 keyed targets with proxies before the store
+    When all open connections to the store fall silent
+    And 500 ms later operators take a zone out of service
+    Then every node knows within 2000 ms that the zone is out of service
+
+  # Guards against a new coordinator that goes on with a watch that hears nothing: nodes
+  # are in touch again 3 s after the connections fell silent (issue 43)
+  Scenario: A configuration reaches all nodes when the connections fall silent and the coordinator is lost
+    Given a mesh of 6 keyed targets with proxies before the store
+    When 1500 ms pass in the mesh
+    And all open connections to the store fall silent
+    And the coordinator's node is killed
+    And 500 ms later operators write a configuration
+    Then every node has the newest configuration within 2500 ms
--- a/features/steps/mesh_copies.py
+++ b/features/steps/mesh_copies.py
@@ -8,7 +8,7 @@
 
 from features.support.mesh_builders import OTHER_SERVICE, create_forward
 from features.support.mesh_harness import Mesh
-from features.support.mesh_target_proxies import TargetProxyMesh
+from features.support.mesh_proxied import TargetProxyMesh
 from features.support.offline_node import OfflineNode
 from features.support.proxies import TargetProxy
 from features.support.servers import start_listener
@@ -162,7 +162,7 @@
     context.mesh.start()
     for place in context.mesh.places:
         place.holder.shed_share = SHED_SHARE
-    for proxy in context.mesh.target_proxies:
+    for proxy in context.mesh.proxies.values():
         proxy.repeat_share = 1.0
 
 
@@ -248,7 +248,7 @@
     ]
     assert not refused_and_run, refused_and_run
     assert max(runs.values()) == 1, runs.most_common(3)
-    assert any(proxy.repeat_count for proxy in context.mesh.target_proxies)
+    assert any(proxy.repeat_count for proxy in context.mesh.proxies.values())
 
 
 @then("some orders were refused, and some have run")
--- a/features/steps/mesh_cuts.py
+++ b/features/steps/mesh_cuts.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 from gevent import socket
 
-from features.support.mesh_target_proxies import TargetProxyMesh
+from features.support.mesh_proxied import TargetProxyMesh
 from features.support.proxies import Direction, Proxy
 from knapweedrock.mesh.http import (
     MalformedMessageError,
@@ -191,5 +191,5 @@
 
 def set_cut(mesh: TargetProxyMesh, count: int, once: bool) -> None:
     """Cut responses after a number of bytes, 0 for none, or only the next one."""
-    for proxy in mesh.target_proxies:
+    for proxy in mesh.proxies.values():
         proxy.cut_bytes, proxy.cuts_once = count, once
--- /dev/null
+++ b/features/steps/mesh_watches.py
@@ -0,0 +1,47 @@
+"""Steps about changes in the store that watches do not report."""
+
+import gevent
+from behave import given, then, when
+
+from features.support.mesh_builders import create_document
+from features.support.mesh_proxied import StoreProxyMesh
+
+
+@given("a mesh of {count:d} keyed targets with proxies before the store")
+def start_store_proxy_mesh(context, count: int) -> None:
+    """Start a mesh whose nodes reach the store through proxies."""
+    context.mesh = StoreProxyMesh(count)
+    context.add_cleanup(context.mesh.stop)
+    context.mesh.start()
+
+
+@when("all open connections to the store fall silent")
+def silence_connections(context) -> None:
+    """Drop all further data on the connections that are open now."""
+    for proxy in context.mesh.proxies.values():
+        proxy.silence()
+
+
+@when("{ms:d} ms later operators write a configuration")
+def write_configuration(context, ms: int) -> None:
+    """Write the next version after some time."""
+    gevent.sleep(ms / 1000)
+    context.version = 2
+    context.mesh.configure(create_document(context.version))
+
+
+@when("{ms:d} ms later operators take a zone out of service")
+def take_zone_out(context, ms: int) -> None:
+    """Take the zone of a target out of service after some time."""
+    gevent.sleep(ms / 1000)
+    context.zone = context.mesh.places[0].settings.zone
+    context.mesh.evacuate_zone(context.zone)
+
+
+@then("every node knows within {ms:d} ms that the zone is out of service")
+def check_zone_known(context, ms: int) -> None:
+    """Wait until all nodes know the zone that is out of service."""
+    nodes = context.mesh.nodes.values()
+    context.mesh.wait_until(
+        lambda: all(context.zone in node.zones_out for node in nodes), ms / 1000
+    )
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -12,6 +12,7 @@
 from knapweedrock.json_input import InputError, decode_json
 from knapweedrock.mesh.definitions import Configuration
 from knapweedrock.mesh.messages import PublishConfiguration
+from knapweedrock.mesh.revisions import SeenRevisions
 from knapweedrock.mesh.tasks import spawn_supervised
 from knapweedrock.platform.documents import (
     CONFIGURATION_KIND,
@@ -26,6 +27,8 @@
 WATCH_TIMEOUT_S = 6.0
 # Interval at which a node that does not watch checks whether it has to.
 IDLE_POLL_S = 0.2
+# Time after a node's own write in which watches report the changes before it.
+REPORT_DELAY_S = 0.2
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.5
 
@@ -55,6 +58,8 @@
         self._on_change = on_change
         self._is_watcher = is_watcher
         self._is_refreshing = False
+        self._seen = SeenRevisions()
+        self._awaits_reports = False
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -63,7 +68,7 @@
         A node that has just started reads both once, even if it does not watch: the
         coordinator may not be there to push them.
         """
-        self._start_refresh()
+        self.refresh()
         self._tasks = [
             spawn_supervised(
                 partial(
@@ -105,17 +110,38 @@
     def refresh_if_newer(self, version: int, zones_revision: int) -> None:
         """Read the store in a task if another node has a newer version or revision."""
         if self.is_older(version, zones_revision):
-            self._start_refresh()
+            self.refresh()
 
-    def _start_refresh(self) -> None:
+    def record_write(self, revision: int) -> None:
+        """Record a write of this node; read the store if it has missed changes.
+
+        A watch may wait for a store that has forgotten it, or on a connection that
+        delivers nothing.
+        """
+        self._seen.add(revision)
+        if self._seen.has_gap() and not self._awaits_reports:
+            self._awaits_reports = True
+            gevent.spawn_later(REPORT_DELAY_S, self._read_missed_changes)
+
+    def _read_missed_changes(self) -> None:
+        self._awaits_reports = False
+        if self._seen.has_gap():
+            log.info("changes missed", version=self.version)
+            self.refresh()
+
+    def refresh(self) -> None:
+        """Read the store in a task, unless one is reading it."""
         if not self._is_refreshing:
             self._is_refreshing = True
             gevent.spawn(self._refresh)
 
     def _refresh(self) -> None:
         try:
-            self._apply_configuration_listing(self._store.list_kind(CONFIGURATION_KIND))
-            self._apply_zone_listing(self._store.list_kind(EVACUATION_KIND))
+            configurations = self._store.list_kind(CONFIGURATION_KIND)
+            self._apply_configuration_listing(configurations)
+            zones = self._store.list_kind(EVACUATION_KIND)
+            self._apply_zone_listing(zones)
+            self._seen.add_all_until(min(configurations.revision, zones.revision))
         except PlatformError as error:
             log.info("store refresh failed", reason=error.detail)
         finally:
@@ -175,6 +201,8 @@
             backoff_s = MIN_BACKOFF_S
 
     def _apply_changes(self, kind: str, changes: list[Change], revision: int) -> None:
+        for change in changes:
+            self._seen.add(change.item.revision)
         if kind == CONFIGURATION_KIND:
             for change in changes:
                 if not change.removed:
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -67,7 +67,14 @@
         self, node: "Node", store: Store, clock: Clock, counters: Counters
     ) -> None:
         name = node.settings.node_id
-        self.term = Term(name, node.process, node.peer, store, clock)
+        self.term = Term(
+            name,
+            node.process,
+            node.peer,
+            store,
+            clock,
+            node.config_watcher.record_write,
+        )
         self.board = Board(0, 0, "", {}, {})
         self._node = node
         self._clock = clock
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -100,6 +100,8 @@
         self._term_revision = 0
         self._term_end_ns = 0
         self._renewed_at_ns = node.clock.now_ns()
+        # Whether the store was read because no coordinator answers.
+        self._has_read_in_isolation = False
         # True if the coordinator grants a lease only once it has pushed its board.
         self._awaits_board = False
         # Earliest time of a claim if no node has ever coordinated.
@@ -113,13 +115,17 @@
     def is_watcher(self) -> bool:
         """Return whether this node has to watch the store itself."""
         node = self._node
-        isolated_ms = (node.clock.now_ns() - self._renewed_at_ns) / NS_PER_MS
-        if isolated_ms > ISOLATION_TIMEOUT_MS:
+        if self._is_isolated():
             return True
         zone = [m for m in node.board.members.values() if m.zone == node.settings.zone]
         watcher_candidates = sorted((m.node_id for m in zone), key=rank_name)
         return node.settings.node_id in watcher_candidates[:WATCHERS_PER_ZONE]
 
+    def _is_isolated(self) -> bool:
+        """Return whether no coordinator with a valid term has answered for a while."""
+        isolated_ms = (self._node.clock.now_ns() - self._renewed_at_ns) / NS_PER_MS
+        return isolated_ms > ISOLATION_TIMEOUT_MS
+
     def request_renewal(self) -> Event:
         """Renew the lease at once; the event is set once the coordinator answers."""
         renewed = Event()
@@ -182,10 +188,12 @@
             self._node.holds.released = released + self._node.holds.released
             self._renewal_waiters = waiters + self._renewal_waiters
             is_rejected = error.code is Code.NO_COORDINATOR and bool(coordinator_peer)
+            self._read_store_if_isolated()
             self._find_coordinator(error.detail, is_rejected)
             return False
         if answer.term_ms > 0:
             self._renewed_at_ns = self._node.clock.now_ns()
+            self._has_read_in_isolation = False
         self._record_term(answer)
         self._node.holds.extend_lease(sent_ns, answer.lease_ms)
         if answer.change is not None:
@@ -200,6 +208,12 @@
             )
         return answer.lease_ms > 0 or answer.change_follows
 
+    def _read_store_if_isolated(self) -> None:
+        """Read the store once if the node is isolated: its watches may hear nothing."""
+        if self._is_isolated() and not self._has_read_in_isolation:
+            self._has_read_in_isolation = True
+            self._node.config_watcher.refresh()
+
     def _record_term(self, answer: Renewed) -> None:
         """Record when the coordinator's term ends unless it is renewed."""
         remaining_ms = answer.term_ms * MAX_CLOCK_DRIFT + TERM_GRACE_MS
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -1,6 +1,6 @@
 """Leadership terms: a record in the platform's store that the coordinator renews."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any
 
 import gevent
@@ -48,10 +48,19 @@
 
 
 class Term:
-    """One node's leadership term, with the tables as it last wrote them."""
+    """One node's leadership term, with the tables as it last wrote them.
+
+    `on_write` gets the store's revision after each write of the term.
+    """
 
     def __init__(
-        self, node_id: str, process: str, peer: str, store: Store, clock: Clock
+        self,
+        node_id: str,
+        process: str,
+        peer: str,
+        store: Store,
+        clock: Clock,
+        on_write: Callable[[int], None] = lambda _revision: None,
     ) -> None:
         self.leading = False
         self.epoch = 0
@@ -60,6 +69,7 @@
         self._peer = peer
         self._store = store
         self._clock = clock
+        self._on_write = on_write
         self._leader_record: StoredObject | None = None
         # End of the term, and send time of the renewal from which it is counted.
         self._valid_until_ns = 0
@@ -144,6 +154,7 @@
             log.info("claim failed", epoch=epoch, reason=error.detail)
             return False
         self._leader_record = record
+        self._on_write(record.revision)
         self.epoch = epoch
         self._unconfirmed_sent_ns.clear()
         self._valid_until_ns = 0
@@ -209,6 +220,7 @@
             if not self.is_current(epoch):
                 return
             self._leader_record = record
+            self._on_write(record.revision)
             self._stored_lost_nodes = lost_nodes
             self._record_renewal(sent_ns)
             self._unconfirmed_sent_ns.clear()
@@ -241,6 +253,7 @@
         if self.epoch != epoch:
             raise PlatformError(Code.PLATFORM_CONFLICT, "another term has started")
         self._tables[service] = written
+        self._on_write(written.revision)
 
     def _record_renewal(self, sent_ns: int) -> None:
         until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
