Use no connection to the store that was idle for long or beside a broken one

A client kept several open connections to the store.

A call that fails closes all idle connections, and one that was idle for 1 s is not used again.

--- a/features/mesh_store.feature
+++ b/features/mesh_store.feature
@@ -67,3 +67,15 @@
       | status | code |
       | 503    | 501  |
       | 429    | 504  |
+
+  # Guards against calls that time out one after the other on connections that fell
+  # silent while they were idle (issue 43)
+  Scenario Outline: Calls succeed again after open connections fell silent <pause_ms> ms before
+    Given a store behind a proxy, with 4 open connections
+    When the connections fall silent, and <pause_ms> ms pass
+    Then of the next calls, one after the other, at most <failures> fail
+
+    Examples:
+      | pause_ms | failures |
+      | 100      | 1        |
+      | 1500     | 0        |
--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -4,6 +4,7 @@
 from behave import given, then, when
 
 from features.support.mesh_builders import create_row
+from features.support.proxies import Proxy
 from knapweedrock.clock import create_clock
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
@@ -333,3 +334,35 @@
             gevent.sleep(0.02)
     stored = context.client.get(LEADER_KIND, LEADER_NAME)
     assert stored.value["lost"] == [], stored
+
+
+@given("a store behind a proxy, with {count:d} open connections")
+def open_connections(context, count: int) -> None:
+    """Make some calls at once, so that each of them opens a connection."""
+    start_store(context)
+    context.proxy = Proxy(create_address(), context.front.address)
+    context.proxy.start()
+    context.add_cleanup(context.proxy.stop)
+    context.client.change_address(context.proxy.listen_address)
+    calls = [gevent.spawn(context.client.list_kind, KIND) for _ in range(count)]
+    gevent.joinall(calls, raise_error=True)
+    context.connection_count = count
+
+
+@when("the connections fall silent, and {pause_ms:d} ms pass")
+def silence_connections(context, pause_ms: int) -> None:
+    """Drop all further data on the open connections, and wait."""
+    context.proxy.silence()
+    gevent.sleep(pause_ms / 1000)
+
+
+@then("of the next calls, one after the other, at most {failures:d} fail")
+def check_failed_calls(context, failures: int) -> None:
+    """Make as many calls as there were connections, and count those that fail."""
+    failed = 0
+    for _ in range(context.connection_count):
+        try:
+            context.client.get(KIND, NAME, SHORT_S)
+        except PlatformError:
+            failed += 1
+    assert failed <= failures, failed
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -44,6 +44,8 @@
 # Time for the response to a watch beyond the wait that the store is asked for.
 WATCH_MARGIN_S = 2.0
 RETRY_DELAY_S = 0.1
+# A connection may fall silent while it is idle, without a sign.
+MAX_IDLE_S = 1.0
 # Limit of one response: a page has about 1 MB, but a watch may return many objects of
 # 1 MB each.
 MAX_RESPONSE_BYTES = 16 << 20
@@ -88,8 +90,7 @@
         if address == self._address:
             return
         self._address = address
-        while self._idle:
-            self._idle.pop().close()
+        self._close_idle()
 
     def get(
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
@@ -275,6 +276,8 @@
         except (OSError, MalformedMessageError) as error:
             if connection is not None:
                 connection.close()
+            # What broke or silenced this connection may have done so to all of them.
+            self._close_idle()
             self._counters.count("store_calls_failed", reason=type(error).__name__)
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, str(error)) from error
         except BaseException:
@@ -299,13 +302,19 @@
     def _acquire_connection(self, timeout_s: float) -> Connection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable():
+            idle_ns = self._clock.now_ns() - connection.idle_since_ns
+            if idle_ns < MAX_IDLE_S * NS_PER_S and connection.is_reusable():
                 return connection
             connection.close()
         return dial(self._address, timeout_s)
 
+    def _close_idle(self) -> None:
+        while self._idle:
+            self._idle.pop().close()
+
     def _release_connection(self, connection: Connection, response: Response) -> None:
         if response.reusable:
+            connection.idle_since_ns = self._clock.now_ns()
             self._idle.append(connection)
         else:
             connection.close()
