Ignore reports of a watch that are older than what the node has read

A node that reads the zones out of service, or gets them by a push, while its watch waits could apply a later report of that watch on top: a zone that is back was out again, with an older revision, until the next change. The new scenario failed before (zone-a out), and passes now.

--- a/features/mesh_watches.feature
+++ b/features/mesh_watches.feature
@@ -23,3 +23,9 @@
     And the coordinator's node is killed
     And 500 ms later operators write a configuration
     Then every node has the newest configuration within 2500 ms
+
+  # Guards against a late report of a watch that takes out a zone that is back (issue 43)
+  Scenario: A watch that reports late does not undo what the node has read since
+    Given a node that has read at revision 13 that no zone is out of service
+    When its watch reports up to revision 10 that a zone went out of service
+    Then no zone is out of service for the node, as of revision 13
--- a/features/steps/mesh_watches.py
+++ b/features/steps/mesh_watches.py
@@ -5,6 +5,11 @@
 
 from features.support.mesh_builders import create_document
 from features.support.mesh_proxied import StoreProxyMesh
+from features.support.stores import ScriptedStore
+from knapweedrock.mesh.config_watcher import ConfigWatcher
+from knapweedrock.mesh.messages import PublishConfiguration
+from knapweedrock.platform.documents import EVACUATION_KIND
+from knapweedrock.platform.stored_objects import Change, ChangeBatch, StoredObject
 
 
 @given("a mesh of {count:d} keyed targets with proxies before the store")
@@ -45,3 +50,28 @@
     context.mesh.wait_until(
         lambda: all(context.zone in node.zones_out for node in nodes), ms / 1000
     )
+
+
+@given("a node that has read at revision {revision:d} that no zone is out of service")
+def create_watcher(context, revision: int) -> None:
+    """Create a watcher that has learned the zones out of service by a push."""
+    context.store = ScriptedStore()
+    context.watcher = ConfigWatcher(context.store, lambda: None, lambda: True)
+    context.watcher.handle_push(PublishConfiguration(0, b"", [], revision))
+    context.watcher.start()
+    context.add_cleanup(context.watcher.stop)
+
+
+@when("its watch reports up to revision {revision:d} that a zone went out of service")
+def report_late(context, revision: int) -> None:
+    """Let the watch of the zones report a change that is older."""
+    change = Change(StoredObject("zone-a", revision, {}), False)
+    context.store.reports[EVACUATION_KIND].set(ChangeBatch([change], revision))
+    gevent.sleep(0.1)
+
+
+@then("no zone is out of service for the node, as of revision {revision:d}")
+def check_no_zone(context, revision: int) -> None:
+    """Check the zones that are out of service, and their revision."""
+    assert context.watcher.zones_out == frozenset(), context.watcher.zones_out
+    assert context.watcher.zones_revision == revision, context.watcher.zones_revision
--- a/features/support/stores.py
+++ b/features/support/stores.py
@@ -1,10 +1,15 @@
-"""An emulated store, and a client of it, for scenarios without nodes."""
+"""An emulated store, and clients of one, for scenarios without nodes."""
+
+from collections import defaultdict
+
+from gevent.event import AsyncResult
 
 from knapweedrock.clock import create_clock
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.emulator.store import ObjectStore, create_endpoint
 from knapweedrock.platform.store import Store
+from knapweedrock.platform.stored_objects import ChangeBatch, Listing
 
 
 def start_store(context) -> None:
@@ -15,3 +20,23 @@
     context.add_cleanup(front.stop)
     context.counters = Counters()
     context.client = Store(front.address, create_clock(), context.counters)
+
+
+class ScriptedStore:
+    """Client of an empty store whose watches report what a scenario sets.
+
+    `reports` has the next report of the watch of each kind.
+    """
+
+    def __init__(self) -> None:
+        self.reports: dict[str, AsyncResult] = defaultdict(AsyncResult)
+
+    def list_kind(self, _kind: str) -> Listing:
+        """Return an empty listing at the first revision."""
+        return Listing([], 1)
+
+    def watch(self, kind: str, _revision: int, _wait_s: float) -> ChangeBatch:
+        """Wait for the next report of the kind."""
+        batch = self.reports[kind].get()
+        self.reports[kind] = AsyncResult()
+        return batch
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -208,6 +208,9 @@
                 if not change.removed:
                     self._apply_configuration(change.item)
             return
+        if revision <= self.zones_revision:
+            # A newer state was read or pushed while the watch was waiting.
+            return
         zones = set(self.zones_out)
         for change in changes:
             if change.removed:
