Reject a response whose status is below 100

Callers could get HTTP/1.1 0 as the answer to a request (MIXED): a target's signed 000 without a length counted as final once its connection closed; one with a length counted as interim, and the request waited until its deadline.

The parser checked the status against 200 alone. A head with a status below 100 is malformed now; the request ends at once as one that may have run, and reads are sent again.

--- a/features/mesh_answers.feature
+++ b/features/mesh_answers.feature
@@ -14,6 +14,20 @@
       | a reset in an answer without a length | 207 |
       | nothing                         | 206  |
 
+  # Guards against a status that HTTP does not have, passed on to the caller (issue 43)
+  Scenario Outline: An answer with <bytes> is not the answer to a request
+    Given a target that answers with <bytes>
+    When a request is sent to it
+    Then it ends with code 207 before its timeout
+    And the connection is not reused
+
+    Examples:
+      | bytes                            |
+      | a status of 000                  |
+      | a status of 000 without a length |
+      | a status of 000 before an answer |
+      | a status of 099                  |
+
   Scenario: An answer to an earlier request is skipped
     Given a target that answers with an answer to another request first
     When a request is sent to it
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -20,7 +20,12 @@
 from knapweedrock.counters import Counters
 from knapweedrock.mesh.definitions import Route, WeightedService
 from knapweedrock.mesh.http import ResponseParser, encode_request
-from knapweedrock.mesh.http_client import BrokenExchangeError, HttpClient, is_valid
+from knapweedrock.mesh.http_client import (
+    BrokenExchangeError,
+    ExchangeTimeoutError,
+    HttpClient,
+    is_valid,
+)
 from knapweedrock.mesh.node import KILL_MARGIN_MS
 from knapweedrock.mesh.quarantine import Quarantine
 from knapweedrock.mesh.routed_requests import RoutedRequestFactory
@@ -32,6 +37,7 @@
 ANSWER_TIMEOUT_S = 5.0
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
 WHOLE = HEAD + b"Content-Length: 4\r\n\r\nbody"
+STATUS_000 = HEAD.replace(b"200 OK", b"000 Unknown")
 ANSWERS = {
     "a complete answer": WHOLE,
     "a truncated body": HEAD + b"Content-Length: 9\r\n\r\nbody",
@@ -40,6 +46,12 @@
     "a close without an answer": b"",
     "a reset in an answer without a length": HEAD + b"\r\nbo",
     "nothing": b"",
+    "a status of 000": STATUS_000 + b"Content-Length: 4\r\n\r\nbody",
+    "a status of 000 without a length": STATUS_000 + b"\r\nbody",
+    "a status of 099": STATUS_000.replace(b"000", b"099") + b"\r\nbody",
+    "a status of 000 before an answer": STATUS_000
+    + b"Content-Length: 0\r\n\r\n"
+    + WHOLE,
     "an answer to another request first": WHOLE.replace(b"a1", b"a0") + WHOLE,
     "a second answer": WHOLE + WHOLE,
     "an answer without a length": HEAD + b"Connection: close\r\n\r\nbody",
@@ -52,6 +64,8 @@
     "a truncated body",
     "a close without an answer",
     "an answer without a length",
+    "a status of 000 without a length",
+    "a status of 099",
 }
 RESET = {"a reset after half an answer", "a reset in an answer without a length"}
 
@@ -183,6 +197,13 @@
     assert context.error.code == Code(code), context.error
 
 
+@then("it ends with code {code:d} before its timeout")
+def check_early_end(context, code: int) -> None:
+    """Check the error code, and that the exchange did not wait until its timeout."""
+    check_end(context, code)
+    assert not isinstance(context.error, ExchangeTimeoutError), context.error
+
+
 @then("the connection is not reused")
 def check_not_reused(context) -> None:
     """Send a second request and count the connections."""
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -28,6 +28,7 @@
 PARSE_BYTES = 2048
 MAX_PARSE_NS = NS_PER_MS
 MIN_TIMEOUT_S = 0.001
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
 # A header's colon and the CRLF at the end of its line.
 HEADER_SEPARATOR_BYTES = 3
@@ -177,13 +178,15 @@
 
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
+        status = self._parser.get_status_code()
+        if status < FIRST_STATUS:
+            raise MalformedMessageError(f"the status {status:03} is below 100")
         self._has_head = True
         self._head_ns = read_now_ns()
         for name, _ in self._headers:
             if name.lower() in ("content-length", "transfer-encoding"):
                 self._is_framed = True
-        is_final = self._parser.get_status_code() >= FIRST_FINAL_STATUS
-        if self._bodiless and is_final:
+        if self._bodiless and status >= FIRST_FINAL_STATUS:
             # The parser still expects a body, so the connection can't be used again.
             self._append_response(reusable=False)
 
