--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -186,6 +186,7 @@
 
   Scenario: A request reaches no more targets than its route allows
     Given a mesh of 2 keyed and 4 unkeyed targets
-    When all responses of the unkeyed targets are lost and 10 requests arrive
+    When the window of the retry budget is set to 1 s
+    And all responses of the unkeyed targets are lost and 10 requests arrive
     Then no request was executed more than 2 times
     And at least one was executed 2 times, and none was reported as not run
--- a/features/steps/mesh_settings.py
+++ b/features/steps/mesh_settings.py
@@ -84,3 +84,10 @@
     text = context.node.log.read_text()
     assert "settings" not in text, text[-500:]
     assert context.node.process.poll() is None, "the node has ended"
+
+
+@when("the window of the retry budget is set to {seconds:d} s")
+def set_retry_window(context, seconds: int) -> None:
+    """Change the window of all nodes, whose processes have run for longer."""
+    for node in context.mesh.nodes.values():
+        node.apply_settings(node.settings._replace(retry_window_s=float(seconds)))
