Split attempts and the budgets of all services off the router

Budgets of all services, their terms and the member count now stand together in budgets.py; the state and the results of attempts in attempts.py.

--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -21,6 +21,7 @@
 from knapweedrock.counters import Counters
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import LinkError
+from knapweedrock.mesh.attempts import Progress, resolve_result
 from knapweedrock.mesh.calls import Call
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.link import Link
@@ -46,7 +47,6 @@
     get_type_id,
     list_message_types,
 )
-from knapweedrock.mesh.routing import Progress, resolve_result
 from knapweedrock.mesh.tables import encode_rows
 
 TEXT = st.text(max_size=20)
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -6,7 +6,7 @@
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_S, Clock
-from knapweedrock.mesh.definitions import NodeSettings
+from knapweedrock.mesh.definitions import NodeSettings, Service
 
 # Shortest interval between two log lines about the use of a budget.
 REPORT_INTERVAL_S = 1
@@ -143,3 +143,44 @@
             requests=len(self._requests),
             members=node_count,
         )
+
+
+class RetryBudgets:
+    """Retry budgets of a node for all services."""
+
+    def __init__(self, clock: Clock, terms: BudgetTerms) -> None:
+        """Create the budgets of a process that starts now."""
+        self._clock = clock
+        self._terms = terms
+        self._started_ns = clock.now_ns()
+        self._member_count = PeakCount(clock, terms.window_s)
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def configure(self, terms: BudgetTerms) -> None:
+        """Change the limit of all services."""
+        self._terms = terms
+        self._member_count.window_s = terms.window_s
+        for budget in self._budgets.values():
+            budget.configure(terms)
+
+    def record_member_count(self, count: int) -> None:
+        """Record the number of members that the board names."""
+        self._member_count.record(count)
+
+    def count_request(self, service: Service) -> None:
+        """Count a request for a service."""
+        self._get_budget(service).count_request()
+
+    def spend(self, service: Service, was_executed: bool = False) -> bool:
+        """Spend the cost of a retry if the service's budget allows it."""
+        node_count = self._member_count.get()
+        return self._get_budget(service).spend(node_count, was_executed)
+
+    def _get_budget(self, service: Service) -> RetryBudget:
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            use = USE_WITH_KEYS if service.keyed else USE_WITH_CALLS
+            budget = self._budgets[service.name] = RetryBudget(
+                self._clock, self._terms, self._started_ns, use, service.name
+            )
+        return budget
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -202,7 +202,7 @@
             return
         self.board = board
         self.recent_boards.append(board)
-        self.router.record_member_count(len(board.members))
+        self.router.budgets.record_member_count(len(board.members))
         self.coordinator.term.end_if_superseded(board.epoch)
         own_member = board.members.get(self.settings.node_id)
         if own_member is not None and self.target.restore(own_member):
@@ -231,7 +231,7 @@
         self.store.change_address(settings.store)
         self.target.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.holds.max_hold_ms = settings.max_hold_ms
-        self.router.set_retry_budget(create_budget_terms(settings))
+        self.router.budgets.configure(create_budget_terms(settings))
         log.info("settings changed", settings=settings._asdict())
 
     def abort(self) -> None:
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -9,15 +9,15 @@
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import INFO, Code, Outcome, parse_code
 from knapweedrock.counters import Counters
-from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.mesh.budgets import (
-    USE_WITH_CALLS,
-    USE_WITH_KEYS,
-    BudgetTerms,
-    PeakCount,
-    RetryBudget,
-    create_budget_terms,
+from knapweedrock.errors import KnapweedrockError
+from knapweedrock.mesh.attempts import (
+    Progress,
+    create_failure,
+    get_attempt_result,
+    is_success,
+    resolve_result,
 )
+from knapweedrock.mesh.budgets import RetryBudgets, create_budget_terms
 from knapweedrock.mesh.callers import Reply, create_refusal
 from knapweedrock.mesh.calls import Call, SilentLinkError
 from knapweedrock.mesh.gateway import RESTART_RETRY_MS
@@ -58,7 +58,6 @@
 # Maximum of Retry-After, as a share of the request's remaining time.
 RETRY_AFTER_SHARE = 0.3
 RETRY_AFTER_JITTER = 0.25
-FIRST_SERVER_ERROR_STATUS = 500
 
 # Refusals that end once the key has a new owner.
 AWAIT_OWNER_CODES = frozenset(
@@ -91,27 +90,6 @@
 log = Logger("routing")
 
 
-class Progress:
-    """State of a request across its attempts, with deadlines for waits for an owner."""
-
-    def __init__(self, unreachable_deadline_ns: int, move_deadline_ns: int) -> None:
-        self.unreachable_deadline_ns = unreachable_deadline_ns
-        self.move_deadline_ns = move_deadline_ns
-        self.member: Member | None = None
-        # Attempts, whether or not a target was found for them.
-        self.sent_count = 0
-        # Attempts that may have reached a target; the route limits them.
-        self.reached_count = 0
-        self.tried_node_ids: set[str] = set()
-        # Result of the latest attempt that may have been executed but has no complete
-        # response.
-        self.lost_result: Forwarded | None = None
-        # Attempts on silent links; their responses may still arrive.
-        self.open_calls: list[Call] = []
-        # Latest response of a target with a server error.
-        self.failed_result: Forwarded | None = None
-
-
 class Router:
     """Routes callers' requests and retries them within their deadlines and budgets."""
 
@@ -122,25 +100,11 @@
         self._node = node
         self._clock = clock
         self._counters = counters
-        self._started_ns = clock.now_ns()
-        self._budgets: dict[str, RetryBudget] = {}
         settings = node.settings
-        self._budget_terms = create_budget_terms(settings)
-        self._member_count = PeakCount(clock, settings.retry_window_s)
+        self.budgets = RetryBudgets(clock, create_budget_terms(settings))
         self._request_factory = RoutedRequestFactory(settings.service, clock)
         self._latencies = node.histograms.create("request_ms")
 
-    def set_retry_budget(self, terms: BudgetTerms) -> None:
-        """Change the retry budget of all services."""
-        self._budget_terms = terms
-        self._member_count.window_s = terms.window_s
-        for budget in self._budgets.values():
-            budget.configure(terms)
-
-    def record_member_count(self, count: int) -> None:
-        """Record the number of members that the board names."""
-        self._member_count.record(count)
-
     def serve(self, request: Request, _address: str) -> Reply:
         """Route a caller's request and return the reply to it."""
         configuration = self._node.configuration
@@ -179,7 +143,7 @@
 
     def _execute(self, routed: RoutedRequest, progress: Progress) -> Forwarded:
         if routed.key >= 0 or not routed.service.keyed:
-            self._get_budget(routed).count_request()
+            self.budgets.count_request(routed.service)
         try:
             result = self._send_until_final(routed, progress)
             if progress.open_calls:
@@ -284,7 +248,7 @@
         """Record an attempt's result and return whether to send the request again."""
         code = parse_code(result.code)
         if code is Code.DONE:
-            if result.status < FIRST_SERVER_ERROR_STATUS or not routed.route.idempotent:
+            if is_success(result) or not routed.route.idempotent:
                 return False
             progress.reached_count += 1
             progress.failed_result = result
@@ -335,8 +299,7 @@
             return False
         if self._compute_remaining_ms(routed) < MIN_REMAINING_MS * 4:
             return False
-        node_count = self._member_count.get()
-        if not self._get_budget(routed).spend(node_count, was_executed):
+        if not self.budgets.spend(routed.service, was_executed):
             self._counters.count("retries_denied", service=routed.service.name)
             return False
         self._counters.count("retries", service=routed.service.name)
@@ -457,19 +420,6 @@
     def _compute_remaining_ms(self, routed: RoutedRequest) -> float:
         return (routed.deadline_ns - self._clock.now_ns()) / NS_PER_MS
 
-    def _get_budget(self, routed: RoutedRequest) -> RetryBudget:
-        budget = self._budgets.get(routed.service.name)
-        if budget is None:
-            use = USE_WITH_KEYS if routed.service.keyed else USE_WITH_CALLS
-            budget = self._budgets[routed.service.name] = RetryBudget(
-                self._clock,
-                self._budget_terms,
-                self._started_ns,
-                use,
-                routed.service.name,
-            )
-        return budget
-
     def _create_reply(self, routed: RoutedRequest, result: Forwarded) -> Reply:
         code = parse_code(result.code)
         if code is Code.DONE:
@@ -520,41 +470,3 @@
             node.request_log.log_success("request done", attempt_id, describe)
         else:
             node.request_log.log_failure("request failed", attempt_id, describe)
-
-
-def get_attempt_result(call: Call) -> Forwarded | None:
-    """Return the response to a finished attempt, or None if the attempt failed."""
-    try:
-        return call.wait(0)
-    except LinkError as error:
-        log.debug("no response to an open attempt", reason=error.detail)
-        return None
-
-
-def is_success(result: Forwarded) -> bool:
-    """Return whether a target responded without a server error."""
-    return result.code == Code.DONE and result.status < FIRST_SERVER_ERROR_STATUS
-
-
-def create_failure(
-    code: Code, detail: str = "", retry_after_ms: float = 0.0
-) -> Forwarded:
-    """Create the result of an attempt that failed without a response."""
-    return Forwarded(int(code), 0, [], b"", detail, retry_after_ms, 0.0)
-
-
-def resolve_result(last: Forwarded, progress: Progress) -> Forwarded:
-    """Return the result that holds for all attempts of a request together.
-
-    If the last attempt was not executed, an earlier one may still have been.
-    """
-    if last.code == Code.DONE:
-        return last
-    if progress.failed_result is not None:
-        return progress.failed_result
-    if (
-        progress.lost_result is None
-        or INFO[parse_code(last.code)].outcome is Outcome.MAY_HAVE_RUN
-    ):
-        return last
-    return progress.lost_result
