--- a/features/steps/endless_callers.py
+++ b/features/steps/endless_callers.py
@@ -11,7 +11,9 @@
 from knapweedrock.mesh import callers
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
-from knapweedrock.mesh.http import Request, ResponseParser, dial
+from knapweedrock.mesh.http import Request
+from knapweedrock.mesh.http_connections import dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 PIECE_S = 0.1
 
--- a/features/steps/mesh_answers.py
+++ b/features/steps/mesh_answers.py
@@ -19,13 +19,14 @@
 from knapweedrock.codes import INFO, Code, Outcome
 from knapweedrock.counters import Counters
 from knapweedrock.mesh.definitions import Route, WeightedService
-from knapweedrock.mesh.http import ResponseParser, encode_request
+from knapweedrock.mesh.http import encode_request
 from knapweedrock.mesh.http_client import (
     BrokenExchangeError,
     ExchangeTimeoutError,
     HttpClient,
     is_valid,
 )
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.node import KILL_MARGIN_MS
 from knapweedrock.mesh.quarantine import Quarantine
 from knapweedrock.mesh.routed_requests import RoutedRequestFactory
--- a/features/steps/mesh_copies.py
+++ b/features/steps/mesh_copies.py
@@ -15,8 +15,9 @@
 from knapweedrock.clock import create_clock
 from knapweedrock.codes import INFO, NOT_RUN_STATUSES, Outcome, parse_code
 from knapweedrock.counters import Counters
-from knapweedrock.mesh.http import Headers, Response, ResponseParser
+from knapweedrock.mesh.http import Headers, Response
 from knapweedrock.mesh.http_client import BrokenExchangeError, HttpClient
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.sent_attempts import SentAttempts
 from knapweedrock.mesh.snapshots import KEY_COUNT
 from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED
--- a/features/steps/mesh_cuts.py
+++ b/features/steps/mesh_cuts.py
@@ -5,12 +5,9 @@
 
 from features.support.mesh_proxied import TargetProxyMesh
 from features.support.proxies import Direction, Proxy
-from knapweedrock.mesh.http import (
-    MalformedMessageError,
-    Response,
-    ResponseParser,
-    feed_parser,
-)
+from knapweedrock.mesh.http import MalformedMessageError, Response
+from knapweedrock.mesh.http_connections import feed_parser
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
 WITH_LENGTH = HEAD + b"Content-Length: 4\r\n\r\nbody"
--- a/features/steps/mesh_input.py
+++ b/features/steps/mesh_input.py
@@ -21,7 +21,8 @@
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import RefusalError
 from knapweedrock.mesh.admission import Admission
-from knapweedrock.mesh.http import ResponseParser, dial
+from knapweedrock.mesh.http_connections import dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.settings import parse_settings, read_file
 from knapweedrock.mesh.targets import Target
 from knapweedrock.platform.heartbeats import decode_message
--- a/features/steps/mesh_leaving.py
+++ b/features/steps/mesh_leaving.py
@@ -10,7 +10,7 @@
     list_held_keys,
 )
 from knapweedrock.clock import NS_PER_MS
-from knapweedrock.mesh.http import ResponseParser
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 
 @when("a target begins to drain")
--- a/features/steps/mesh_links.py
+++ b/features/steps/mesh_links.py
@@ -17,7 +17,7 @@
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import LinkError
 from knapweedrock.mesh.frames import Frame
-from knapweedrock.mesh.http import ResponseParser
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.links import Links
 from knapweedrock.mesh.messages import Done, Forward, Forwarded, Probe, Resumed
 from knapweedrock.mesh.sessions import AnswerCache, Session
--- a/features/steps/mesh_reconnects.py
+++ b/features/steps/mesh_reconnects.py
@@ -22,8 +22,8 @@
 from knapweedrock.mesh.connections import Connection, dial
 from knapweedrock.mesh.frames import Frame, decode_frame, encode_frame
 from knapweedrock.mesh.gateway import Gateway
-from knapweedrock.mesh.http import ResponseParser
 from knapweedrock.mesh.http_client import HttpClient
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.links import NODE_HEADER, Links
 from knapweedrock.mesh.messages import Forward, Forwarded, Resume, Resumed
 from knapweedrock.mesh.sessions import RESUME_TIMEOUT_MS
--- a/features/steps/mesh_story.py
+++ b/features/steps/mesh_story.py
@@ -17,7 +17,7 @@
 )
 from knapweedrock.counters import Counters
 from knapweedrock.definition import cli
-from knapweedrock.mesh.http import ResponseParser
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.request_log import RequestLog
 from knapweedrock.operators.causes import format_summary, summarize_failures
 from knapweedrock.operators.story import build_story, parse_lines
--- a/features/support/heartbeats.py
+++ b/features/support/heartbeats.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 from features.support.mesh_harness import Place
-from knapweedrock.mesh.http import ResponseParser, dial, encode_request
+from knapweedrock.mesh.http import encode_request
+from knapweedrock.mesh.http_connections import dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 TIMEOUT_S = 2.0
 # Start time in ms that is later than that of any emulated target.
--- a/features/support/mesh_harness.py
+++ b/features/support/mesh_harness.py
@@ -12,13 +12,9 @@
 )
 from knapweedrock.emulator.local_mesh import LocalMesh, Place
 from knapweedrock.mesh import snapshots
-from knapweedrock.mesh.http import (
-    Connection,
-    Response,
-    ResponseParser,
-    dial,
-    encode_request,
-)
+from knapweedrock.mesh.http import Response, encode_request
+from knapweedrock.mesh.http_connections import Connection, dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.platform.headers import ATTEMPT_ID, REMAINING_MS, SHARD_KEY
 
 __all__ = [
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -21,7 +21,9 @@
 from knapweedrock.codes import NOT_RUN_STATUSES
 from knapweedrock.emulator.addresses import create_address
 from knapweedrock.errors import KnapweedrockError
-from knapweedrock.mesh.http import MalformedMessageError, ResponseParser, dial
+from knapweedrock.mesh.http import MalformedMessageError
+from knapweedrock.mesh.http_connections import dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.mesh.snapshots import KEY_COUNT
 from knapweedrock.operators.client import fetch_json
 from knapweedrock.platform.headers import RATE_LIMIT
--- a/knapweedrock/emulator/heartbeats.py
+++ b/knapweedrock/emulator/heartbeats.py
@@ -1,13 +1,8 @@
 """Client with which an emulated target sends heartbeats to its node."""
 
-from knapweedrock.mesh.http import (
-    JSON_HEADERS,
-    Connection,
-    Response,
-    ResponseParser,
-    dial,
-    encode_request,
-)
+from knapweedrock.mesh.http import JSON_HEADERS, Response, encode_request
+from knapweedrock.mesh.http_connections import Connection, dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 HEARTBEAT_TIMEOUT_S = 1.0
 
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -15,15 +15,15 @@
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.disconnects import CallerDisconnectedError, DisconnectWatcher
 from knapweedrock.mesh.http import (
-    MIN_TIMEOUT_S,
     Headers,
     HeadTooLargeError,
     MalformedMessageError,
     Request,
-    RequestParser,
     encode_head_response,
     encode_response,
 )
+from knapweedrock.mesh.http_connections import MIN_TIMEOUT_S
+from knapweedrock.mesh.http_parsers import RequestParser
 from knapweedrock.sockets import (
     disable_nagle,
     receive_next,
--- a/knapweedrock/mesh/gateway.py
+++ b/knapweedrock/mesh/gateway.py
@@ -13,13 +13,14 @@
 from knapweedrock.headers import HOP_BY_HOP_HEADERS
 from knapweedrock.mesh.admission import MAX_KINDS, Admission
 from knapweedrock.mesh.definitions import Service
-from knapweedrock.mesh.http import Headers, Response, dial
+from knapweedrock.mesh.http import Headers, Response
 from knapweedrock.mesh.http_client import (
     BrokenExchangeError,
     ExchangeTimeoutError,
     HttpClient,
     is_valid,
 )
+from knapweedrock.mesh.http_connections import dial
 from knapweedrock.mesh.load_meter import LoadMeter
 from knapweedrock.mesh.messages import Forward, Forwarded, TargetNotice
 from knapweedrock.mesh.notifier import Notifier
--- a/knapweedrock/mesh/http_client.py
+++ b/knapweedrock/mesh/http_client.py
@@ -5,14 +5,13 @@
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.http import (
-    Connection,
     Headers,
     MalformedMessageError,
     Response,
-    ResponseParser,
-    dial,
     encode_request,
 )
+from knapweedrock.mesh.http_connections import Connection, dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.platform.headers import ATTEMPT_ID, NOT_EXECUTED, SIGNATURE
 
 DIAL_TIMEOUT_S = 0.4
--- a/knapweedrock/operators/client.py
+++ b/knapweedrock/operators/client.py
@@ -9,12 +9,9 @@
 from knapweedrock.checker import Address
 from knapweedrock.codes import Code
 from knapweedrock.errors import KnapweedrockError, LinkError
-from knapweedrock.mesh.http import (
-    MalformedMessageError,
-    ResponseParser,
-    dial,
-    encode_request,
-)
+from knapweedrock.mesh.http import MalformedMessageError, encode_request
+from knapweedrock.mesh.http_connections import dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 
 TIMEOUT_S = 5.0
 # A dump of a large mesh takes some MB.
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -15,13 +15,12 @@
 from knapweedrock.json_input import InputError, read_members
 from knapweedrock.mesh.http import (
     JSON_HEADERS,
-    Connection,
     MalformedMessageError,
     Response,
-    ResponseParser,
-    dial,
     encode_request,
 )
+from knapweedrock.mesh.http_connections import Connection, dial
+from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.platform.stored_objects import (
     Change,
     ChangeBatch,
