Count late writes of a term among those that the coordinator knows

A write whose answer was lost and that took effect is adopted by reading it back; its revision then counted as a change of somebody else's, and both kinds were read for it (2 calls each time, while the store loses answers).

--- a/features/mesh_watches.feature
+++ b/features/mesh_watches.feature
@@ -29,3 +29,9 @@
     Given a node that has read at revision 13 that no zone is out of service
     When its watch reports up to revision 10 that a zone went out of service
     Then no zone is out of service for the node, as of revision 13
+
+  # Guards against reads of the configuration for each write whose answer is lost
+  Scenario: Writes of the coordinator whose answers are lost are no changes of others
+    Given a mesh of 3 keyed targets with proxies before the store
+    When half of the coordinator's writes lose their answers for 4 s
+    Then the coordinator has read no configuration for changes that it missed
--- a/features/steps/mesh_watches.py
+++ b/features/steps/mesh_watches.py
@@ -1,5 +1,7 @@
 """Steps about changes in the store that watches do not report."""
 
+from unittest import mock
+
 import gevent
 from behave import given, then, when
 
@@ -75,3 +77,22 @@
     """Check the zones that are out of service, and their revision."""
     assert context.watcher.zones_out == frozenset(), context.watcher.zones_out
     assert context.watcher.zones_revision == revision, context.watcher.zones_revision
+
+
+@when("half of the coordinator's writes lose their answers for {seconds:d} s")
+def lose_answers(context, seconds: int) -> None:
+    """Lose answers, and count how often the coordinator reads what it missed."""
+    mesh = context.mesh
+    name = mesh.find_coordinator()
+    watcher = mesh.nodes[name].config_watcher
+    context.refresh = mock.Mock(side_effect=watcher.refresh)
+    watcher.refresh = context.refresh
+    mesh.find_place(name).front.lost_write_share = 0.5
+    gevent.sleep(seconds)
+    assert mesh.find_coordinator() == name
+
+
+@then("the coordinator has read no configuration for changes that it missed")
+def check_no_refresh(context) -> None:
+    """Check that nothing was read beside the watches."""
+    assert context.refresh.call_count == 0, context.refresh.call_count
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -323,6 +323,7 @@
         if (record.process, record.epoch) != (self._process, self.epoch):
             return False
         self._leader_record = current
+        self._on_write(current.revision)
         # The term runs from the time when the renewal was sent, however late the store
         # wrote it.
         sent_ns = self._unconfirmed_sent_ns.pop(record.number, None)
@@ -342,6 +343,7 @@
             return
         if table is not None and table.epoch == self.epoch:
             self._tables[service] = current
+            self._on_write(current.revision)
         else:
             log.warning(
                 "table owned by another term", service=service, epoch=self.epoch
