--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -407,6 +407,13 @@
         for proxy in self.proxies[place.settings.node_id].values():
             proxy.silence()
 
+    @register_fault
+    def silence_store_connections(self, place: Place) -> None:
+        """Silence all open connections to the store, and change the configuration."""
+        for proxies in self.proxies.values():
+            proxies["store"].silence()
+        self.write_configuration(place)
+
     @register_fault
     def heat_keys(self, _place: Place) -> None:
         """Direct most of the load to adjacent keys and increase the service time."""
