Leave a share of the retry ratio to the processes that follow within a window

Cause: a process may spend at once what its requests of the last window have earned, be killed, and its successor spends what its own requests earn in the same window: up to twice the ratio. In its first window a process now uses a share of the ratio that the other one leaves: 0.15 beside 0.8 for services with keys, 0.05 beside 0.45 for others.

The scenario of series of restarts restarts every 4 s, so that there are retries at all. The model's callers begin once the nodes' windows have passed.

--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -12,7 +12,14 @@
   # Guards against a retry budget that begins anew with its process (issue 43)
   Scenario: Nodes that restart again and again stay within the whole budget
     Given 13 nodes with a retry ratio of 0.2 and a slack of 60
-    When each gets 10 requests with keys per second for 30 s, retries all it may, and restarts every 3 s
+    When each gets 10 requests with keys per second for 30 s, retries all it may, and restarts every 4 s
+    Then at most 0.2 of the requests plus 60 are retried in any 10 s
+
+  # Guards against what one process has saved and the next one earns in the same window
+  # (issue 43)
+  Scenario: Nodes that restart once they have used what they saved stay within the whole budget
+    Given 13 nodes with a retry ratio of 0.2 and a slack of 60
+    When each gets 50 requests with keys per second for 30 s, retries all it may from second 10 on, and restarts at second 11
     Then at most 0.2 of the requests plus 60 are retried in any 10 s
 
   # Guards against a slack divided by the few members that a new board names (issue 43)
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -92,6 +92,31 @@
         retry_requests(context, budgets, count)
 
 
+@when(
+    "each gets {rate:d} requests with keys per second for {seconds:d} s, retries all "
+    "it may from second {first:d} on, and restarts at second {restart:d}"
+)
+def save_and_restart(
+    context, rate: int, seconds: int, first: int, restart: int
+) -> None:
+    """Retry nothing at first, then all that the budgets allow, and restart once."""
+    count = len(context.caller_budgets)
+    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    for number in range(seconds * rate):
+        context.clock.advance_ms(1000 / rate)
+        if number == restart * rate:
+            budgets = [
+                create_budget(context, context.clock.ns, USE_WITH_KEYS)
+                for _ in range(count)
+            ]
+        if number >= first * rate:
+            retry_requests(context, budgets, count)
+            continue
+        for budget in budgets:
+            budget.count_request()
+            record(context, context.requests, 1)
+
+
 @when(
     "each gets {rate:d} requests with keys per second for {seconds:d} s, retries all "
     "it may, and each board names {few:d} members for 1 s in {interval:d}"
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -30,19 +30,22 @@
     """How a service's retry budget is used.
 
     `share` of the budget is used, and retrying a request that was executed counts as
-    `executed_cost` retries, since its second execution repeats its calls.
+    `executed_cost` retries, since its second execution repeats its calls. In its first
+    window a process uses `young_share` of the ratio and no slack: its predecessor may
+    have used the other share in the same window.
     """
 
     share: float
+    young_share: float
     executed_cost: int
 
 
 # Targets' calls of a service are counted with its requests, and repeated calls can't be
 # told from first ones, so much of the budget is kept for them.
-USE_WITH_CALLS = BudgetUse(0.45, 3)
+USE_WITH_CALLS = BudgetUse(0.45, 0.05, 3)
 # Requests for keys come from callers only. The higher cost allows as many retries of
 # executed requests, whose calls count in other budgets.
-USE_WITH_KEYS = BudgetUse(0.9, 6)
+USE_WITH_KEYS = BudgetUse(0.8, 0.15, 6)
 
 
 def create_budget_terms(settings: NodeSettings) -> BudgetTerms:
@@ -79,8 +82,7 @@
 class RetryBudget:
     """Limits the retries for one service by its requests that entered at this node.
 
-    `started_ns` is when the process of this node started. Its predecessor may have used
-    the node's part of the slack, so there is none until a window has passed.
+    `started_ns` is when the process of this node started.
     """
 
     def __init__(
@@ -102,8 +104,7 @@
 
     def configure(self, terms: BudgetTerms) -> None:
         """Change the limit."""
-        self._ratio = terms.ratio * self._use.share
-        self._slack = terms.slack * self._use.share
+        self._terms = terms
         self._window_ns = int(terms.window_s * NS_PER_S)
 
     def count_request(self) -> None:
@@ -121,15 +122,21 @@
         for times in (self._requests, self._retries):
             while times and times[0] < now_ns - self._window_ns:
                 times.popleft()
-        allowed = self._ratio * len(self._requests)
-        if now_ns - self._started_ns >= self._window_ns:
-            allowed += self._slack / max(node_count, 1)
+        allowed = self._compute_allowed(now_ns, node_count)
         is_allowed = len(self._retries) + cost <= allowed
         if is_allowed:
             self._retries.extend([now_ns] * cost)
         self._report(now_ns, allowed, node_count)
         return is_allowed
 
+    def _compute_allowed(self, now_ns: int, node_count: int) -> float:
+        """Compute the cost that may be spent in the window that ends now."""
+        terms, use, requests = self._terms, self._use, len(self._requests)
+        if now_ns - self._started_ns < self._window_ns:
+            return terms.ratio * use.young_share * requests
+        slack = terms.slack / max(node_count, 1)
+        return use.share * (terms.ratio * requests + slack)
+
     def _report(self, now_ns: int, allowed: float, node_count: int) -> None:
         """Log how much of the budget is used, at most once in an interval."""
         if now_ns - self._reported_ns < REPORT_INTERVAL_S * NS_PER_S:
