Remember only the requests of a retry budget's window

The budget of a service kept the time of each request until something was to be retried: a node without failures grew by 8 bytes and more a request, for good. Requests and former member counts are removed when new ones are counted. The new scenario failed before (20,000 remembered, 5,001 allowed), and passes now. Steps of the budget share a builder.

--- a/features/mesh_budget.feature
+++ b/features/mesh_budget.feature
@@ -39,6 +39,12 @@
     When the budget is exhausted and 11 s pass without requests
     Then a retry is allowed again
 
+  # Guards against memory that grows with each request for as long as nothing is retried
+  Scenario: A budget remembers only the requests of its window
+    Given 1 nodes with a retry ratio of 0.2 and a slack of 60
+    When 20000 requests come in 40 s and nothing is retried
+    Then the budget remembers at most 5001 requests
+
   Scenario: A request that was delayed between nodes has less time remaining
     Given two nodes whose clocks differ by 1000 s
     When requests with 441 ms remaining take 2 ms, 3 ms and 785 ms from one to the other
--- a/features/steps/mesh_budget.py
+++ b/features/steps/mesh_budget.py
@@ -43,6 +43,12 @@
     return RetryBudget(context.clock, context.terms, started_ns, use)
 
 
+def create_key_budgets(context, started_ns: int) -> list[RetryBudget]:
+    """Create a budget for a service with keys at each node."""
+    count = len(context.caller_budgets)
+    return [create_budget(context, started_ns, USE_WITH_KEYS) for _ in range(count)]
+
+
 def record(context, events: list, count: float) -> None:
     """Record requests or retries at the current time."""
     events.append((context.clock.ns, count))
@@ -67,11 +73,10 @@
 )
 def retry_with_keys(context, rate: int, seconds: int) -> None:
     """Retry every request for a key as far as the budgets allow."""
-    count = len(context.caller_budgets)
-    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    budgets = create_key_budgets(context, 0)
     for _ in range(seconds * rate):
         context.clock.advance_ms(1000 / rate)
-        retry_requests(context, budgets, count)
+        retry_requests(context, budgets, len(budgets))
 
 
 @when(
@@ -80,16 +85,12 @@
 )
 def restart_and_retry(context, rate: int, seconds: int, interval: int) -> None:
     """Retry every request as far as the budgets allow; restart all nodes at times."""
-    count = len(context.caller_budgets)
-    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    budgets = create_key_budgets(context, 0)
     for number in range(seconds * rate):
         context.clock.advance_ms(1000 / rate)
         if number % (interval * rate) == 0:
-            budgets = [
-                create_budget(context, context.clock.ns, USE_WITH_KEYS)
-                for _ in range(count)
-            ]
-        retry_requests(context, budgets, count)
+            budgets = create_key_budgets(context, context.clock.ns)
+        retry_requests(context, budgets, len(budgets))
 
 
 @when(
@@ -100,17 +101,13 @@
     context, rate: int, seconds: int, first: int, restart: int
 ) -> None:
     """Retry nothing at first, then all that the budgets allow, and restart once."""
-    count = len(context.caller_budgets)
-    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    budgets = create_key_budgets(context, 0)
     for number in range(seconds * rate):
         context.clock.advance_ms(1000 / rate)
         if number == restart * rate:
-            budgets = [
-                create_budget(context, context.clock.ns, USE_WITH_KEYS)
-                for _ in range(count)
-            ]
+            budgets = create_key_budgets(context, context.clock.ns)
         if number >= first * rate:
-            retry_requests(context, budgets, count)
+            retry_requests(context, budgets, len(budgets))
             continue
         for budget in budgets:
             budget.count_request()
@@ -125,14 +122,13 @@
     context, rate: int, seconds: int, few: int, interval: int
 ) -> None:
     """Retry every request as far as the budgets allow, with changing boards."""
-    count = len(context.caller_budgets)
-    budgets = [create_budget(context, 0, USE_WITH_KEYS) for _ in range(count)]
+    budgets = create_key_budgets(context, 0)
     member_count = PeakCount(context.clock, context.terms.window_s)
-    member_count.record(count)
+    member_count.record(len(budgets))
     for number in range(seconds * rate):
         context.clock.advance_ms(1000 / rate)
         is_few = number // rate % interval == interval - 1
-        member_count.record(few if is_few else count)
+        member_count.record(few if is_few else len(budgets))
         retry_requests(context, budgets, member_count.get())
 
 
@@ -207,6 +203,21 @@
     assert context.caller_budgets[0].spend(1)
 
 
+@when("{count:d} requests come in {seconds:d} s and nothing is retried")
+def count_requests(context, count: int, seconds: int) -> None:
+    """Count requests at equal intervals."""
+    for _ in range(count):
+        context.clock.advance_ms(seconds * 1000 / count)
+        context.caller_budgets[0].count_request()
+
+
+@then("the budget remembers at most {count:d} requests")
+def check_remembered(context, count: int) -> None:
+    """Check how many requests the budget remembers."""
+    remembered = context.caller_budgets[0].get_request_count()
+    assert remembered <= count, remembered
+
+
 @given("two nodes whose clocks differ by {seconds:d} s")
 def create_clocks(context, seconds: int) -> None:
     """Create two clocks with a difference."""
--- a/knapweedrock/mesh/budgets.py
+++ b/knapweedrock/mesh/budgets.py
@@ -67,16 +67,20 @@
 
     def record(self, count: int) -> None:
         """Record the current count."""
+        self._remove_expired()
         if count != self._current:
             self._former.append((self._clock.now_ns(), self._current))
             self._current = count
 
     def get(self) -> int:
         """Return the largest count that was current at any time in the window."""
+        self._remove_expired()
+        return max([self._current, *(count for _, count in self._former)])
+
+    def _remove_expired(self) -> None:
         first_ns = self._clock.now_ns() - int(self.window_s * NS_PER_S)
         while self._former and self._former[0][0] < first_ns:
             self._former.popleft()
-        return max([self._current, *(count for _, count in self._former)])
 
 
 class RetryBudget:
@@ -109,7 +113,9 @@
 
     def count_request(self) -> None:
         """Count a request for the service."""
-        self._requests.append(self._clock.now_ns())
+        now_ns = self._clock.now_ns()
+        self._requests.append(now_ns)
+        remove_before(self._requests, now_ns - self._window_ns)
 
     def spend(self, node_count: int, was_executed: bool = False) -> bool:
         """Spend the cost of a retry if the budget allows it; return whether it did.
@@ -120,8 +126,7 @@
         cost = self._use.executed_cost if was_executed else 1
         now_ns = self._clock.now_ns()
         for times in (self._requests, self._retries):
-            while times and times[0] < now_ns - self._window_ns:
-                times.popleft()
+            remove_before(times, now_ns - self._window_ns)
         allowed = self._compute_allowed(now_ns, node_count)
         is_allowed = len(self._retries) + cost <= allowed
         if is_allowed:
@@ -129,6 +134,10 @@
         self._report(now_ns, allowed, node_count)
         return is_allowed
 
+    def get_request_count(self) -> int:
+        """Return the number of requests that are remembered."""
+        return len(self._requests)
+
     def _compute_allowed(self, now_ns: int, node_count: int) -> float:
         """Compute the cost that may be spent in the window that ends now."""
         terms, use, requests = self._terms, self._use, len(self._requests)
@@ -152,6 +161,12 @@
         )
 
 
+def remove_before(times: deque[int], first_ns: int) -> None:
+    """Remove the times before a given one; the times are in order."""
+    while times and times[0] < first_ns:
+        times.popleft()
+
+
 class RetryBudgets:
     """Retry budgets of a node for all services."""
 
