Take no missing kind of zones for a change that was missed

The listing of a kind that a store doesn't know has no revision; the coordinator would have read both kinds after each of its writes. The new scenario failed before (read 4 times) and passes now.

--- a/features/mesh_watches.feature
+++ b/features/mesh_watches.feature
@@ -35,3 +35,9 @@
     Given a mesh of 3 keyed targets with proxies before the store
     When half of the coordinator's writes lose their answers for 4 s
     Then the coordinator has read no configuration for changes that it missed
+
+  # Guards against reads after each write where no zone was ever taken out of service
+  Scenario: A store that does not know the kind of zones is not read again and again
+    Given a node whose store does not know the kind of zones
+    When the node writes 4 times, 300 ms apart
+    Then it has read the configuration once
--- a/features/steps/mesh_watches.py
+++ b/features/steps/mesh_watches.py
@@ -10,7 +10,7 @@
 from features.support.stores import ScriptedStore
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.messages import PublishConfiguration
-from knapweedrock.platform.documents import EVACUATION_KIND
+from knapweedrock.platform.documents import CONFIGURATION_KIND, EVACUATION_KIND
 from knapweedrock.platform.stored_objects import Change, ChangeBatch, StoredObject
 
 
@@ -96,3 +96,26 @@
 def check_no_refresh(context) -> None:
     """Check that nothing was read beside the watches."""
     assert context.refresh.call_count == 0, context.refresh.call_count
+
+
+@given("a node whose store does not know the kind of zones")
+def create_watcher_without_zones(context) -> None:
+    """Create a watcher of a store whose listing of zones has no revision."""
+    context.store = ScriptedStore()
+    context.store.revisions[EVACUATION_KIND] = 0
+    context.watcher = ConfigWatcher(context.store, lambda: None, lambda: True)
+
+
+@when("the node writes {count:d} times, {pause_ms:d} ms apart")
+def write_repeatedly(context, count: int, pause_ms: int) -> None:
+    """Record writes whose revisions follow each other."""
+    for _ in range(count):
+        context.store.revisions[CONFIGURATION_KIND] += 1
+        context.watcher.record_write(context.store.revisions[CONFIGURATION_KIND])
+        gevent.sleep(pause_ms / 1000)
+
+
+@then("it has read the configuration once")
+def check_read_once(context) -> None:
+    """Check how often the configuration was listed."""
+    assert context.store.listed[CONFIGURATION_KIND] == 1, context.store.listed
--- a/features/support/stores.py
+++ b/features/support/stores.py
@@ -1,6 +1,6 @@
 """An emulated store, and clients of one, for scenarios without nodes."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from gevent.event import AsyncResult
 
@@ -25,15 +25,19 @@
 class ScriptedStore:
     """Client of an empty store whose watches report what a scenario sets.
 
-    `reports` has the next report of the watch of each kind.
+    `reports` has the next report of the watch of each kind, and `revisions` the
+    revision of its listings. Listings are counted in `listed`.
     """
 
     def __init__(self) -> None:
         self.reports: dict[str, AsyncResult] = defaultdict(AsyncResult)
+        self.revisions: dict[str, int] = defaultdict(lambda: 1)
+        self.listed: Counter[str] = Counter()
 
-    def list_kind(self, _kind: str) -> Listing:
-        """Return an empty listing at the first revision."""
-        return Listing([], 1)
+    def list_kind(self, kind: str) -> Listing:
+        """Return an empty listing."""
+        self.listed[kind] += 1
+        return Listing([], self.revisions[kind])
 
     def watch(self, kind: str, _revision: int, _wait_s: float) -> ChangeBatch:
         """Wait for the next report of the kind."""
--- a/knapweedrock/mesh/config_watcher.py
+++ b/knapweedrock/mesh/config_watcher.py
@@ -141,7 +141,9 @@
             self._apply_configuration_listing(configurations)
             zones = self._store.list_kind(EVACUATION_KIND)
             self._apply_zone_listing(zones)
-            self._seen.add_all_until(min(configurations.revision, zones.revision))
+            # The listing of a kind that the store does not know has no revision.
+            revisions = {configurations.revision, zones.revision} - {0}
+            self._seen.add_all_until(min(revisions, default=0))
         except PlatformError as error:
             log.info("store refresh failed", reason=error.detail)
         finally:
