Ask members for the crashes that a restarted node can't remember

A request that crashes its targets is refused after three crashes. A node now asks three members of its first board for the crashes that they remember, with their ages.

--- a/features/mesh_path.feature
+++ b/features/mesh_path.feature
@@ -171,6 +171,14 @@
     Then the targets crashed 3 times
     And it is refused as not run from then on, and other requests for its key succeed
 
+  # Guards against crashes of a request that are forgotten with a process (issue 43)
+  Scenario: A request that crashes targets stays refused after all nodes have restarted in turn
+    Given a mesh of 3 keyed targets
+    When a request that crashes its target is sent to each node in turn for 6 s
+    And the nodes are killed and restart 500 ms later, one after the other
+    And a request that crashes its target is sent to each node in turn for 6 s
+    Then the targets crashed 3 times
+
   Scenario: A draining target without keys gets no new requests
     Given a mesh of 2 keyed and 2 unkeyed targets
     When one of the unkeyed targets begins to drain while it gets requests
--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -39,6 +39,8 @@
     Published,
     ReadBoard,
     ReadConfiguration,
+    ReadCrashes,
+    RememberedCrashes,
     Renew,
     Renewed,
     Resume,
@@ -145,6 +147,8 @@
         CrashReport(["a", "b"]),
         ReadBoard(),
         ReadConfiguration(),
+        ReadCrashes(),
+        RememberedCrashes({"a": [1500.0, 20.0]}),
     ]
 
 
--- a/features/steps/mesh_losses.py
+++ b/features/steps/mesh_losses.py
@@ -26,6 +26,17 @@
     context.started_ns = mesh.clock.now_ns()
 
 
+@when("the nodes are killed and restart {ms:d} ms later, one after the other")
+def restart_nodes_in_turn(context, ms: int) -> None:
+    """Kill and restart each node once the one before it is in the mesh again."""
+    mesh = context.mesh
+    for place in mesh.places:
+        mesh.kill_node(place.settings.node_id)
+        gevent.sleep(ms / 1000)
+        mesh.start_node(place)
+        mesh.wait_until(mesh.is_settled)
+
+
 @when("the heartbeats of a target stop and its node is killed and restarted")
 def restart_node_without_heartbeats(context) -> None:
     """Restart a node that can learn of its target only from peers and health checks."""
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -323,3 +323,15 @@
 @register_message(59)
 class ReadBoard(NamedTuple):
     """Request for the whole board that a node has; answered like a push of it."""
+
+
+@register_message(60)
+class ReadCrashes(NamedTuple):
+    """Request for the crashes that a node remembers, sent by one that has started."""
+
+
+@register_message(61)
+class RememberedCrashes(NamedTuple):
+    """Ages in ms of crashes of targets, by the fingerprint of a request in flight."""
+
+    ages_ms: dict[str, list[float]]
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -39,6 +39,8 @@
     PublishConfiguration,
     ReadBoard,
     ReadConfiguration,
+    ReadCrashes,
+    RememberedCrashes,
     Renew,
     Row,
 )
@@ -60,6 +62,9 @@
 # they move to other targets.
 ZONE_EVACUATION_MS = 3000
 CRASH_TIMEOUT_MS = 500
+# Number of members that a node asks for crashes when it starts; some of them may have
+# restarted, too.
+CRASH_SOURCES = 3
 # Requests in flight end this long before `shutdown_ms` has passed, when the process
 # would be killed.
 KILL_MARGIN_MS = 900
@@ -126,6 +131,7 @@
         )
         self._endpoint_servers = create_servers(self)
         self._board_notifier = Notifier()
+        self._has_read_crashes = False
         self._was_zone_out = False
         self._zone_out_since_ns = 0
         self._tasks: list[gevent.Greenlet] = []
@@ -139,6 +145,7 @@
                 ReadBoard: self._answer_board,
                 Renew: lambda _sender, message: self.coordinator.renew(message),
                 CrashReport: self._handle_crash_report,
+                ReadCrashes: self._answer_crashes,
             }
         )
 
@@ -204,6 +211,7 @@
         self.recent_boards.append(board)
         self.router.budgets.record_member_count(len(board.members))
         self.coordinator.term.end_if_superseded(board.epoch)
+        self._read_crashes()
         own_member = board.members.get(self.settings.node_id)
         if own_member is not None and self.target.restore(own_member):
             gevent.spawn(self.gateway.probe)
@@ -330,6 +338,27 @@
         self.gateway.quarantine.record_crash(message.fingerprints)
         return Done()
 
+    def _answer_crashes(self, _sender: str, _message: ReadCrashes) -> RememberedCrashes:
+        return RememberedCrashes(self.gateway.quarantine.list_ages_ms())
+
+    def _read_crashes(self) -> None:
+        """Ask members, once, for the crashes that this process can't remember."""
+        own_id = self.settings.node_id
+        peers = [m.peer for n, m in self.board.members.items() if n != own_id]
+        if not peers or self._has_read_crashes:
+            return
+        self._has_read_crashes = True
+        for peer in peers[:CRASH_SOURCES]:
+            gevent.spawn(self._read_crashes_of, peer)
+
+    def _read_crashes_of(self, peer: str) -> None:
+        try:
+            answer = self.links.request(peer, ReadCrashes(), CRASH_TIMEOUT_MS)
+        except KnapweedrockError as error:
+            log.info("crashes not read", peer=peer, reason=error.detail)
+            return
+        self.gateway.quarantine.add_ages_ms(answer.ages_ms)
+
     def _report_crash(self, fingerprints: list[str]) -> None:
         message = CrashReport(fingerprints)
         for name, member in self.board.members.items():
