Identify workspaces by credentials and keep their quotas over the mesh

Change: credentials, priorities and quotas as docs/design/workspaces.md describes; routes are looked up by the lengths of prefixes.

--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -46,6 +46,8 @@
     PEER_UNREACHABLE = 209
     QUARANTINED = 211
     TARGET_FENCED = 216
+    QUOTA_EXCEEDED = 217
+    QUOTA_UNKNOWN = 218
     # 3xx: bad input from callers, targets or peers
     BAD_REQUEST = 301
     BAD_ANNOUNCEMENT = 303
@@ -53,6 +55,7 @@
     BAD_PATH = 306
     REPORT_MALFORMED = 307
     REPORT_NOT_WRITTEN = 308
+    CREDENTIAL_UNKNOWN = 309
     # 4xx: configuration
     CONFIGURATION_MALFORMED = 401
     # 5xx: the platform
@@ -133,6 +136,12 @@
     Code.TARGET_FENCED: CodeInfo(
         503, _NOT_RUN, True, "The target refused the fencing token."
     ),
+    Code.QUOTA_EXCEEDED: CodeInfo(
+        429, _NOT_RUN, True, "The workspace has used its quota."
+    ),
+    Code.QUOTA_UNKNOWN: CodeInfo(
+        503, _NOT_RUN, True, "The workspace's quota can't be checked now."
+    ),
     Code.BAD_REQUEST: CodeInfo(400, _NOT_RUN, False, "The request is malformed."),
     Code.BAD_ANNOUNCEMENT: CodeInfo(
         400, _NOT_RUN, False, "The target's announcement is malformed."
@@ -145,6 +154,9 @@
     Code.REPORT_NOT_WRITTEN: CodeInfo(
         409, _NOT_RUN, False, "The report file can't be written."
     ),
+    Code.CREDENTIAL_UNKNOWN: CodeInfo(
+        401, _NOT_RUN, False, "The request has no known credential."
+    ),
     Code.CONFIGURATION_MALFORMED: CodeInfo(
         400, _NOT_RUN, False, "The configuration is malformed."
     ),
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -296,4 +296,6 @@
     headers = [(CODE_HEADER, str(int(code)))]
     if retry_after_ms > 0 and status in (429, 503):
         headers.append(("Retry-After", f"{retry_after_ms / 1000:.3f}"))
+    if status == 401:
+        headers.append(("WWW-Authenticate", "ApiKey"))
     return Reply(status, headers, b"")
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+from knapweedrock.mesh.routes import RouteIndex
+from knapweedrock.workspaces.definitions import Workspaces
+
 
 class WeightedService(NamedTuple):
     """A service that receives a share of a route's requests; weights are relative."""
@@ -15,6 +18,7 @@
 
     `weighted_services` lists the services that share the requests. `max_attempts`
     limits how many targets one request may reach. A `priority` of 0 is the most urgent.
+    Requests on a `public` route need no credential.
     """
 
     name: str
@@ -26,6 +30,7 @@
     priority: int
     weighted_services: tuple[WeightedService, ...]
     max_attempts: int
+    public: bool = False
 
 
 class Service(NamedTuple):
@@ -54,12 +59,18 @@
 
 
 class Configuration(NamedTuple):
-    """One version of all routes, services and limits that operators configure."""
+    """One version of all that operators configure.
+
+    `route_index` contains `routes`. Requests need no credentials if `workspaces` is
+    None.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    route_index: RouteIndex
+    workspaces: Workspaces | None = None
 
 
 class HeldRange(NamedTuple):
@@ -137,7 +148,9 @@
 
     `target` is the address of the local target, `service` the target's service.
     Peers dial `peer`; the node listens there, or on `peer_listen` if that is set.
-    Retries are limited in each window of `retry_window_s`.
+    Retries are limited in each window of `retry_window_s`. In each window of
+    `quota_window_s` the requests of a workspace may exceed its quota by the share
+    `quota_overage` and by `quota_slack` requests.
     `cores` is the processor capacity of the node, in cores. `link_mbps` is the network
     bandwidth of its VM, in Mbit/s; 0 means unknown.
     """
@@ -158,6 +171,9 @@
     retry_ratio: float
     retry_slack: float
     retry_window_s: float = 10.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     peer_listen: tuple[str, int] | None = None
     cores: float = 1.0
     link_mbps: float = 0.0
--- a/knapweedrock/mesh/http.py
+++ b/knapweedrock/mesh/http.py
@@ -7,6 +7,7 @@
 REASONS = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     409: "Conflict",
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -195,6 +195,8 @@
             self._renewed_at_ns = self._node.clock.now_ns()
             self._has_read_in_isolation = False
         self._record_term(answer)
+        if answer.epoch == self._node.board.epoch:
+            self._node.quotas.record_renewal()
         self._node.holds.extend_lease(sent_ns, answer.lease_ms)
         if answer.change is not None:
             self._apply_change(answer.change)
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -330,6 +330,32 @@
     """Request for the crashes that a node remembers, sent by one that has started."""
 
 
+@register_message(62)
+class ChargeQuota(NamedTuple):
+    """Request that charges one request to a workspace at its accountant.
+
+    `rate_per_s` and `burst` are its quota by the sender's `version` of the
+    configuration. `is_stand_in` says that the processes of the accountants before this
+    one have certainly ended.
+    """
+
+    workspace: str
+    version: int
+    rate_per_s: float
+    burst: float
+    is_stand_in: bool = False
+
+
+@register_message(63)
+class QuotaCharged(NamedTuple):
+    """Answer to `ChargeQuota`; see `quotas.buckets.Charge`."""
+
+    is_granted: bool
+    wait_ms: float
+    retry_after_ms: float
+    is_calm: bool
+
+
 @register_message(61)
 class RememberedCrashes(NamedTuple):
     """Ages in ms of crashes of targets, by the fingerprint of a request in flight."""
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -30,6 +30,7 @@
 from knapweedrock.mesh.membership import Membership
 from knapweedrock.mesh.messages import (
     Board,
+    ChargeQuota,
     CrashReport,
     Done,
     Forward,
@@ -55,6 +56,8 @@
 from knapweedrock.mesh.transit import TransitDelays
 from knapweedrock.platform.heartbeats import count_fitting
 from knapweedrock.platform.store import Store
+from knapweedrock.quotas.buckets import create_quota_terms
+from knapweedrock.quotas.control import QuotaControl
 
 PROBE_INTERVAL_S = 0.3
 MAX_RECENT_BOARDS = 16
@@ -124,6 +127,14 @@
             self, clock, self.counters, admission, self._report_crash
         )
         self.coordinator = Coordinator(self, self.store, clock, self.counters)
+        self.quotas = QuotaControl(
+            settings.node_id,
+            clock,
+            self.counters,
+            self.links,
+            create_quota_terms(settings),
+            self.get_remaining_lease_ms,
+        )
         target_selector = TargetSelector(settings.zone, clock, self.links.is_up)
         self.router = Router(self, clock, self.counters, target_selector)
         self.callers = CallerServer(
@@ -146,6 +157,7 @@
                 Renew: lambda _sender, message: self.coordinator.renew(message),
                 CrashReport: self._handle_crash_report,
                 ReadCrashes: self._answer_crashes,
+                ChargeQuota: self.quotas.handle_charge,
             }
         )
 
@@ -210,6 +222,7 @@
         self.board = board
         self.recent_boards.append(board)
         self.router.budgets.record_member_count(len(board.members))
+        self.quotas.set_members(board.members)
         self.coordinator.term.end_if_superseded(board.epoch)
         self._read_crashes()
         own_member = board.members.get(self.settings.node_id)
@@ -240,6 +253,7 @@
         self.target.heartbeat_interval_ms = settings.heartbeat_interval_ms
         self.holds.max_hold_ms = settings.max_hold_ms
         self.router.budgets.configure(create_budget_terms(settings))
+        self.quotas.set_terms(create_quota_terms(settings))
         log.info("settings changed", settings=settings._asdict())
 
     def abort(self) -> None:
@@ -284,6 +298,8 @@
     def _apply_configuration(self) -> None:
         self._board_notifier.notify_all()
         configuration = self.configuration
+        if configuration and configuration.workspaces is not None:
+            self.quotas.forget_unknown(configuration.workspaces.by_name)
         if configuration and self.settings.service in configuration.services:
             service = configuration.services[self.settings.service]
             self.gateway.http_client.max_connections = service.connection_limit
--- a/knapweedrock/mesh/routed_requests.py
+++ b/knapweedrock/mesh/routed_requests.py
@@ -11,8 +11,16 @@
 from knapweedrock.mesh.definitions import Configuration, Route, Service, WeightedService
 from knapweedrock.mesh.http import Headers, Request
 from knapweedrock.mesh.snapshots import KEY_COUNT
-from knapweedrock.platform.headers import CALLER_SERVICE, REMAINING_MS, SHARD_KEY
+from knapweedrock.platform.headers import (
+    CALLER_SERVICE,
+    REMAINING_MS,
+    SET_WITH_WORKSPACES,
+    SHARD_KEY,
+    WORKSPACE,
+)
 from knapweedrock.platform.headers import SET_BY_NODES as NODE_HEADERS
+from knapweedrock.workspaces.definitions import Workspace
+from knapweedrock.workspaces.identity import combine_priorities, identify_workspace
 
 # Multiples of the golden ratio modulo 1 are spread evenly, even the first few of them.
 GOLDEN_RATIO_STEP = 0.618033988749895
@@ -23,6 +31,8 @@
     """A request with its route; `key` is -1 if the service has no keys.
 
     The response should arrive by `objective_ns`; at `deadline_ns` the caller gives up.
+    A `priority` of 0 is the most urgent. `workspace` is None if the request belongs to
+    none.
     """
 
     request: Request
@@ -32,6 +42,8 @@
     headers: Headers
     deadline_ns: int
     objective_ns: int
+    priority: int
+    workspace: Workspace | None = None
 
 
 class RoutedRequestFactory:
@@ -46,7 +58,11 @@
     def create(
         self, configuration: Configuration, route: Route, request: Request
     ) -> RoutedRequest:
-        """Create a routed request; raises `BAD_REQUEST` or `UNKNOWN_SERVICE`."""
+        """Create a routed request.
+
+        Raises `CREDENTIAL_UNKNOWN`, `BAD_REQUEST` or `UNKNOWN_SERVICE`.
+        """
+        workspace = identify_workspace(configuration.workspaces, route, request)
         now_ns = self._clock.now_ns()
         remaining_ms = read_remaining_ms(request, route)
         # Time that earlier attempts of the caller used counts against the objective.
@@ -59,11 +75,29 @@
             route,
             service,
             read_key(request) if service.keyed else -1,
-            [*list_forwarded_headers(request), (CALLER_SERVICE, self._service)],
+            self._create_headers(configuration, request, workspace),
             now_ns + int(min(remaining_ms, route.timeout_ms) * NS_PER_MS),
             now_ns + int((route.objective_ms - used_ms) * NS_PER_MS),
+            combine_priorities(workspace, route),
+            workspace,
         )
 
+    def _create_headers(
+        self,
+        configuration: Configuration,
+        request: Request,
+        workspace: Workspace | None,
+    ) -> Headers:
+        """Create the headers for the target, without the caller's credential."""
+        if configuration.workspaces is None:
+            headers = list_forwarded_headers(request, NODE_HEADERS)
+        else:
+            headers = list_forwarded_headers(request, SET_WITH_WORKSPACES)
+        headers.append((CALLER_SERVICE, self._service))
+        if workspace is not None:
+            headers.append((WORKSPACE, workspace.name))
+        return headers
+
     def _choose_service(self, route: Route) -> WeightedService:
         """Choose a service so that each gets its share even of a few requests."""
         if len(route.weighted_services) == 1:
@@ -83,14 +117,14 @@
     """Find the route with the longest matching prefix, or None if there is none."""
     host = request.fields.get("host", "").lower().partition(":")[0]
     path = request.target.partition("?")[0]
-    for route in configuration.routes:
-        if route.host == host and path.startswith(route.prefix):
-            return route
-    return None
+    return configuration.route_index.find(host, path)
 
 
-def list_forwarded_headers(request: Request) -> Headers:
-    """List the headers of a caller's request that are forwarded to the target."""
+def list_forwarded_headers(request: Request, replaced: frozenset[str]) -> Headers:
+    """List the headers of a caller's request that are forwarded to the target.
+
+    Headers named in `replaced` are those that callers can't set.
+    """
     connection_field = request.fields.get("connection", "").lower()
     connection_options = (
         {name.strip() for name in connection_field.split(",")}
@@ -101,7 +135,7 @@
         pair
         for pair in request.headers
         if pair[0] not in HOP_BY_HOP_HEADERS
-        and pair[0] not in NODE_HEADERS
+        and pair[0] not in replaced
         and pair[0] not in connection_options
     ]
 
--- a/knapweedrock/mesh/routing.py
+++ b/knapweedrock/mesh/routing.py
@@ -9,7 +9,7 @@
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import INFO, Code, Outcome, parse_code
 from knapweedrock.counters import Counters
-from knapweedrock.errors import KnapweedrockError
+from knapweedrock.errors import KnapweedrockError, RefusalError
 from knapweedrock.mesh.attempts import (
     Progress,
     create_failure,
@@ -117,6 +117,7 @@
         try:
             routed = self._request_factory.create(configuration, route, request)
         except KnapweedrockError as error:
+            self._counters.count("requests_rejected", code=error.code.name)
             return create_refusal(error.code, 0)
         if self._node.is_too_late(routed.deadline_ns):
             self._counters.count(
@@ -125,7 +126,9 @@
             return create_refusal(Code.LEAVING, RESTART_RETRY_MS)
         start_ns = self._clock.now_ns()
         progress = self._create_progress(routed)
-        result = self._execute(routed, progress)
+        result = self._charge_quota(routed, configuration.version)
+        if result is None:
+            result = self._execute(routed, progress)
         latency_ms = (self._clock.now_ns() - start_ns) / NS_PER_MS
         self._record_request(routed, progress, result, latency_ms)
         return self._create_reply(routed, result)
@@ -141,6 +144,20 @@
             now_ns + int(move_wait_ms * NS_PER_MS),
         )
 
+    def _charge_quota(self, routed: RoutedRequest, version: int) -> Forwarded | None:
+        """Charge the request to its workspace; return the result if that fails."""
+        workspace = routed.workspace
+        if workspace is None or not workspace.is_limited:
+            return None
+        remaining_ms = self._compute_remaining_ms(routed)
+        try:
+            wait_ms = self._node.quotas.charge(workspace, version, remaining_ms)
+        except RefusalError as error:
+            return create_failure(error.code, error.detail, error.retry_after_ms)
+        if wait_ms:
+            gevent.sleep(wait_ms / 1000)
+        return None
+
     def _execute(self, routed: RoutedRequest, progress: Progress) -> Forwarded:
         if routed.key >= 0 or not routed.service.keyed:
             self.budgets.count_request(routed.service)
@@ -365,7 +382,7 @@
             routed.request.body,
             round(remaining_ms, 1),
             round(objective_ms, 1),
-            routed.route.priority,
+            routed.priority,
             routed.route.idempotent,
             route=routed.route.name,
         )
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -17,15 +17,19 @@
         "retry_ratio",
         "retry_slack",
         "retry_window_s",
+        "quota_window_s",
+        "quota_overage",
+        "quota_slack",
     }
 )
 MAX_MS = 3_600_000
 MAX_RATIO = 1000.0
 MAX_CORES = 1024.0
 DEFAULT_RETRY_WINDOW_S = 10.0
-MIN_RETRY_WINDOW_S = 0.1
-# A node keeps the times of all requests within the window.
-MAX_RETRY_WINDOW_S = 3600.0
+DEFAULT_QUOTA_WINDOW_S = 5.0
+MIN_WINDOW_S = 0.1
+# A node keeps the times of all requests within the windows.
+MAX_WINDOW_S = 3600.0
 MAX_MBPS = 1_000_000.0
 
 
@@ -72,7 +76,10 @@
         shutdown_ms=int(checker.read_number("shutdown_s", 0, MAX_MS) * 1000),
         retry_ratio=checker.read_number("retry_ratio", 0, MAX_RATIO),
         retry_slack=checker.read_number("retry_slack", 0, MAX_MS),
-        retry_window_s=read_retry_window(checker),
+        retry_window_s=read_window(checker, "retry_window_s", DEFAULT_RETRY_WINDOW_S),
+        quota_window_s=read_window(checker, "quota_window_s", DEFAULT_QUOTA_WINDOW_S),
+        quota_overage=read_optional_number(checker, "quota_overage", 0.0, MAX_RATIO),
+        quota_slack=read_optional_number(checker, "quota_slack", 0.0, MAX_MS),
         peer_listen=read_optional_address(checker, "peer_listen"),
         cores=read_cores(checker),
         link_mbps=read_optional_number(checker, "link_mbps", 0.0, MAX_MBPS),
@@ -98,11 +105,11 @@
     return share * speed
 
 
-def read_retry_window(checker: Checker) -> float:
-    """Read the length in s of the window in which retries are limited."""
-    if not checker.raw.get("retry_window_s"):
-        return DEFAULT_RETRY_WINDOW_S
-    return checker.read_number("retry_window_s", MIN_RETRY_WINDOW_S, MAX_RETRY_WINDOW_S)
+def read_window(checker: Checker, name: str, default_s: float) -> float:
+    """Read the length in s of a window in which requests are limited."""
+    if not checker.raw.get(name):
+        return default_s
+    return checker.read_number(name, MIN_WINDOW_S, MAX_WINDOW_S)
 
 
 def read_optional_number(
--- a/knapweedrock/operators/causes.py
+++ b/knapweedrock/operators/causes.py
@@ -34,6 +34,7 @@
             Code.NO_LIVE_TARGET,
         }
     ),
+    "quota of the workspace": frozenset({Code.QUOTA_EXCEEDED, Code.QUOTA_UNKNOWN}),
     "no configuration": frozenset({Code.CONFIG_STALE}),
     "no answer in time": frozenset(
         {Code.ANSWER_LOST, Code.ANSWER_TRUNCATED, Code.DEADLINE_PASSED}
--- a/knapweedrock/platform/documents.py
+++ b/knapweedrock/platform/documents.py
@@ -1,5 +1,6 @@
 """Decoding of the operators' configuration, as stored in the platform's store."""
 
+import math
 from typing import Any
 
 from knapweedrock.json_input import InputError
@@ -10,6 +11,9 @@
     Service,
     WeightedService,
 )
+from knapweedrock.mesh.routes import RouteIndex
+from knapweedrock.workspaces.credentials import Credentials
+from knapweedrock.workspaces.definitions import Workspace, Workspaces
 
 # Kinds and names of the objects that operators write.
 CONFIGURATION_KIND = "config"
@@ -42,6 +46,8 @@
             for name, item in fields["services"].items()
         },
         limits=decode_limits(fields.get("limits") or {}),
+        route_index=RouteIndex(routes),
+        workspaces=decode_workspaces(fields.get("tenants")),
     )
 
 
@@ -65,6 +71,7 @@
         priority=int(item.get("priority", 0)),
         weighted_services=weighted_services,
         max_attempts=int(item.get("maxAttempts", 1)),
+        public=bool(item.get("public", False)),
     )
 
 
@@ -90,3 +97,43 @@
         float(item.get("headerTimeoutMs", defaults.header_timeout_ms)),
         float(item.get("idleTimeoutMs", defaults.idle_timeout_ms)),
     )
+
+
+def decode_workspaces(items: dict[str, Any] | None) -> Workspaces | None:
+    """Decode the workspaces and their credentials; None if there is no such list."""
+    if items is None:
+        return None
+    credentials = Credentials()
+    by_name = {}
+    for name, item in items.items():
+        by_name[name] = decode_workspace(name, item)
+        credentials.add_all(name, decode_credentials(name, item))
+    return Workspaces(by_name, credentials)
+
+
+def decode_workspace(name: str, item: dict[str, Any]) -> Workspace:
+    """Decode one workspace."""
+    return Workspace(
+        name=name,
+        priority=int(item.get("priority") or 0),
+        rate_per_s=decode_quota(name, "ratePerS", item),
+        burst=decode_quota(name, "burst", item),
+    )
+
+
+def decode_quota(workspace: str, field: str, item: dict[str, Any]) -> float:
+    """Decode a number of a quota, 0 by default; raise `InputError` if it is odd."""
+    value = item.get(field) or 0
+    if type(value) not in (int, float) or not math.isfinite(value) or value < 0:
+        raise InputError(
+            f"workspace {workspace!r}: {field}: found {value!r}, expected 0 or more"
+        )
+    return float(value)
+
+
+def decode_credentials(workspace: str, item: dict[str, Any]) -> list[str]:
+    """Return the credentials of a workspace; raise `InputError` if they are no list."""
+    credentials = item.get("apiKeys") or []
+    if not isinstance(credentials, list):
+        raise InputError(f"workspace {workspace!r}: apiKeys: expected a list")
+    return credentials
--- a/knapweedrock/platform/headers.py
+++ b/knapweedrock/platform/headers.py
@@ -23,5 +23,11 @@
 RATE_LIMIT = "server-limit"
 # `1` in all responses of a target that is leaving.
 LEAVING = "server-leaving"
+# Credential of the caller's workspace; it is not forwarded.
+CREDENTIAL = "api-key"
+# Name of the workspace that the caller's credential belongs to.
+WORKSPACE = "x-tenant"
 # Headers that only nodes may set on requests to targets.
 SET_BY_NODES = frozenset({REMAINING_MS, EXPECTED_INSTANCE, CALLER_SERVICE})
+# The same, and those that are not forwarded, where the configuration has workspaces.
+SET_WITH_WORKSPACES = SET_BY_NODES | {CREDENTIAL, WORKSPACE}
--- /dev/null
+++ b/knapweedrock/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, which all nodes together keep."""
--- /dev/null
+++ b/knapweedrock/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces: groups of callers with credentials, a priority and a quota."""
