--- a/features/steps/frames.py
+++ b/features/steps/frames.py
@@ -29,6 +29,7 @@
 from knapweedrock.mesh.messages import (
     BoardChange,
     Cancel,
+    ChargeQuota,
     CrashReport,
     Done,
     Failed,
@@ -37,6 +38,7 @@
     Publish,
     PublishConfiguration,
     Published,
+    QuotaCharged,
     ReadBoard,
     ReadConfiguration,
     ReadCrashes,
@@ -148,6 +150,8 @@
         ReadBoard(),
         ReadConfiguration(),
         ReadCrashes(),
+        ChargeQuota("blue", 7, 20.0, 40.0, True),
+        QuotaCharged(True, 12.5, 0.0, True),
         RememberedCrashes({"a": [1500.0, 20.0]}),
     ]
 
--- a/features/support/mesh_harness.py
+++ b/features/support/mesh_harness.py
@@ -12,7 +12,7 @@
 )
 from knapweedrock.emulator.local_mesh import LocalMesh, Place
 from knapweedrock.mesh import snapshots
-from knapweedrock.mesh.http import Response, encode_request
+from knapweedrock.mesh.http import Headers, Response, encode_request
 from knapweedrock.mesh.http_connections import Connection, dial
 from knapweedrock.mesh.http_parsers import ResponseParser
 from knapweedrock.platform.headers import ATTEMPT_ID, REMAINING_MS, SHARD_KEY
@@ -56,11 +56,14 @@
         method: str = "GET",
         body: bytes = b"",
         remaining_ms: int = 1500,
+        extra_headers: Headers | None = None,
     ) -> Response:
         """Send one request to a node on a new connection, and return its response."""
         connection = self.open_connection(name)
         try:
-            data, _ = self.encode_call(path, key, method, body, remaining_ms)
+            data, _ = self.encode_call(
+                path, key, method, body, remaining_ms, extra_headers
+            )
             connection.send(data, 5)
             return connection.read(ResponseParser(), 5)
         finally:
@@ -71,7 +74,13 @@
         return dial(self.find_place(name).settings.caller, 2)
 
     def encode_call(
-        self, path: str, key: int | None, method: str, body: bytes, remaining_ms: int
+        self,
+        path: str,
+        key: int | None,
+        method: str,
+        body: bytes,
+        remaining_ms: int,
+        extra_headers: Headers | None = None,
     ) -> tuple[bytes, str]:
         """Encode a request with a unique attempt id; return both."""
         attempt_id = f"attempt-{next(self.attempt_numbers)}"
@@ -79,6 +88,7 @@
             ("Host", "mesh.example"),
             (ATTEMPT_ID, attempt_id),
             (REMAINING_MS, str(remaining_ms)),
+            *(extra_headers or []),
         ]
         if key is not None:
             headers.append((SHARD_KEY, str(key)))
