Show that a cut-off accountant and a young bucket keep the quota

Cause: the guards quota-isolated and quota-calm-age passed without their guard: the 60 seeded schedules don't provoke either. Change: a scenario of an accountant that is cut off with a full bucket, and the schedule of seed 1171. Measured: make guards of the six guards of quotas and credentials: all scenarios fail without their guard.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -25,6 +25,13 @@
     When each node asks for 20 requests per second for 20 s and the accountant and 2 others are cut off from second 8 to 14
     Then no window has more requests than the quota allows
 
+  # Guards against an accountant that is cut off and still grants its whole burst and rate
+  Scenario: An accountant that is cut off with a full bucket leaves room for its successor
+    Given terms of 5 s with an overage of 0 and a slack of 1
+    And 6 nodes and a workspace with a rate of 100 and a burst of 100
+    When each node asks for 2 requests per second until second 8 and then for 100 until second 16, and the accountant and 2 others are cut off from second 8 on
+    Then no window has more requests than the quota allows
+
   Scenario: A silent accountant takes no more of a calm workspace than it had before
     Given 6 nodes and a workspace with a rate of 40 and a burst of 40
     When each node asks for 3 requests per second for 20 s and the accountant is silent from second 8 to 16
@@ -50,3 +57,4 @@
     Examples:
       | count | seed |
       | 60    | 1    |
+      | 1     | 1171 |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -67,6 +67,24 @@
         mesh.step(demand)
 
 
+@when(
+    "each node asks for {calm:g} requests per second until second {first:d} and then "
+    "for {hot:g} until second {last:d}, and the accountant and {count:d} others are "
+    "cut off from second {cut:d} on"
+)
+def send_more_after_cut(
+    context, calm: float, first: int, hot: float, last: int, count: int, cut: int
+) -> None:
+    """Raise the demand when the accountant is cut off, so that its bucket is full."""
+    mesh = context.mesh
+    accountant = mesh.get_accountant()
+    others = [node for node in mesh.nodes.values() if node is not accountant]
+    while mesh.elapsed_s < last:
+        for node in (accountant, *others[:count]):
+            node.group = int(mesh.elapsed_s >= cut)
+        mesh.step(calm if mesh.elapsed_s < first else hot)
+
+
 @when(
     "each node asks for {demand:g} requests per second for {seconds:d} s and the "
     "accountant is silent from second {first:d} to {last:d}"
