Keep the rows of targets that return together, and confirm targets at once

Cause: after a loss of power of all VMs, the coordinator gave all free rows to the first target that was ready, as the others waited for the next probe of their health page (docs/incidents/keys-of-all-at-the-first-target.md). Change: a node probes its target when it gets its first configuration; in the first second of a term free rows are kept for owners that have reported. A pattern of the model cuts the power of all VMs.

--- a/features/mesh_ownership.feature
+++ b/features/mesh_ownership.feature
@@ -20,6 +20,16 @@
       | 46      | 40     |
       | 140     | 60     |
 
+  # Guards against a coordinator that gives the keys of all to the targets that return
+  # first after a loss of power (issue 49)
+  Scenario: Targets that are expected back keep their keys, and others' keys are spread
+    Given a table of 9 members
+    And 8 of the members are lost and no target holds their keys
+    And 6 of the lost members are expected back
+    When the coordinator plans 3 times
+    Then the members that are expected back own their keys as before
+    And the last member owns the keys of the others
+
   Scenario Outline: The rows of the remaining targets fit in the responses to heartbeats
     Given a table of <members> members
     And <lost> of the members are lost and no target holds their keys
--- a/features/mesh_patterns.feature
+++ b/features/mesh_patterns.feature
@@ -15,6 +15,14 @@
     Then at least 80 percent as many of the kind "read" as before second 2 are served in time from second 4 to 5
     And at least 80 percent as many of the kind "order" as before second 2 are served in time from second 4 to 5
 
+  # Guards against a coordinator that gives all keys to the first targets that return,
+  # and against targets whose return is confirmed late (issue 49)
+  Scenario: After a loss of power requests are served as far as cold targets allow
+    When the pattern "loss-of-power" is run with the seeds 1 to 2
+    Then at least 50 percent as many of the kind "read" as before second 3 are served in time from second 5 to 6
+    And at least 80 percent as many of the kind "order" as before second 3 are served in time from second 5 to 6
+    And at least 80 percent as many of the kind "read" as before second 3 are served in time from second 6 to 8
+
   # Guards against restarted nodes that wait for a coordinator to get the configuration
   Scenario: Restarted nodes serve again while the store is slow
     When the pattern "restart-beside-a-slow-store" is run with the seeds 1 to 2
--- a/features/steps/mesh_ownership.py
+++ b/features/steps/mesh_ownership.py
@@ -253,6 +253,29 @@
     context.snapshot = create_snapshot(members, unheld=unheld)
 
 
+@given("{count:d} of the lost members are expected back")
+def expect_members(context, count: int) -> None:
+    """Name lost members whose nodes have reported in a young term."""
+    context.returning = sorted(context.snapshot.members)[:count]
+    context.snapshot = context.snapshot._replace(returning=context.returning)
+
+
+@then("the members that are expected back own their keys as before")
+def check_returning(context) -> None:
+    """Check that no row of a returning member has another owner or mark."""
+    expected = [row for row in context.first if row.node_id in context.returning]
+    kept = [row for row in context.rows if row.node_id in context.returning]
+    assert expected
+    assert kept == expected
+
+
+@then("the last member owns the keys of the others")
+def check_spread(context) -> None:
+    """Check that the keys of members that stay lost have a ready owner."""
+    owners = {row.node_id for row in context.rows}
+    assert owners == {*context.returning, max(context.snapshot.members)}, owners
+
+
 @then("the response to each target's heartbeat has at most {max_bytes:d} bytes")
 def check_reply_sizes(context, max_bytes: int) -> None:
     """Check the encoded size of the heartbeat response to each target."""
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -46,6 +46,9 @@
 MEMBER_EXPIRY_MS = 20_000
 # Time that nodes have to report before the initial table is created.
 INITIAL_REPORT_MS = 2500
+# Time from the start of a term in which targets that have no node's confirmation yet
+# keep their rows: all VMs may have started at the same time.
+RETURN_GRACE_MS = 1000
 PLAN_INTERVAL_S = 0.1
 # Interval between pushes of the board to members that no push has reached yet.
 PUSH_RETRY_MS = 500
@@ -327,8 +330,20 @@
             self._released.get(service, []),
             self._heartbeat_at_ms,
             self._node.settings.heartbeat_interval_ms,
+            self._list_returning(members),
         )
 
+    def _list_returning(self, members: dict[str, Member]) -> Collection[str]:
+        """List the members that have reported in a young term without a ready target."""
+        age_ms = (self._clock.now_ns() - self._term_started_ns) / NS_PER_MS
+        if age_ms > RETURN_GRACE_MS:
+            return ()
+        return [
+            name
+            for name, member in members.items()
+            if member.state == "absent" and self.get_silence_ms(name) < age_ms
+        ]
+
     def _get_confirmed_member(self, name: str, member: Member) -> Member:
         """Return the member, marked absent unless it has reported in this term.
 
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -304,6 +304,9 @@
             service = configuration.services[self.settings.service]
             self.gateway.http_client.max_connections = service.connection_limit
             self.gateway.admission.cold_rate = service.cold_rate
+            if self.target.name and not self.target.confirmed:
+                # Without a configuration the health page was not known.
+                gevent.spawn(self.gateway.probe)
         is_out = self.settings.zone in self.zones_out
         if is_out and not self._was_zone_out:
             self._zone_out_since_ns = self.clock.now_ns()
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -120,6 +120,10 @@
         if row.next_node in totals or not is_unheld(row, unheld):
             result.append(row)
             continue
+        if row.node_id in snapshot.returning:
+            # A few targets that are back first could not bear the keys of all.
+            result.append(row)
+            continue
         if row.node_id in totals:
             result.append(row._replace(next_node=row.node_id))
             continue
--- a/knapweedrock/mesh/snapshots.py
+++ b/knapweedrock/mesh/snapshots.py
@@ -41,6 +41,8 @@
     # clock, and the interval between heartbeats.
     heartbeat_at_ms: dict[str, float] = {}
     heartbeat_interval_ms: float = 1000.0
+    # Nodes whose targets may be ready soon, and then get their rows again.
+    returning: Collection[str] = ()
     # Recently completed moves by destination node.
     completed_moves: Mapping[str, list[CompletedMove]] = {}
 
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -48,6 +48,9 @@
 KEY_POOL_SIZE = 3000
 KEY_SKEW = 2.3
 CLIENT_MS = 8.0
+# Time for which a target is cold after a loss of power.
+COLD_S = 3.0
+START_SPREAD_S = 0.3
 MAX_SENDS = 2
 # A caller that finds no node tries another one after this time.
 RECONNECT_MS = 50.0
@@ -149,6 +152,20 @@
             self.kill_node(name)
             gevent.spawn_later(after_s, self.start_node, name)
 
+    def cut_power(self, after_s: float) -> None:
+        """End all nodes and targets at once, and start them again cold after a time.
+
+        Processes start within `START_SPREAD_S`, in any order.
+        """
+        for name, vm in self.vms.items():
+            self.kill_node(name)
+            vm.target.crash()
+            vm.target.cold_ms = COLD_S * 1000
+            spread_s = self._random.random() * START_SPREAD_S
+            gevent.spawn_later(after_s + spread_s, self.start_node, name)
+            gevent.spawn_later(after_s + spread_s, vm.target.start)
+            gevent.spawn_later(after_s + COLD_S, vm.target.warm_up)
+
     def lose_vms(self, service: str, count: int) -> None:
         """End nodes and targets of a service for good, but not the coordinator's."""
         names = [n for n, vm in self.vms.items() if vm.settings.service == service]
--- a/knapweedrock/model/patterns.py
+++ b/knapweedrock/model/patterns.py
@@ -115,6 +115,22 @@
     return Pattern((SEARCHES, BOOKINGS), (READ, ORDER), 9.0, events)
 
 
+@pattern
+def create_loss_of_power() -> Pattern:
+    """Create a load during which all VMs lose power, and their targets return cold.
+
+    The targets' cold rates are above the load.
+    """
+
+    def cut_power(mesh: "ModelMesh") -> None:
+        mesh.cut_power(1.0)
+
+    searches = MANY_SEARCHES._replace(target_count=24, cold_rate=10.0)
+    bookings = MANY_BOOKINGS._replace(target_count=10, cold_rate=10.0)
+    events = (Event(3.0, cut_power),)
+    return Pattern((searches, bookings), (READ, ORDER), 9.0, events)
+
+
 @pattern
 def create_restart_beside_a_slow_store() -> Pattern:
     """Create a load during which the coordinator and most others restart.
