--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -334,7 +334,7 @@
         )
 
     def _list_returning(self, members: dict[str, Member]) -> Collection[str]:
-        """List the members that have reported in a young term without a ready target."""
+        """List members that have reported in a young term, without a ready target."""
         age_ms = (self._clock.now_ns() - self._term_started_ns) / NS_PER_MS
         if age_ms > RETURN_GRACE_MS:
             return ()
