--- a/features/steps/workspaces.py
+++ b/features/steps/workspaces.py
@@ -257,7 +257,7 @@
 @given("a mesh of node processes with workspaces")
 def start_processes_with_workspaces(context) -> None:
     """Start node processes that log to files."""
-    context.mesh = ProcessMesh(2, 1)
+    context.mesh = ProcessMesh(2, unkeyed=1)
     context.add_cleanup(context.mesh.stop)
     context.mesh.configure(create_workspace_document())
     context.mesh.start()
--- a/features/support/mesh_processes.py
+++ b/features/support/mesh_processes.py
@@ -19,10 +19,13 @@
 class ProcessNode:
     """Process of a node."""
 
-    def __init__(self, place: Place, folder: Path, logs_to_file: bool) -> None:
+    def __init__(
+        self, place: Place, folder: Path, logs_to_file: bool, settings_text: str
+    ) -> None:
         self.place = place
         self.log = folder / f"{place.settings.node_id}.jsonl"
-        settings = write_settings(place.settings, folder)
+        settings = folder / f"{place.settings.node_id}.env"
+        settings.write_text(settings_text)
         command = [sys.executable, "-m", "knapweedrock", "serve"]
         command += ["--settings-file", str(settings)]
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
@@ -60,17 +63,22 @@
     With `logs_to_file` false, the nodes log to pipes that nothing reads.
     """
 
-    def __init__(self, keyed: int, logs_to_file: bool = True) -> None:
-        super().__init__(keyed)
+    def __init__(self, keyed: int, logs_to_file: bool = True, unkeyed: int = 0) -> None:
+        super().__init__(keyed, unkeyed)
         self._folder = tempfile.TemporaryDirectory()
         self._logs_to_file = logs_to_file
 
     def start_node(self, place: Place) -> ProcessNode:
         """Start the process of the node of a place."""
-        node = ProcessNode(place, Path(self._folder.name), self._logs_to_file)
+        text = self.format_settings(place.settings)
+        node = ProcessNode(place, Path(self._folder.name), self._logs_to_file, text)
         self.nodes[place.settings.node_id] = node
         return node
 
+    def format_settings(self, settings: NodeSettings) -> str:
+        """Format the settings file of a node."""
+        return format_settings(settings)
+
     def stop(self) -> None:
         """Stop all processes and targets at once, and delete the log files."""
         super().stop()
@@ -92,9 +100,9 @@
     return path
 
 
-def format_settings(settings: NodeSettings) -> str:
-    """Format settings as lines of `KNAPWEEDROCK_SERVE_NAME=value`."""
-    fields = settings._asdict()
+def format_settings(settings: NodeSettings, extra: dict[str, str] | None = None) -> str:
+    """Format settings, and extra ones, as lines of `KNAPWEEDROCK_SERVE_NAME=value`."""
+    fields = settings._asdict() | (extra or {})
     fields["shutdown_s"] = fields.pop("shutdown_ms") / 1000
     lines = []
     for name, value in fields.items():
