Bound the memory and descriptors that a node holds for its callers

Cause: nothing counted what connections hold together, and a header cost many times its text from the moment it arrived (docs/incidents/memory-filled-by-callers.md). Change: knapweedrock/memory, a budget from MEMORY_MB and DESCRIPTORS; headers are kept as received until the head is whole; the stalled connection is closed first, then the newest request is refused as not run (219). verdict.py runs features/crowds last, alone.

--- a/knapweedrock/codes.py
+++ b/knapweedrock/codes.py
@@ -48,6 +48,7 @@
     TARGET_FENCED = 216
     QUOTA_EXCEEDED = 217
     QUOTA_UNKNOWN = 218
+    MEMORY_SHORT = 219
     # 3xx: bad input from callers, targets or peers
     BAD_REQUEST = 301
     BAD_ANNOUNCEMENT = 303
@@ -142,6 +143,9 @@
     Code.QUOTA_UNKNOWN: CodeInfo(
         503, _NOT_RUN, True, "The workspace's quota can't be checked now."
     ),
+    Code.MEMORY_SHORT: CodeInfo(
+        503, _NOT_RUN, True, "The node has no memory left for the request."
+    ),
     Code.BAD_REQUEST: CodeInfo(400, _NOT_RUN, False, "The request is malformed."),
     Code.BAD_ANNOUNCEMENT: CodeInfo(
         400, _NOT_RUN, False, "The target's announcement is malformed."
--- /dev/null
+++ b/knapweedrock/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory that a process holds for its callers."""
--- a/knapweedrock/mesh/callers.py
+++ b/knapweedrock/mesh/callers.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 
 import gevent
 from gevent import socket
@@ -11,7 +12,16 @@
 from gevent.server import StreamServer
 from logbook import Logger
 
+from knapweedrock.clock import create_clock
 from knapweedrock.codes import CODE_HEADER, INFO, Code
+from knapweedrock.memory.budget import (
+    BODY_COPIES,
+    CONNECTION_BYTES,
+    Holding,
+    MemoryBudget,
+    MemoryTerms,
+    Stage,
+)
 from knapweedrock.mesh.definitions import Limits
 from knapweedrock.mesh.disconnects import CallerDisconnectedError, DisconnectWatcher
 from knapweedrock.mesh.http import (
@@ -43,6 +53,7 @@
 LINGER_TIMEOUT_S = 1.0
 # Time in which pending connections are accepted before the listener is closed.
 ACCEPT_WAIT_S = 0.01
+MEMORY_RETRY_AFTER_MS = 500
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = Logger("callers")
@@ -78,13 +89,16 @@
         address: tuple[str, int],
         handler: RequestHandler,
         get_limits: Callable[[], Limits],
+        budget: MemoryBudget | None = None,
     ) -> None:
+        """Create a server; without a budget it holds whatever its callers send."""
         self.closing = False
         # True once the listener and idle connections are closed.
         self.stopped = False
         self.in_flight = 0
         self._handler = handler
         self._get_limits = get_limits
+        self._budget = budget or MemoryBudget(create_clock(), MemoryTerms())
         self._connections = Group()
         self._server = StreamServer(
             address,
@@ -137,34 +151,62 @@
 
     def _handle_connection(self, sock: socket.socket, address: tuple) -> None:
         disable_nagle(sock)
+        holding = self._budget.open(partial(shut_down_at_once, sock))
+        if holding is None:
+            sock.close()
+            return
         watch = DisconnectWatcher(sock)
         try:
-            self._serve_requests(sock, watch, address[0])
+            self._serve_requests(sock, watch, address[0], holding)
         except (OSError, CallerDisconnectedError) as error:
             log.debug("caller disconnected", reason=error)
         finally:
+            self._budget.release(holding)
             watch.close()
             sock.close()
 
     def _serve_requests(
-        self, sock: socket.socket, watch: DisconnectWatcher, address: str
+        self,
+        sock: socket.socket,
+        watch: DisconnectWatcher,
+        address: str,
+        holding: Holding,
     ) -> None:
         parser = RequestParser()
         while True:
-            request = self._read_request(sock, parser)
+            request = self._read_request(sock, parser, holding)
             if request is None:
                 return
+            self._budget.record_progress(holding, Stage.SERVING)
             self.in_flight += 1
             try:
                 reply = self._handle_request(request, address, watch)
                 closes = reply.closes or not request.keep_alive or self.closing
-                data = encode_reply(request, reply, closes)
-                send_all(sock, data, SEND_TIMEOUT_S)
+                self._send_reply(sock, request, reply, closes, holding)
             finally:
                 self.in_flight -= 1
             if closes:
                 shut_down_sending(sock)
                 return
+            del request, reply
+            self._budget.record_progress(holding, Stage.IDLE)
+            self._budget.hold(holding, CONNECTION_BYTES + parser.measure())
+
+    def _send_reply(
+        self,
+        sock: socket.socket,
+        request: Request,
+        reply: Reply,
+        closes: bool,
+        holding: Holding,
+    ) -> None:
+        """Send a reply, or close the connection if there is no room to hold it."""
+        self._budget.record_progress(holding, Stage.SENDING)
+        size = holding.size + len(reply.body) * BODY_COPIES
+        if not self._budget.hold(holding, size):
+            raise ConnectionAbortedError("no memory for the response")
+        data = encode_reply(request, reply, closes)
+        send_all(sock, data, SEND_TIMEOUT_S)
 
     def _handle_request(
         self, request: Request, address: str, watch: DisconnectWatcher
@@ -183,7 +225,7 @@
             self._serving_tasks.discard(task)
 
     def _read_request(
-        self, sock: socket.socket, parser: RequestParser
+        self, sock: socket.socket, parser: RequestParser, holding: Holding
     ) -> Request | None:
         """Read the next request; return None if the connection is to be closed."""
         if parser.requests:
@@ -201,8 +243,12 @@
             if was_idle:
                 start_s = time.monotonic()
             status = feed_parser(parser, data, limits)
+            self._budget.record_progress(holding, Stage.READING)
             if not status and wait_s <= 0 and not parser.requests:
                 status = 408
+            size = CONNECTION_BYTES + parser.measure()
+            if not status and not self._budget.hold(holding, size):
+                status = 503
             if status:
                 self._send_refusal(sock, status)
                 return None
@@ -227,7 +273,10 @@
             self._idle_sockets.discard(sock)
 
     def _send_refusal(self, sock: socket.socket, status: int) -> None:
-        send_all(sock, encode_response(status, [], b"", True), SEND_TIMEOUT_S)
+        headers: Headers = []
+        if status == 503:
+            headers = create_refusal(Code.MEMORY_SHORT, MEMORY_RETRY_AFTER_MS).headers
+        send_all(sock, encode_response(status, headers, b"", True), SEND_TIMEOUT_S)
         shut_down_sending(sock)
 
 
@@ -278,6 +327,12 @@
         return False
 
 
+def shut_down_at_once(sock: socket.socket) -> None:
+    """Shut down a connection, which wakes up the task that reads or sends on it."""
+    with suppress(OSError):
+        sock.shutdown(system_socket.SHUT_RDWR)
+
+
 def shut_down_sending(sock: socket.socket) -> None:
     """Shut down sending, and wait for the caller to read everything and close."""
     with suppress(OSError):
--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -152,7 +152,8 @@
     `quota_window_s` the requests of a workspace may exceed its quota by the share
     `quota_overage` and by `quota_slack` requests.
     `cores` is the processor capacity of the node, in cores. `link_mbps` is the network
-    bandwidth of its VM, in Mbit/s; 0 means unknown.
+    bandwidth of its VM, in Mbit/s; 0 means unknown. `memory_mb` and `descriptors` limit
+    the process; 0 sets no limit.
     """
 
     node_id: str
@@ -177,3 +178,5 @@
     peer_listen: tuple[str, int] | None = None
     cores: float = 1.0
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
+    descriptors: int = 0
--- a/knapweedrock/mesh/http_parsers.py
+++ b/knapweedrock/mesh/http_parsers.py
@@ -1,8 +1,11 @@
 """Parsers of HTTP/1.1 messages as they arrive on a connection."""
 
+from struct import Struct
+
 import httptools
 
 from knapweedrock.clock import create_clock
+from knapweedrock.memory.budget import BODY_COPIES, HEADER_BYTES
 from knapweedrock.mesh.http import (
     Headers,
     HeadTooLargeError,
@@ -14,6 +17,8 @@
 FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
 # A header's colon and the CRLF at the end of its line.
+# Lengths of a header's name and value, in front of both.
+HEADER_LENGTHS = Struct("<II")
 HEADER_SEPARATOR_BYTES = 3
 # Limit of all bytes outside the body of a message. The heads of interim responses count
 # as part of the response that follows them.
@@ -167,6 +172,14 @@
                 "the request has more bytes outside its body than its head may have"
             )
 
+    def measure(self) -> int:
+        """Return about how many bytes of memory the received requests take."""
+        size = sum(measure_request(request) for request in self.requests)
+        if self.is_idle():
+            return size
+        size += len(self._raw_headers) + len(self._headers) * HEADER_BYTES
+        return size + len(self._body) * BODY_COPIES
+
     def is_idle(self) -> bool:
         """Return whether no request has begun."""
         return not self.in_head and not self.in_body
@@ -178,6 +191,9 @@
         self.expects_continue = False
         self._head_bytes = 0
         self._target: list[bytes] = []
+        # Headers as received. They are decoded once the head is whole, as decoded ones
+        # cost many times their text.
+        self._raw_headers = bytearray()
         self._headers: Headers = []
         self._fields: dict[str, str] = {}
         self._body = bytearray()
@@ -195,13 +211,33 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header, or a trailer after the body."""
         self._count_head(len(name) + len(value) + HEADER_SEPARATOR_BYTES)
+        if not self.in_head:
+            self._add_header(name, value)
+            return
+        self._raw_headers += HEADER_LENGTHS.pack(len(name), len(value))
+        self._raw_headers += name
+        self._raw_headers += value
+
+    def _add_header(self, name: bytes, value: bytes) -> None:
         key = name.decode("latin-1").lower()
         text = value.decode("latin-1")
         self._headers.append((key, text))
         self._fields[key] = text
 
+    def _decode_headers(self) -> None:
+        raw, offset = bytes(self._raw_headers), 0
+        self._raw_headers = bytearray()
+        while offset < len(raw):
+            name_bytes, value_bytes = HEADER_LENGTHS.unpack_from(raw, offset)
+            offset += HEADER_LENGTHS.size
+            name = raw[offset : offset + name_bytes]
+            offset += name_bytes
+            self._add_header(name, raw[offset : offset + value_bytes])
+            offset += value_bytes
+
     def on_headers_complete(self) -> None:
         """Handle the end of the head."""
+        self._decode_headers()
         self.in_head = False
         self.in_body = True
         self.expects_continue = "100-continue" in self._fields.get("expect", "")
@@ -217,13 +253,19 @@
         self.in_head = False
         self.in_body = False
         self._overhead_bytes = 0
+        body, self._body = bytes(self._body), bytearray()
         self.requests.append(
             Request(
                 self._parser.get_method().decode("latin-1"),
                 b"".join(self._target).decode("latin-1"),
                 self._headers,
                 self._fields,
-                bytes(self._body),
+                body,
                 bool(self._parser.should_keep_alive()),
             )
         )
+
+
+def measure_request(request: Request) -> int:
+    """Return about how many bytes of memory a request takes."""
+    return len(request.headers) * HEADER_BYTES + len(request.body) * BODY_COPIES
--- a/knapweedrock/mesh/inspection.py
+++ b/knapweedrock/mesh/inspection.py
@@ -97,6 +97,11 @@
     counters.gauge("waiting", admission.waiting)
     limit = node.target.limit
     counters.gauge("target_limit", -1 if limit is None else limit)
+    memory = node.memory
+    counters.gauge("caller_connections", memory.connection_count)
+    counters.gauge("caller_bytes_held", memory.held_bytes)
+    counters.gauge("callers_closed_for_memory", memory.closed_count)
+    counters.gauge("callers_refused_for_memory", memory.refused_count)
     counters.gauge("lease_ms", node.get_remaining_lease_ms())
     counters.gauge("rows_granted", len(node.holds.granted.rows))
     counters.gauge("board_epoch", node.board.epoch)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -10,6 +10,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.errors import KnapweedrockError, RefusalError
+from knapweedrock.memory.budget import MemoryBudget, create_memory_terms
 from knapweedrock.mesh.admission import Admission
 from knapweedrock.mesh.boards import create_whole_change
 from knapweedrock.mesh.budgets import create_budget_terms
@@ -137,8 +138,11 @@
         )
         target_selector = TargetSelector(settings.zone, clock, self.links.is_up)
         self.router = Router(self, clock, self.counters, target_selector)
+        self.memory = MemoryBudget(
+            clock, create_memory_terms(settings.memory_mb, settings.descriptors)
+        )
         self.callers = CallerServer(
-            settings.caller, self.router.serve, self._get_limits
+            settings.caller, self.router.serve, self._get_limits, self.memory
         )
         self._endpoint_servers = create_servers(self)
         self._board_notifier = Notifier()
--- a/knapweedrock/mesh/settings.py
+++ b/knapweedrock/mesh/settings.py
@@ -31,6 +31,8 @@
 # A node keeps the times of all requests within the windows.
 MAX_WINDOW_S = 3600.0
 MAX_MBPS = 1_000_000.0
+MAX_MEMORY_MB = 16_777_216.0
+MAX_DESCRIPTORS = 1e9
 
 
 def read_file(path: Path) -> str:
@@ -83,6 +85,10 @@
         peer_listen=read_optional_address(checker, "peer_listen"),
         cores=read_cores(checker),
         link_mbps=read_optional_number(checker, "link_mbps", 0.0, MAX_MBPS),
+        memory_mb=read_optional_number(checker, "memory_mb", 0.0, MAX_MEMORY_MB),
+        descriptors=int(
+            read_optional_number(checker, "descriptors", 0.0, MAX_DESCRIPTORS)
+        ),
     )
     checker.raise_errors()
     return settings
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -16,6 +17,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 PARALLEL_PROCESSES = int(os.environ.get("TEST_PROCESSES", "3"))
 FEATURE_TIMEOUT_S = 400
+# Features that measure the memory of processes: they run last, one at a time.
+EXCLUSIVE_FEATURES = frozenset({"crowds"})
 FAILURE_MARKERS = ("ASSERT FAILED:", "Traceback", "timed out")
 
 
@@ -68,6 +71,16 @@
     ]
 
 
+def run_features(paths: list[Path]) -> Iterator[list[ScenarioResult]]:
+    """Run feature files in parallel, then the exclusive ones one at a time."""
+    shared = [path for path in paths if path.stem not in EXCLUSIVE_FEATURES]
+    with ThreadPoolExecutor(PARALLEL_PROCESSES) as pool:
+        yield from pool.map(run_feature, shared)
+    for path in paths:
+        if path.stem in EXCLUSIVE_FEATURES:
+            yield run_feature(path)
+
+
 def find_reason(output: str) -> str:
     """Find the first line of output that says why a feature failed."""
     lines = (line.strip() for line in output.splitlines())
@@ -85,19 +98,18 @@
     known_red = read_known_red()
     passed = known_red_count = 0
     failures: list[ScenarioResult] = []
-    with ThreadPoolExecutor(PARALLEL_PROCESSES) as pool:
-        for results in pool.map(run_feature, paths):
-            for result in results:
-                label = f"{result.feature}: {result.name}"
-                if result.passed:
-                    passed += 1
-                    print(f"passed  {label}", flush=True)
-                elif result.name.strip() in known_red:
-                    known_red_count += 1
-                    print(f"KNOWN RED  {label}", flush=True)
-                else:
-                    failures.append(result)
-                    print(f"FAILED  {label}\n{result.text}", flush=True)
+    for results in run_features(paths):
+        for result in results:
+            label = f"{result.feature}: {result.name}"
+            if result.passed:
+                passed += 1
+                print(f"passed  {label}", flush=True)
+            elif result.name.strip() in known_red:
+                known_red_count += 1
+                print(f"KNOWN RED  {label}", flush=True)
+            else:
+                failures.append(result)
+                print(f"FAILED  {label}\n{result.text}", flush=True)
     if known_red_count:
         print((ROOT / "KNOWN-RED.txt").read_text())
         print(f"{known_red_count} known red, not counted below")
