--- a/knapweedrock/mesh/definitions.py
+++ b/knapweedrock/mesh/definitions.py
@@ -1,9 +1,10 @@
 """Types for input to the mesh: configuration, heartbeats and node settings."""
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-from knapweedrock.mesh.routes import RouteIndex
-from knapweedrock.workspaces.definitions import Workspaces
+if TYPE_CHECKING:
+    from knapweedrock.mesh.routes import RouteIndex
+    from knapweedrock.workspaces.definitions import Workspaces
 
 
 class WeightedService(NamedTuple):
@@ -69,8 +70,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
-    route_index: RouteIndex
-    workspaces: Workspaces | None = None
+    route_index: "RouteIndex"
+    workspaces: "Workspaces | None" = None
 
 
 class HeldRange(NamedTuple):
