--- a/review/stand_ins_2/backend.py
+++ b/review/stand_ins_2/backend.py
@@ -19,6 +19,9 @@
 RELEASE_INTERVAL_S = 0.05
 RETRY_DELAY_S = 0.2
 DRAIN_TIMEOUT_S = 2.0
+DOWNLOAD_PREFIX = "/cert/"
+# The mean size of the downloads on the sheet's site.
+DOWNLOAD_BYTES = 90_000
 
 
 class Hold(NamedTuple):
@@ -154,7 +157,9 @@
             self._running -= 1
             del self._working[id(request)]
         answer = {"X-Attempt-Id": attempt, "X-Response-Signature": f"s.{attempt}"}
-        return Answer(200, self._add_load(answer), attempt.encode())
+        is_download = request.target.startswith(DOWNLOAD_PREFIX)
+        body = attempt.encode() * (DOWNLOAD_BYTES // len(attempt) if is_download else 1)
+        return Answer(200, self._add_load(answer), body)
 
     def _add_load(self, headers: dict[str, str]) -> dict[str, str]:
         return headers | {"X-Server-Load": f"{self._running},0,{self._slots},100"}
--- a/review/stand_ins_2/mesh.py
+++ b/review/stand_ins_2/mesh.py
@@ -32,6 +32,12 @@
     "maxHoldMs": 10000,
     "thawSlackMs": 300,
 }
+CLIENT_LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 1 << 20,
+    "headerTimeoutMs": 5000,
+    "idleTimeoutMs": 10000,
+}
 LIMITS = {
     "cpuShare": 0.86,
     "cpuCores": 1,
@@ -236,8 +242,10 @@
         self._tasks: list[asyncio.Task] = []
         self._numbers = iter(range(1, 1 << 30))
 
-    def configure(self, service: str, **options: Any) -> None:
-        """Write a configuration with a safe and an unsafe route to one service."""
+    def configure(
+        self, service: str, limits: dict[str, int] = CLIENT_LIMITS, **options: Any
+    ) -> None:
+        """Write a configuration with a route of each type to one service."""
         self.version += 3
         route = {"host": HOST, "service": service, "priority": 1, "maxAttempts": 2}
         times = {"timeoutMs": 1200, "targetLatencyMs": 500}
@@ -253,6 +261,12 @@
                         "pathPrefix": "/stock/",
                         "routeType": "safe",
                     },
+                    "cert": {
+                        **route,
+                        **times,
+                        "pathPrefix": "/cert/",
+                        "routeType": "download",
+                    },
                     "order": {
                         **route,
                         **times,
@@ -271,12 +285,7 @@
                         **options,
                     }
                 },
-                "limits": {
-                    "maxHeaderBytes": 16384,
-                    "maxBodyBytes": 1 << 20,
-                    "headerTimeoutMs": 5000,
-                    "idleTimeoutMs": 10000,
-                },
+                "limits": limits,
             },
         )
 
