--- a/review/stand_ins_2/backend.py
+++ b/review/stand_ins_2/backend.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -20,6 +21,8 @@
 RETRY_DELAY_S = 0.2
 DRAIN_TIMEOUT_S = 2.0
 DOWNLOAD_PREFIX = "/cert/"
+# A request for this path crashes each backend that begins to run it.
+CRASH_PATH = "/stock/crash"
 # The mean size of the downloads on the sheet's site.
 DOWNLOAD_BYTES = 90_000
 
@@ -49,6 +52,7 @@
     attempt: str
     key: int
     fence: int
+    crashed: bool = False
 
 
 class Backend:
@@ -88,6 +92,8 @@
         self._seen = [0] * KEY_COUNT
         self._working: dict[int, int] = {}
         self._running = 0
+        # Called when the backend runs a request for `CRASH_PATH`.
+        self.on_crash: Callable[[], None] = lambda: None
         self._server = HttpServer(self._serve, port)
         self._task: asyncio.Task | None = None
 
@@ -131,7 +137,7 @@
         now_s = time.monotonic()
         return [hold for hold in self.holds if hold.until_s > now_s]
 
-    async def _serve(self, request: Message) -> Answer:
+    async def _serve(self, request: Message) -> Answer | None:
         headers = request.headers
         if request.target == "/health":
             status = 200 if self.state == "ready" else 503
@@ -148,7 +154,11 @@
         if self._running >= self._slots:
             return Answer(503, self._add_load(answer))
         fence = hold.fence if hold else 0
-        self.runs.append(Run(time.monotonic(), attempt, key, fence))
+        crashes = request.target == CRASH_PATH
+        self.runs.append(Run(time.monotonic(), attempt, key, fence, crashes))
+        if crashes:
+            self.on_crash()
+            return None
         self._working[id(request)] = key
         self._running += 1
         try:
--- a/review/stand_ins_2/mesh.py
+++ b/review/stand_ins_2/mesh.py
@@ -343,9 +343,10 @@
         headers = {
             "Host": HOST,
             "X-Attempt-Id": attempt,
-            "X-Shard-Key": str(key),
             "X-Timeout-Remaining": "1200",
         }
+        if key >= 0:
+            headers["X-Shard-Key"] = str(key)
         try:
             response = await connection.request(method, path, headers, body, 1.7)
             status = response.status
