--- a/review/stand_ins_2/mesh.py
+++ b/review/stand_ins_2/mesh.py
@@ -3,12 +3,14 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
 import tempfile
 import time
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -32,6 +34,8 @@
     "maxHoldMs": 10000,
     "thawSlackMs": 300,
 }
+FIRST_PORT = 18000
+LAST_PORT = 32000
 CLIENT_LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 1 << 20,
@@ -74,10 +78,12 @@
 
 
 def find_port() -> int:
-    """Return a free port on loopback."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a free port on loopback, below those of outgoing connections."""
+    while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            return port
 
 
 def look_up(fields: dict[str, Any], path: str) -> Any:
@@ -181,11 +187,13 @@
         """Send a signal, wait for the end, and kill after `gracePeriodS`."""
         process, self.process = self.process, None
         self._log(f"{self.name}: {number.name}")
-        process.send_signal(number)
+        with suppress(ProcessLookupError):
+            process.send_signal(number)
         try:
             await asyncio.wait_for(process.wait(), BOUNDS["gracePeriodS"])
         except TimeoutError:
-            process.kill()
+            with suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
         self._log(f"{self.name}: process ended, status {process.returncode}")
 
