--- a/review/stand_ins_2/backend.py
+++ b/review/stand_ins_2/backend.py
@@ -21,6 +21,7 @@
 RETRY_DELAY_S = 0.2
 DRAIN_TIMEOUT_S = 2.0
 DOWNLOAD_PREFIX = "/cert/"
+ODD_STATUS = 700
 # A request for this path crashes each backend that begins to run it.
 CRASH_PATH = "/stock/crash"
 # The mean size of the downloads on the sheet's site.
@@ -92,6 +93,9 @@
         self._seen = [0] * KEY_COUNT
         self._working: dict[int, int] = {}
         self._running = 0
+        # Whether the answer to an attempt gets a status that HTTP does not have.
+        self.spoil: Callable[[str], bool] = lambda _attempt: False
+        self.spoiled: list[str] = []
         # Called when the backend runs a request for `CRASH_PATH`.
         self.on_crash: Callable[[], None] = lambda: None
         self._server = HttpServer(self._serve, port)
@@ -167,6 +171,9 @@
             self._running -= 1
             del self._working[id(request)]
         answer = {"X-Attempt-Id": attempt, "X-Response-Signature": f"s.{attempt}"}
+        if self.spoil(attempt):
+            self.spoiled.append(attempt)
+            return Answer(ODD_STATUS, {"X-Attempt-Id": attempt}, b"odd")
         is_download = request.target.startswith(DOWNLOAD_PREFIX)
         body = attempt.encode() * (DOWNLOAD_BYTES // len(attempt) if is_download else 1)
         return Answer(200, self._add_load(answer), body)
--- a/review/stand_ins_2/mesh.py
+++ b/review/stand_ins_2/mesh.py
@@ -36,6 +36,7 @@
 }
 FIRST_PORT = 18000
 LAST_PORT = 32000
+FOUND_PORTS: set[int] = set()
 CLIENT_LIMITS = {
     "maxHeaderBytes": 16384,
     "maxBodyBytes": 1 << 20,
@@ -81,6 +82,9 @@
     """Return a free port on loopback, below those of outgoing connections."""
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in FOUND_PORTS:
+            continue
+        FOUND_PORTS.add(port)
         with socket.socket() as sock, suppress(OSError):
             sock.bind((LOOPBACK, port))
             return port
