--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,12 +1,12 @@
 """Case 6: a coordinator that follows a drill of the store reads keys that went back."""
 
 import asyncio
-import os
 import signal
 import sys
 import time
 from pathlib import Path
 
+from review.stand_ins_2.cases import run_script
 from review.stand_ins_2.mesh import Mesh, Record
 from review.stand_ins_2.owners import MAX_SHARED_S, OverlapMonitor, list_low_tokens
 
@@ -105,18 +105,5 @@
     return 1 if low or long else 0
 
 
-def main() -> int:
-    """Run the case; exit with 2 if it couldn't run."""
-    log = Record(Path(__file__).parent / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    try:
-        status = asyncio.run(asyncio.wait_for(play(log, has_trouble), 110))
-    except (RuntimeError, OSError, TimeoutError) as error:
-        log(f"the case could not run: {error!r}")
-        return 2
-    log(f"exit {status}")
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_script(play, Path(__file__).parent))
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,11 +1,11 @@
 """Case 9: a zone evacuated after a drill of the store goes on getting requests."""
 
 import asyncio
-import os
 import sys
 import time
 from pathlib import Path
 
+from review.stand_ins_2.cases import run_script
 from review.stand_ins_2.mesh import BOUNDS, Mesh, Record
 
 SERVICE = "depot-orders"
@@ -84,18 +84,5 @@
     return 1 if late else 0
 
 
-def main() -> int:
-    """Run the case; exit with 2 if it couldn't run."""
-    log = Record(Path(__file__).parent / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    try:
-        status = asyncio.run(asyncio.wait_for(play(log, has_trouble), 110))
-    except (RuntimeError, OSError, TimeoutError) as error:
-        log(f"the case could not run: {error!r}")
-        return 2
-    log(f"exit {status}")
-    return status
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_script(play, Path(__file__).parent))
