review: run.sh of each case reads TROUBLE itself

The shared stand-ins read it until now, so the cases' folders did not show it. No check, bound or disruption changed.

--- a/review/stand_ins_2/cases.py
+++ b/review/stand_ins_2/cases.py
@@ -1,8 +1,8 @@
 """The frame of a case: its record, its time limit and its exit status."""
 
 import asyncio
-import os
 import signal
+import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -16,10 +16,13 @@
 
 
 def run_script(play: Callable[[Record, bool], Awaitable[int]], folder: Path) -> int:
-    """Run a case and return its exit status; SIGTERM ends all that it started."""
+    """Run a case and return its exit status; SIGTERM ends all that it started.
+
+    The argument 0, which `run.sh` takes from `TROUBLE`, leaves the disruption out.
+    """
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     log = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = sys.argv[1:] != ["0"]
     try:
         is_broken = asyncio.run(asyncio.wait_for(play(log, has_trouble), TIME_LIMIT_S))
     except (RuntimeError, OSError, TimeoutError) as error:
