Keep a running callback of the virtual loop true, as gevent's own loops do

Cause: gevent asks whether the notifier of an event is still at work by its truth. A callback of the virtual loop was false while it ran, so an event that was set again by one of its own waiters got a second notifier, and the first one ended in an AssertionError. Seen once, in a play of the model with killed nodes.

Change: the callback has its arguments until it has run.

--- a/knapweedrock/model/virtual_time.py
+++ b/knapweedrock/model/virtual_time.py
@@ -36,7 +36,8 @@
         return self.callback is not None
 
     def __bool__(self) -> bool:
-        return self.pending
+        # Also true while the callback runs, as of a callback of gevent's own loops.
+        return self.args is not None
 
     def stop(self) -> None:
         """Cancel the callback."""
@@ -147,8 +148,9 @@
                 callback = self._callbacks.popleft()
                 if callback.callback is not None:
                     function, args = callback.callback, callback.args
-                    callback.stop()
+                    callback.callback = None
                     function(*args)
+                    callback.stop()
             if not self._run_next_timer():
                 return
 
