Read the era of the store in one place, with whatever is read

Cause: a store that comes back from a copy gives revisions out again. Nothing read the header `Store-Era`, so no part could tell two states of one revision apart, and the logs of a drill look like those of a short outage.

Objects, listings and changes carry the era in which they were read. A conditional write takes the object that it replaces; it is neither sent nor repeated in a later era, and counts as failed if a later era has executed it by chance. The emulated store states eras, and comes back from a copy on command; so does that of the model.

--- a/features/steps/mesh_store.py
+++ b/features/steps/mesh_store.py
@@ -60,7 +60,7 @@
     context.written = context.error = None
     try:
         context.written = context.client.replace(
-            KIND, NAME, {"value": 1}, context.found.revision, timeout_s
+            KIND, NAME, {"value": 1}, context.found, timeout_s
         )
     except PlatformError as error:
         context.error = error
--- a/knapweedrock/emulator/local_mesh.py
+++ b/knapweedrock/emulator/local_mesh.py
@@ -7,7 +7,12 @@
 
 from knapweedrock.clock import NS_PER_S, create_clock
 from knapweedrock.emulator.addresses import create_address
-from knapweedrock.emulator.store import ObjectStore, StoreEndpoint, create_endpoint
+from knapweedrock.emulator.store import (
+    ObjectStore,
+    StoreCopy,
+    StoreEndpoint,
+    create_endpoint,
+)
 from knapweedrock.emulator.target import EmulatedTarget
 from knapweedrock.mesh.definitions import NodeSettings
 from knapweedrock.mesh.node import Node
@@ -26,6 +31,7 @@
 MAX_HOLD_MS = 10_000
 SHUTDOWN_MS = 6000
 RETRY_RATIO = 0.2
+UNAVAILABLE_STATUS = 503
 RETRY_SLACK = 60
 
 
@@ -54,7 +60,7 @@
 
     def __init__(self, document: dict[str, Any], vm_specs: list[VmSpec]) -> None:
         self.clock = create_clock()
-        self.objects = ObjectStore()
+        self.objects = ObjectStore(era=1)
         self.configure(document)
         self.nodes: dict[str, Node] = {}
         self.places = [self._create_place(*item) for item in enumerate(vm_specs)]
@@ -103,6 +109,16 @@
         """Bring an availability zone back into service, as operators do."""
         self.objects.remove(EVACUATION_KIND, zone)
 
+    def restore_store(self, copy: StoreCopy, away_s: float) -> None:
+        """Let the store go away for a time, and come back from a copy."""
+        for place in self.places:
+            place.front.status = UNAVAILABLE_STATUS
+            place.front.drop_watches()
+        gevent.sleep(away_s)
+        self.objects.restore(copy)
+        for place in self.places:
+            place.front.status = 0
+
     def find_place(self, name: str) -> Place:
         """Return the VM of a node."""
         return next(p for p in self.places if p.settings.node_id == name)
--- a/knapweedrock/emulator/programs.py
+++ b/knapweedrock/emulator/programs.py
@@ -30,7 +30,7 @@
 
 def run_store(address: Address, configuration: Path | None) -> ExitStatus:
     """Run an emulated store until SIGTERM or SIGINT."""
-    objects = ObjectStore()
+    objects = ObjectStore(era=1)
     if configuration is not None:
         document = read_configuration(configuration)
         objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
--- a/knapweedrock/emulator/store.py
+++ b/knapweedrock/emulator/store.py
@@ -1,8 +1,8 @@
-"""Emulator of the platform's store: objects, revisions, watches and faults."""
+"""Emulator of the platform's store: objects, revisions, watches, eras and faults."""
 
 import random
 from copy import deepcopy
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import gevent
@@ -11,7 +11,8 @@
 
 from knapweedrock.mesh.callers import CallerServer, Reply
 from knapweedrock.mesh.definitions import Limits
-from knapweedrock.mesh.http import JSON_HEADERS, Request
+from knapweedrock.mesh.http import JSON_HEADERS, Headers, Request
+from knapweedrock.platform.headers import STORE_ERA
 
 MAX_PAGE_ITEMS = 500
 MAX_WAIT_S = 30.0
@@ -27,10 +28,21 @@
         self.current = current
 
 
+class StoreCopy(NamedTuple):
+    """All that a store contains at one revision."""
+
+    revision: int
+    kinds: dict[str, dict[str, dict[str, Any]]]
+    history: list[tuple[int, str, dict[str, Any]]]
+    first_watch_revision: int
+
+
 class ObjectStore:
     """The objects of a store with their revision counter and change history."""
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
+        """Create an empty store; one of era 0 states no era in its responses."""
+        self.era = era
         self.revision = 1
         self.kinds: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any]]] = []
@@ -62,9 +74,12 @@
 
         Raises `CallRejectedError` with 410 if the history does not reach back that far.
         """
+        era = self.era
         with gevent.Timeout(min(wait_s, MAX_WAIT_S), False):
             while not self._list_events(kind, revision):
                 self._changed.wait()
+                if self.era != era:
+                    raise CallRejectedError(410)
         events = self._list_events(kind, revision)
         return {"events": deepcopy(events), "atRevision": self.revision}
 
@@ -112,6 +127,26 @@
         self.revision += 1
         self._notify_watchers()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(
+            self.revision,
+            deepcopy(self.kinds),
+            deepcopy(self.history),
+            self.first_watch_revision,
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Begin a new era with the contents of a copy.
+
+        Whatever was written since is lost, and its revisions are given out again.
+        """
+        self.revision = copy.revision
+        self.kinds, self.history = deepcopy(copy.kinds), deepcopy(copy.history)
+        self.first_watch_revision = copy.first_watch_revision
+        self.era += 1
+        self._notify_watchers()
+
     def _put(self, kind: str, name: str, value: Any) -> dict[str, Any]:
         self.revision += 1
         item = {
@@ -134,7 +169,8 @@
         changed.set()
 
     def _list_events(self, kind: str, revision: int) -> list[dict[str, Any]]:
-        if revision + 1 < self.first_watch_revision:
+        is_forgotten = revision + 1 < self.first_watch_revision
+        if is_forgotten or revision > self.revision:
             raise CallRejectedError(410)
         return [
             event
@@ -188,7 +224,7 @@
         if self.response_delay_s:
             gevent.sleep(self.response_delay_s)
         if self.status:
-            return Reply(self.status, [], b"")
+            return Reply(self.status, self._create_headers(), b"")
         if request.method in ("POST", "PUT"):
             if self._random.random() < self.late_write_share:
                 gevent.spawn_later(self.late_write_delay_s, self._execute, request)
@@ -203,8 +239,14 @@
             result = self._route_call(request)
         except CallRejectedError as error:
             body = msgspec.json.encode(error.current) if error.current else b""
-            return Reply(error.status, JSON_HEADERS, body)
-        return Reply(200, JSON_HEADERS, msgspec.json.encode(result))
+            return Reply(error.status, self._create_headers(), body)
+        return Reply(200, self._create_headers(), msgspec.json.encode(result))
+
+    def _create_headers(self) -> Headers:
+        headers = list(JSON_HEADERS)
+        if self._objects.era:
+            headers.append((STORE_ERA, str(self._objects.era)))
+        return headers
 
     def _route_call(self, request: Request) -> dict[str, Any]:
         parts = urlsplit(request.target)
--- a/knapweedrock/emulator/target.py
+++ b/knapweedrock/emulator/target.py
@@ -316,13 +316,14 @@
                 "seq": self._heartbeat_number,
                 "coldRemainingMs": int(self.cold_ms),
             },
-            "holds": [list(hold[:3]) for hold in self._list_unexpired_holds()],
+            "holds": [list(hold[:3]) for hold in self.list_holds()],
             "freed": self._released,
         }
         path = f"/instances/{instance}/heartbeat"
         return client.send(path, msgspec.json.encode(body))
 
-    def _list_unexpired_holds(self) -> list[Hold]:
+    def list_holds(self) -> list[Hold]:
+        """List the holds that have not expired."""
         now_ns = self._clock.now_ns()
         return [hold for hold in self.held if hold.expires_ns > now_ns]
 
@@ -342,7 +343,7 @@
             for start, end, token, _ in fields["holds"]
         ]
         is_released = True
-        for hold in self._list_unexpired_holds():
+        for hold in self.list_holds():
             kept = [g for g in granted if g.start <= hold.end and hold.start <= g.end]
             for start, end in subtract(hold, kept):
                 if any(start <= key <= end for key in self._keys_in_progress.values()):
--- a/knapweedrock/mesh/inspection.py
+++ b/knapweedrock/mesh/inspection.py
@@ -108,3 +108,4 @@
     counters.gauge("board_version", node.board.version)
     counters.gauge("coordinating", int(node.coordinator.term.has_authority()))
     counters.gauge("configuration_version", node.config_watcher.version)
+    counters.gauge("store_era", node.store.eras.era)
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -176,7 +176,7 @@
                 LEADER_KIND,
                 LEADER_NAME,
                 value,
-                self._leader_record.revision,
+                self._leader_record,
                 WRITE_TIMEOUT_S,
             )
             log.info("term resigned", epoch=self.epoch)
@@ -201,7 +201,7 @@
                     LEADER_KIND,
                     LEADER_NAME,
                     self._build_record(epoch, renewal_number),
-                    self._leader_record.revision,
+                    self._leader_record,
                     RENEW_TIMEOUT_S,
                 )
             except ConflictError as error:
@@ -282,7 +282,7 @@
         for item, table in self._read_tables():
             value = encode_stored_table(epoch, table.rows)
             tables[item.name] = self._store.replace(
-                TABLE_KIND, item.name, value, item.revision, WRITE_TIMEOUT_S
+                TABLE_KIND, item.name, value, item, WRITE_TIMEOUT_S
             )
         return tables
 
--- a/knapweedrock/model/links.py
+++ b/knapweedrock/model/links.py
@@ -40,6 +40,8 @@
         self._uplink = uplink
         self._outages: dict[str, Outage] = {}
         self._running: set[gevent.Greenlet] = set()
+        # Whether requests from and to this node get lost.
+        self.is_cut = False
 
     def start(self) -> None:
         """Accept requests."""
@@ -81,6 +83,9 @@
         """Send a request to a peer and return its answer; raise `LinkError`."""
         gevent.sleep(TRANSIT_MS / 1000)
         other = self._network.links.get(peer)
+        if other is not None and (self.is_cut or other.is_cut):
+            gevent.sleep(max(timeout_ms, 1) / 1000)
+            raise LinkError(Code.PEER_LOST, "no answer within the timeout")
         if other is None:
             now_ns = self._network.clock.now_ns()
             self._outages.setdefault(peer, Outage(now_ns, True))
--- a/knapweedrock/model/mesh.py
+++ b/knapweedrock/model/mesh.py
@@ -85,7 +85,7 @@
         self._loop = loop
         self._random = random.Random(seed)
         self._network = ModelNetwork(loop)
-        self._objects = ObjectStore()
+        self.objects = ObjectStore(era=1)
         self._kinds = {kind.name: kind for kind in pattern.kinds}
         self._keys = [self._random.randrange(KEY_COUNT) for _ in range(KEY_POOL_SIZE)]
         self._hot_keys = HotKeys(0.0, 0, 1)
@@ -103,16 +103,23 @@
         self._started_s = self._loop.now()
         for event in self._pattern.events:
             gevent.spawn_later(event.at_s, event.disturb, self)
-        callers = [
-            gevent.spawn(self._run_callers, kind) for kind in self._kinds.values()
-        ]
-        gevent.joinall(callers)
+        self.run_load()
         gevent.sleep(TAIL_S)
         for vm in self.vms.values():
             arrivals = len(vm.target.arrivals)
             self.outcomes.delivered_by_service[vm.settings.service] += arrivals
         return self.outcomes
 
+    def run_load(self) -> None:
+        """Send the requests of all kinds until the pattern ends."""
+        callers = [
+            gevent.spawn(self._run_callers, kind) for kind in self._kinds.values()
+        ]
+        try:
+            gevent.joinall(callers)
+        finally:
+            gevent.killall(callers, block=False)
+
     def start(self) -> None:
         """Start all nodes and targets, and wait until every key has an owner."""
         for name, vm in self.vms.items():
@@ -124,11 +131,12 @@
         """Write a version of the configuration to the store, as operators do."""
         pattern = self._pattern
         document = create_kinds_document(HOST, pattern.services, pattern.kinds, version)
-        self._objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
+        self.objects.write(CONFIGURATION_KIND, CONFIGURATION_NAME, document)
 
     def start_node(self, name: str) -> None:
         """Start the node of a VM, without state of an earlier process."""
         vm = self.vms[name]
+        vm.store.forget_era()
         process = f"{self._random.getrandbits(48):012x}"
         peer = "{}:{}".format(*vm.settings.peer)
         links = ModelLinks(self._network, peer, f"{name}/{process}", vm.uplink)
@@ -195,6 +203,17 @@
         for vm in self.vms.values():
             vm.store.silent = silent
 
+    def set_store_refusing(self, refusing: bool) -> None:
+        """Let the store refuse the calls of all VMs, or serve them again."""
+        for vm in self.vms.values():
+            vm.store.refusing = refusing
+
+    def set_cut(self, name: str, is_cut: bool) -> None:
+        """Cut a node off from all others and from the store, or reconnect it."""
+        self.vms[name].store.silent = is_cut
+        if name in self.nodes:
+            self.nodes[name].links.is_cut = is_cut
+
     def set_hot_keys(self, share: float, key_count: int) -> None:
         """Let a share of the requests be for neighbouring keys, anywhere."""
         first_key = self._random.randrange(KEY_COUNT - key_count)
@@ -228,7 +247,7 @@
             link_mbps=link_mbps,
         )
         uplink = Uplink(link_mbps, self._loop)
-        store = DirectStore(self._objects, uplink.carry)
+        store = DirectStore(self.objects, self._loop, uplink.carry)
         self.vms[name] = Vm(settings, target, store, uplink)
 
     def _run_callers(self, kind: Kind) -> None:
--- a/knapweedrock/model/target.py
+++ b/knapweedrock/model/target.py
@@ -81,6 +81,10 @@
             return Response(TIMED_OUT_STATUS, [(SIGNATURE, "signed")], b"", True)
         return Response(reply.status, reply.headers, reply.body, True)
 
+    def is_up(self) -> bool:
+        """Return whether the target runs."""
+        return self._up
+
     def _open(self) -> None:
         self._up = True
 
--- a/knapweedrock/platform/headers.py
+++ b/knapweedrock/platform/headers.py
@@ -1,4 +1,4 @@
-"""Names, in lower case, of the headers that callers, nodes and targets exchange."""
+"""Names, in lower case, of the headers of callers, nodes, targets and the store."""
 
 # Identifies one attempt of a caller; the target repeats it in its response.
 ATTEMPT_ID = "x-attempt-id"
@@ -27,6 +27,8 @@
 CREDENTIAL = "api-key"
 # Name of the workspace that the caller's credential belongs to.
 WORKSPACE = "x-tenant"
+# Era of the store, in all of its responses.
+STORE_ERA = "store-era"
 # Headers that only nodes may set on requests to targets.
 SET_BY_NODES = frozenset({REMAINING_MS, EXPECTED_INSTANCE, CALLER_SERVICE})
 # The same, and those that are not forwarded, where the configuration has workspaces.
--- a/knapweedrock/platform/store.py
+++ b/knapweedrock/platform/store.py
@@ -1,6 +1,6 @@
 """Client of the platform's store, which keeps objects by kind, name and revision."""
 
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote
 
 import gevent
@@ -11,6 +11,7 @@
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
 from knapweedrock.documents import Count
+from knapweedrock.eras.reader import EraReader
 from knapweedrock.errors import PlatformError
 from knapweedrock.json_input import InputError, read_members
 from knapweedrock.mesh.http import (
@@ -21,6 +22,7 @@
 )
 from knapweedrock.mesh.http_connections import Connection, dial
 from knapweedrock.mesh.http_parsers import ResponseParser
+from knapweedrock.platform.headers import STORE_ERA
 from knapweedrock.platform.stored_objects import (
     Change,
     ChangeBatch,
@@ -71,6 +73,23 @@
         )
 
 
+class EraEndedError(PlatformError):
+    """A conditional write whose condition was read in an earlier era of the store."""
+
+    def __init__(self, era: int, known_era: int) -> None:
+        super().__init__(
+            Code.PLATFORM_CONFLICT,
+            f"the condition is from era {era} of the store, known is {known_era}",
+        )
+
+
+class Answer(NamedTuple):
+    """A response of the store, and the era that it states."""
+
+    response: Response
+    era: int
+
+
 class Store:
     """HTTP client of the platform's store; each call may raise `PlatformError`."""
 
@@ -80,6 +99,7 @@
         self._address = address
         self._clock = clock
         self._counters = counters
+        self.eras = EraReader(clock, counters)
         self._idle: list[Connection] = []
         # Latest revision of each unreadable object that was logged, by kind and name.
         self._reported_revisions: dict[tuple[str, str], int] = {}
@@ -95,12 +115,12 @@
         self, kind: str, name: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> StoredObject | None:
         """Read an object; return None if it does not exist."""
-        response = self._call(
+        response, era = self._call(
             "GET", f"/objects/{kind}/{quote_segment(name)}", None, timeout_s
         )
         if response.status == 404:
             return None
-        item = decode_object(get_body(response))
+        item = decode_object(get_body(response), era)
         if item.error:
             self._report_unreadable(kind, item.name, item.revision, item.error)
         return item
@@ -108,20 +128,23 @@
     def list_kind(self, kind: str, timeout_s: float = LIST_TIMEOUT_S) -> Listing:
         """Read all objects of a kind, page by page; the timeout applies to each page.
 
-        A page fails earlier if no bytes arrive for `CALL_TIMEOUT_S`.
+        A page fails earlier if no bytes arrive for `CALL_TIMEOUT_S`. Raises
+        `EraEndedError` if a new era begins between two pages.
         """
         items: list[StoredObject] = []
         query = ""
         while True:
             path = f"/objects/{kind}{query}"
-            response = self._call("GET", path, None, timeout_s, CALL_TIMEOUT_S)
+            response, era = self._call("GET", path, None, timeout_s, CALL_TIMEOUT_S)
+            if items and items[-1].era != era:
+                raise EraEndedError(items[-1].era, era)
             if response.status == 404:
-                return Listing([], 0)
+                return Listing([], 0, era)
             page = decode_body(response)
             elements = decode_elements(page, "items")
-            items += self._decode_readable(kind, elements)
+            items += self._decode_readable(kind, elements, era)
             if not decode_member(page, "hasMore", bool | None, False):
-                return Listing(items, decode_member(page, "atRevision", Count))
+                return Listing(items, decode_member(page, "atRevision", Count), era)
             if not items:
                 raise PlatformError(Code.PLATFORM_BAD_ANSWER, "a page without names")
             query = f"?after={quote_segment(items[-1].name)}"
@@ -129,19 +152,22 @@
     def watch(self, kind: str, revision: int, wait_s: float) -> ChangeBatch:
         """Wait for changes after a revision; raise `RevisionExpiredError`."""
         path = f"/objects/{kind}?watch={revision}&waitMs={int(wait_s * 1000)}"
-        response = self._call("GET", path, None, wait_s + WATCH_MARGIN_S)
+        response, era = self._call("GET", path, None, wait_s + WATCH_MARGIN_S)
         if response.status == 410:
             raise RevisionExpiredError
         page = decode_body(response)
-        changes = self._decode_readable_changes(kind, decode_elements(page, "events"))
-        return ChangeBatch(changes, decode_member(page, "atRevision", Count))
+        events = decode_elements(page, "events")
+        changes = self._decode_readable_changes(kind, events, era)
+        return ChangeBatch(changes, decode_member(page, "atRevision", Count), era)
 
-    def _decode_readable(self, kind: str, elements: list[bytes]) -> list[StoredObject]:
+    def _decode_readable(
+        self, kind: str, elements: list[bytes], era: int
+    ) -> list[StoredObject]:
         """Decode the objects of a page, and leave out those without a readable name."""
         items = []
         for element in elements:
             try:
-                item = decode_object(element)
+                item = decode_object(element, era)
             except PlatformError as error:
                 self._report_unreadable(kind, "", 0, error.detail)
                 continue
@@ -151,7 +177,7 @@
         return items
 
     def _decode_readable_changes(
-        self, kind: str, elements: list[bytes]
+        self, kind: str, elements: list[bytes], era: int
     ) -> list[Change]:
         """Decode the events of a watch, and leave out those that are not readable."""
         changes = []
@@ -162,7 +188,7 @@
             except (InputError, PlatformError) as error:
                 self._report_unreadable(kind, "", 0, str(error))
                 continue
-            items = self._decode_readable(kind, [event.get("object", b"")])
+            items = self._decode_readable(kind, [event.get("object", b"")], era)
             changes += [Change(item, bool(is_removed)) for item in items]
         return changes
 
@@ -189,20 +215,25 @@
     ) -> StoredObject:
         """Create an object; raise `ConflictError` if the name is taken."""
         body = {"metadata": {"name": name}, "specification": value, "status": None}
-        return self._write("POST", f"/objects/{kind}", body, timeout_s)
+        return self._write(
+            "POST", f"/objects/{kind}", body, timeout_s, self.eras.get_seen()
+        )
 
     def replace(
-        self, kind: str, name: str, value: Any, revision: int, timeout_s: float
+        self, kind: str, name: str, value: Any, known: StoredObject, timeout_s: float
     ) -> StoredObject:
-        """Replace an object if it is at a revision, else raise `ConflictError`."""
+        """Replace an object if it is at its known revision, else raise `ConflictError`.
+
+        Raises `EraEndedError` if the known object was read in an earlier era: another
+        state of the object may have its revision now.
+        """
         body = {
-            "metadata": {"name": name, "revision": revision},
+            "metadata": {"name": name, "revision": known.revision},
             "specification": value,
             "status": None,
         }
-        return self._write(
-            "PUT", f"/objects/{kind}/{quote_segment(name)}", body, timeout_s
-        )
+        path = f"/objects/{kind}/{quote_segment(name)}"
+        return self._write("PUT", path, body, timeout_s, known.era)
 
     def put(
         self,
@@ -215,23 +246,25 @@
         """Replace the known version of an object, or create it if none is known."""
         if known is None:
             return self.create(kind, name, value, timeout_s)
-        return self.replace(kind, name, value, known.revision, timeout_s)
+        return self.replace(kind, name, value, known, timeout_s)
 
     def _write(
-        self, method: str, path: str, body: Any, timeout_s: float
+        self, method: str, path: str, body: Any, timeout_s: float, era: int | None
     ) -> StoredObject:
         """Repeat a conditional write until its result is known.
 
-        A write whose response is lost is sent again with the same precondition. If the
-        first attempt took effect, the store returns this client's own value with the
-        conflict.
+        A write whose response is lost is sent again with the same precondition, but not
+        in a later era than that of the precondition. If the first attempt took effect,
+        the store returns this client's own value with the conflict. `era` is None if no
+        era was seen before.
         """
         data = msgspec.json.encode(body)
         deadline_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
         while True:
+            self._check_era(era)
             remaining_s = self._get_remaining_s(deadline_ns)
             try:
-                response = self._call(
+                response, answer_era = self._call(
                     method, path, data, min(remaining_s, CALL_TIMEOUT_S)
                 )
             except PlatformError:
@@ -239,13 +272,19 @@
                     raise
                 gevent.sleep(RETRY_DELAY_S)
                 continue
+            self._check_era(era)
             if response.status != 409:
-                return decode_object(get_body(response))
-            current = decode_current(response)
+                return decode_object(get_body(response), answer_era)
+            current = decode_current(response, answer_era)
             if current is not None and current.value == decode_specification(data):
                 return current
             raise ConflictError(current)
 
+    def _check_era(self, era: int | None) -> None:
+        """Raise `EraEndedError` if an era, or None for any, is not the latest one."""
+        if era not in (None, self.eras.era):
+            raise EraEndedError(era, self.eras.era)
+
     def _call(
         self,
         method: str,
@@ -253,7 +292,7 @@
         data: bytes | None,
         timeout_s: float,
         silence_limit_s: float | None = None,
-    ) -> Response:
+    ) -> Answer:
         """Make one call; raise `PlatformError` if it fails.
 
         `silence_limit_s` bounds how long the response may stall.
@@ -284,19 +323,19 @@
                 connection.close()
             raise
         self._release_connection(connection, response)
-        return self._raise_for_status(response)
+        self._raise_for_status(response)
+        return Answer(response, self.eras.accept(response.get_header(STORE_ERA)))
 
     def _get_remaining_s(self, deadline_ns: int) -> float:
         return (deadline_ns - self._clock.now_ns()) / NS_PER_S
 
-    def _raise_for_status(self, response: Response) -> Response:
+    def _raise_for_status(self, response: Response) -> None:
         if response.status == 429:
             self._counters.count("store_calls_failed", reason="429")
             raise PlatformError(Code.PLATFORM_RATE_LIMITED)
         if response.status >= 500:
             self._counters.count("store_calls_failed", reason=str(response.status))
             raise PlatformError(Code.PLATFORM_UNAVAILABLE, f"status {response.status}")
-        return response
 
     def _acquire_connection(self, timeout_s: float) -> Connection:
         while self._idle:
--- a/knapweedrock/platform/stored_objects.py
+++ b/knapweedrock/platform/stored_objects.py
@@ -6,6 +6,7 @@
 
 from knapweedrock.codes import Code
 from knapweedrock.documents import Count
+from knapweedrock.eras.versions import StoreVersion
 from knapweedrock.errors import PlatformError
 from knapweedrock.json_input import (
     InputError,
@@ -19,13 +20,20 @@
 class StoredObject(NamedTuple):
     """An object's name, its value and the revision of its last change.
 
-    `error` says why the value is not readable; the value is then None.
+    `error` says why the value is not readable; the value is then None. `era` is the
+    era of the store in which the object was read.
     """
 
     name: str
     revision: int
     value: Any
     error: str = ""
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the object's last change."""
+        return StoreVersion(self.era, self.revision)
 
 
 class ObjectMetadata(msgspec.Struct):
@@ -36,10 +44,16 @@
 
 
 class Listing(NamedTuple):
-    """All objects of a kind at one revision of the store."""
+    """All objects of a kind at one version of the store."""
 
     items: list[StoredObject]
     revision: int
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the store that was listed."""
+        return StoreVersion(self.era, self.revision)
 
 
 class Change(NamedTuple):
@@ -50,10 +64,16 @@
 
 
 class ChangeBatch(NamedTuple):
-    """Changes up to a revision of the store."""
+    """Changes up to a version of the store."""
 
     changes: list[Change]
     revision: int
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the store up to which changes are included."""
+        return StoreVersion(self.era, self.revision)
 
 
 def get_body(response: Response) -> bytes:
@@ -103,8 +123,11 @@
         raise PlatformError(Code.PLATFORM_BAD_ANSWER, f"{name}: {error}") from error
 
 
-def decode_object(data: bytes) -> StoredObject:
-    """Decode an object; raise `PlatformError` if its metadata is not readable."""
+def decode_object(data: bytes, era: int) -> StoredObject:
+    """Decode an object that was read in an era of the store.
+
+    Raises `PlatformError` if its metadata is not readable.
+    """
     try:
         members = read_members(data)
     except InputError as error:
@@ -112,12 +135,12 @@
     metadata = decode_member(members, "metadata", ObjectMetadata)
     if "specification" not in members:
         error = "no specification"
-        return StoredObject(metadata.name, metadata.revision, None, error)
+        return StoredObject(metadata.name, metadata.revision, None, error, era)
     try:
         value = decode_json(members["specification"])
     except InputError as error:
-        return StoredObject(metadata.name, metadata.revision, None, str(error))
-    return StoredObject(metadata.name, metadata.revision, value)
+        return StoredObject(metadata.name, metadata.revision, None, str(error), era)
+    return StoredObject(metadata.name, metadata.revision, value, "", era)
 
 
 def decode_specification(data: bytes) -> Any:
@@ -125,9 +148,9 @@
     return msgspec.json.decode(data)["specification"]
 
 
-def decode_current(response: Response) -> StoredObject | None:
+def decode_current(response: Response, era: int) -> StoredObject | None:
     """Decode the stored object from a conflict response, or return None."""
     try:
-        return decode_object(response.body)
+        return decode_object(response.body, era)
     except PlatformError:
         return None
