Order views of the zones out by era and revision

Cause: a listing, a change or a push of the zones counted only above the last revision, which is never lowered. Revisions are given out again after a return, so a new evacuation had a smaller one and was left out, by all nodes and for good.

Change: (era, revision) orders what is known of the zones, in the watcher, in pushes and in renewals. The first response of a new era starts reads and watches anew, wherever the old watches wait. A zone that was out when an era ended, and that the new one doesn't list, stays out for 15 s, as its operator writes it again; other nodes learn of it, so that one that starts in that time keeps it out as well. Revisions that a watch may have missed are counted within an era.

Why it works: the era comes from the store itself, rises with each return and is the highest part of the order, so no view of an earlier era overrides one of a later, and every view of a later one does, whatever its revision.

--- a/features/steps/mesh_watches.py
+++ b/features/steps/mesh_watches.py
@@ -8,6 +8,7 @@
 from features.support.mesh_builders import create_document
 from features.support.mesh_proxied import StoreProxyMesh
 from features.support.stores import ScriptedStore
+from knapweedrock.eras.versions import StoreVersion
 from knapweedrock.mesh.config_watcher import ConfigWatcher
 from knapweedrock.mesh.messages import PublishConfiguration
 from knapweedrock.platform.documents import CONFIGURATION_KIND, EVACUATION_KIND
@@ -76,7 +77,8 @@
 def check_no_zone(context, revision: int) -> None:
     """Check the zones that are out of service, and their revision."""
     assert context.watcher.zones_out == frozenset(), context.watcher.zones_out
-    assert context.watcher.zones_revision == revision, context.watcher.zones_revision
+    version = context.watcher.zones_version
+    assert version == StoreVersion(0, revision), version
 
 
 @when("half of the coordinator's writes lose their answers for {seconds:d} s")
@@ -111,7 +113,8 @@
     """Record writes whose revisions follow each other."""
     for _ in range(count):
         context.store.revisions[CONFIGURATION_KIND] += 1
-        context.watcher.record_write(context.store.revisions[CONFIGURATION_KIND])
+        revision = context.store.revisions[CONFIGURATION_KIND]
+        context.watcher.record_write(StoreVersion(0, revision))
         gevent.sleep(pause_ms / 1000)
 
 
--- a/knapweedrock/mesh/config_publishing.py
+++ b/knapweedrock/mesh/config_publishing.py
@@ -43,12 +43,13 @@
 
     def sync(self, request: Renew) -> None:
         """Push the configuration to a node with an older one, else read a newer one."""
-        versions = (request.config_version, request.zones_revision)
+        versions = (request.config_version, request.zones_version)
         self._config_watcher.refresh_if_newer(*versions)
+        self._config_watcher.add_kept_zones(request.zones_era, request.kept_zones)
         if self._config_watcher.is_older(*versions):
             gevent.spawn_later(STORE_READ_S, self._fetch_configuration, request)
         name, now_ns = request.member.node_id, self._clock.now_ns()
-        message = self._config_watcher.create_push(*versions)
+        message = self._config_watcher.create_push(*versions, request.kept_zones)
         if message is None:
             self._outdated_since_ns.pop(name, None)
             return
@@ -78,7 +79,7 @@
 
     def _fetch_configuration(self, request: Renew) -> None:
         """Fetch a newer configuration from a member if the store did not give it."""
-        versions = (request.config_version, request.zones_revision)
+        versions = (request.config_version, request.zones_version)
         if self._is_fetching or not self._config_watcher.is_older(*versions):
             return
         member = request.member
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -168,11 +168,13 @@
             self._node.board.epoch,
             self._node.board.version,
             self._node.config_watcher.version,
-            self._node.config_watcher.zones_revision,
+            self._node.config_watcher.zones_version.revision,
             [tuple(item) for item in released],
             [(row.start, row.end, row.token) for row in unheld],
             self._measure_loads(rows),
             self._node.target.get_heartbeat_age_ms(),
+            self._node.config_watcher.zones_version.era,
+            self._node.config_watcher.list_kept_zones(),
         )
         coordinator_peer = self._coordinator_peer or self._node.board.coordinator
         try:
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple, TypeVar
 
+from knapweedrock.eras.versions import StoreVersion
+
 M = TypeVar("M", bound=type)
 
 _TYPES_BY_ID: dict[int, type] = {}
@@ -245,7 +247,9 @@
     `released` lists key ranges that the target has released since the last answer, as
     `(start, end, handover)`. `unheld` lists rows that the target certainly does not
     hold and that the node does not grant to it again, as `(start, end, token)`.
-    `heartbeat_age_ms` is the age of the target's last heartbeat.
+    `heartbeat_age_ms` is the age of the target's last heartbeat. `kept_zones` lists the
+    zones that the node keeps out of service although the store does not list them, with
+    the remaining time in ms.
     """
 
     member: Member
@@ -257,6 +261,13 @@
     unheld: list[tuple[int, int, int]]
     loads: list[RowLoad]
     heartbeat_age_ms: int
+    zones_era: int = 0
+    kept_zones: list[tuple[str, int]] = []
+
+    @property
+    def zones_version(self) -> StoreVersion:
+        """Return the version of the store at which the node read the zones out."""
+        return StoreVersion(self.zones_era, self.zones_revision)
 
 
 @register_message(53)
@@ -299,13 +310,22 @@
     """Push of a newer configuration and of the evacuated zones.
 
     `document` is the configuration in JSON, as it is stored. `zones_revision` is the
-    revision of the store at which `zones_out` was read.
+    revision of the store, in the era `zones_era`, at which `zones_out` was read.
+    `kept_zones` lists further zones that stay out of service, with the remaining time
+    in ms.
     """
 
     version: int
     document: bytes
     zones_out: list[str]
     zones_revision: int
+    zones_era: int = 0
+    kept_zones: list[tuple[str, int]] = []
+
+    @property
+    def zones_version(self) -> StoreVersion:
+        """Return the version of the store at which the zones out were read."""
+        return StoreVersion(self.zones_era, self.zones_revision)
 
 
 @register_message(56)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -122,7 +122,7 @@
         self.transit = TransitDelays(clock)
         self.store = store or Store(settings.store, clock, self.counters)
         self.config_watcher = ConfigWatcher(
-            self.store, self._apply_configuration, self._is_watcher
+            self.store, self._apply_configuration, self._is_watcher, clock
         )
         self.gateway = Gateway(
             self, clock, self.counters, admission, self._report_crash
@@ -144,6 +144,7 @@
         self.callers = CallerServer(
             settings.caller, self.router.serve, self._get_limits, self.memory
         )
+        self.store.eras.listeners.append(self._handle_new_era)
         self._endpoint_servers = create_servers(self)
         self._board_notifier = Notifier()
         self._has_read_crashes = False
@@ -320,6 +321,10 @@
             gevent.spawn(self.gateway.probe)
         self._was_zone_out = is_out
 
+    def _handle_new_era(self) -> None:
+        """Read anew what the store has, which has come back from a copy."""
+        gevent.spawn(self.config_watcher.restart)
+
     def _run_load_decay(self) -> None:
         while True:
             gevent.sleep(DECAY_INTERVAL_MS / 1000)
--- a/knapweedrock/mesh/revisions.py
+++ b/knapweedrock/mesh/revisions.py
@@ -5,13 +5,14 @@
 
 
 class SeenRevisions:
-    """Revisions of the changes that a node has made or read.
+    """Revisions of the changes that a node has made or read in an era of the store.
 
     The store numbers all changes with one counter, so a number that is missing between
     two others belongs to a change that the node does not know.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: int = 0) -> None:
+        self.era = era
         self._all_until = 0
         self._later: set[int] = set()
 
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -9,6 +9,7 @@
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import Code
+from knapweedrock.eras.versions import StoreVersion
 from knapweedrock.errors import PlatformError
 from knapweedrock.json_input import InputError
 from knapweedrock.mesh.leader_records import (
@@ -50,7 +51,7 @@
 class Term:
     """One node's leadership term, with the tables as it last wrote them.
 
-    `on_write` gets the store's revision after each write of the term.
+    `on_write` gets the store's version after each write of the term.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         peer: str,
         store: Store,
         clock: Clock,
-        on_write: Callable[[int], None] = lambda _revision: None,
+        on_write: Callable[[StoreVersion], None] = lambda _version: None,
     ) -> None:
         self.leading = False
         self.epoch = 0
@@ -154,7 +155,7 @@
             log.info("claim failed", epoch=epoch, reason=error.detail)
             return False
         self._leader_record = record
-        self._on_write(record.revision)
+        self._on_write(record.version)
         self.epoch = epoch
         self._unconfirmed_sent_ns.clear()
         self._valid_until_ns = 0
@@ -220,7 +221,7 @@
             if not self.is_current(epoch):
                 return
             self._leader_record = record
-            self._on_write(record.revision)
+            self._on_write(record.version)
             self._stored_lost_nodes = lost_nodes
             self._record_renewal(sent_ns)
             self._unconfirmed_sent_ns.clear()
@@ -253,7 +254,7 @@
         if self.epoch != epoch:
             raise PlatformError(Code.PLATFORM_CONFLICT, "another term has started")
         self._tables[service] = written
-        self._on_write(written.revision)
+        self._on_write(written.version)
 
     def _record_renewal(self, sent_ns: int) -> None:
         until_ns = sent_ns + (TERM_MS - TERM_MARGIN_MS) * NS_PER_MS
@@ -323,7 +324,7 @@
         if (record.process, record.epoch) != (self._process, self.epoch):
             return False
         self._leader_record = current
-        self._on_write(current.revision)
+        self._on_write(current.version)
         # The term runs from the time when the renewal was sent, however late the store
         # wrote it.
         sent_ns = self._unconfirmed_sent_ns.pop(record.number, None)
@@ -343,7 +344,7 @@
             return
         if table is not None and table.epoch == self.epoch:
             self._tables[service] = current
-            self._on_write(current.revision)
+            self._on_write(current.version)
         else:
             log.warning(
                 "table owned by another term", service=service, epoch=self.epoch
