--- a/features/steps/examples.py
+++ b/features/steps/examples.py
@@ -16,6 +16,9 @@
 """
 LOADED = {
     "knapweedrock",
+    "knapweedrock.eras",
+    "knapweedrock.eras.numbers",
+    "knapweedrock.eras.versions",
     "knapweedrock.mesh",
     "knapweedrock.mesh.definitions",
     "knapweedrock.mesh.snapshots",
--- a/features/steps/mesh_odd_leadership.py
+++ b/features/steps/mesh_odd_leadership.py
@@ -10,7 +10,7 @@
 from knapweedrock.clock import create_clock
 from knapweedrock.errors import PlatformError
 from knapweedrock.mesh.tables import encode_stored_table
-from knapweedrock.mesh.terms import LEADER_NAME, Term
+from knapweedrock.mesh.terms import LEADER_NAME, Memory, Term
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
 
 
@@ -56,7 +56,7 @@
     """Claim the leadership over the record as it was read."""
     context.term = create_term(context)
     record = context.client.get(LEADER_KIND, LEADER_NAME)
-    assert context.term.claim(record, epoch)
+    assert context.term.claim(record, Memory(epoch))
 
 
 @when("a coordinator is elected and writes that table")
--- a/features/steps/mesh_soak.py
+++ b/features/steps/mesh_soak.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 
+import features.support.soak_drills  # noqa: F401 (registers faults)
 from features.support.mesh_soak import Soak
 
 MIN_SERVED = 100
--- a/features/support/mesh_soak.py
+++ b/features/support/mesh_soak.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from features.support.hold_monitor import HoldMonitor
 from features.support.limit_watch import LimitMonitor, LimitSpan
 from features.support.mesh_builders import create_document
 from features.support.mesh_harness import Place
@@ -34,6 +35,7 @@
 # After the recovery, the load continues for this time while key holders are sampled.
 FINAL_LOAD_S = 3.0
 SAMPLE_INTERVAL_S = 0.01
+HOLD_SAMPLE_S = 0.02
 # With few slots and a long service time, hot keys saturate a target.
 SLOTS = 3
 DEFAULT_WORK_MS = 5.0
@@ -90,18 +92,19 @@
             self.mesh.places[number] = self._add_proxies(number, place)
         self.sent_requests: list[SentRequest] = []
         self.limits = LimitMonitor()
+        self.holds = HoldMonitor()
         self.faults: list[str] = []
         self.longest_unheld_ms = 0.0
         # Faults have their own random generator, so that a seed gives the same faults
         # regardless of the number of requests that are sent between them.
-        self._random = random.Random(seed)
+        self.random = random.Random(seed)
         self._load_random = random.Random(seed + 1)
         self._fault_names = [
             name for name in FAULTS if not fault_names or name in fault_names.split()
         ]
         self._interval_s = 1 / rate
         self._hot_start = -1
-        self._version = 1
+        self.version = 1
         self._request_tasks: list[gevent.Greenlet] = []
 
     def run(self, seconds: float) -> None:
@@ -113,17 +116,19 @@
             proxy.start()
         self.mesh.start()
         load = gevent.spawn(self._run_load)
+        sampler = gevent.spawn(self._run_samples)
         end_ns = self.mesh.clock.now_ns() + int(seconds * NS_PER_S)
         # A fault that has begun always runs to its end, because an interrupted fault
         # would leave a process stopped or a target down permanently.
         while self.mesh.clock.now_ns() < end_ns:
-            gevent.sleep(self._random.uniform(*FAULT_INTERVAL_RANGE_S))
+            gevent.sleep(self.random.uniform(*FAULT_INTERVAL_RANGE_S))
             self._inject_fault()
         self._end_all_faults()
         self.mesh.wait_until(self.mesh.is_settled, RECOVERY_TIMEOUT_S)
         self.mesh.wait_until(self._is_configuration_applied, RECOVERY_TIMEOUT_S)
         self.longest_unheld_ms = self._measure_longest_unheld_ms()
         load.kill()
+        sampler.kill()
         gevent.joinall(self._request_tasks, timeout=4)
 
     def stop(self) -> None:
@@ -141,6 +146,7 @@
         for place in self.mesh.places:
             started_ids |= set(place.holder.interrupted)
         violations = [f"two holders: {item}" for item in self.mesh.double_owners[:3]]
+        violations += self.holds.violations
         violations += self.limits.list_violations([p.holder for p in self.mesh.places])
         for request in self.sent_requests:
             if request.is_order and runs[request.attempt_id] > 1:
@@ -193,7 +199,7 @@
                 overview = fetch_json(place.settings.metrics, "/status")
             except KnapweedrockError:
                 return False
-            if overview["configuration_version"] != self._version:
+            if overview["configuration_version"] != self.version:
                 return False
             if overview["zones_out"]:
                 return False
@@ -216,6 +222,11 @@
             gevent.sleep(SAMPLE_INTERVAL_S)
         return longest_ns / NS_PER_MS
 
+    def _run_samples(self) -> None:
+        while True:
+            self.holds.check([place.holder for place in self.mesh.places])
+            gevent.sleep(HOLD_SAMPLE_S)
+
     def _run_load(self) -> None:
         rng = self._load_random
         while True:
@@ -262,13 +273,13 @@
                     self.limits.record_answer(name, run.target, now_ns)
 
     def _inject_fault(self) -> None:
-        place = self._random.choice(self.mesh.places)
-        name = self._random.choice(self._fault_names)
+        place = self.random.choice(self.mesh.places)
+        name = self.random.choice(self._fault_names)
         self.faults.append(f"{name} {place.settings.node_id}")
         FAULTS[name](self, place)
 
     def _restart_after_delay(self, place: Place) -> None:
-        gevent.sleep(self._random.uniform(0.05, 1.0))
+        gevent.sleep(self.random.uniform(0.05, 1.0))
         self.mesh.start_node(place)
 
     @register_fault
@@ -298,21 +309,21 @@
         if node is None:
             return
         node.process.send_signal(signal.SIGSTOP)
-        gevent.sleep(self._random.uniform(0.2, 8.0))
+        gevent.sleep(self.random.uniform(0.2, 8.0))
         node.process.send_signal(signal.SIGCONT)
 
     @register_fault
     def crash_target(self, place: Place) -> None:
         """Crash a target and restart it."""
         place.holder.crash()
-        gevent.sleep(self._random.uniform(0.1, 2.0))
+        gevent.sleep(self.random.uniform(0.1, 2.0))
         place.holder.start()
 
     @register_fault
     def turn_away(self, place: Place) -> None:
         """Make the store reject the calls of one node."""
-        place.front.status = self._random.choice((429, 503))
-        gevent.spawn_later(self._random.uniform(0.5, 6.0), self._restore_store, place)
+        place.front.status = self.random.choice((429, 503))
+        gevent.spawn_later(self.random.uniform(0.5, 6.0), self._restore_store, place)
 
     @register_fault
     def silence_store(self, _place: Place) -> None:
@@ -320,16 +331,16 @@
         for place in self.mesh.places:
             place.front.silent = True
             place.front.drop_watches()
-        gevent.sleep(self._random.uniform(0.5, 8.0))
+        gevent.sleep(self.random.uniform(0.5, 8.0))
         for place in self.mesh.places:
             self._restore_store(place)
 
     @register_fault
     def lose_answers(self, place: Place) -> None:
         """Drop responses to writes; some of the writes take effect late."""
-        place.front.lost_write_share = self._random.uniform(0.1, 0.6)
-        place.front.late_write_share = self._random.uniform(0.0, 0.4)
-        gevent.spawn_later(self._random.uniform(1.0, 5.0), self._restore_store, place)
+        place.front.lost_write_share = self.random.uniform(0.1, 0.6)
+        place.front.late_write_share = self.random.uniform(0.0, 0.4)
+        gevent.spawn_later(self.random.uniform(1.0, 5.0), self._restore_store, place)
 
     @register_fault
     def drop_history(self, _place: Place) -> None:
@@ -341,17 +352,17 @@
         """Suspend the heartbeats of a target."""
         place.holder.silent_heartbeats = True
         gevent.spawn_later(
-            self._random.uniform(0.5, 9.0), self._restore_heartbeats, place
+            self.random.uniform(0.5, 9.0), self._restore_heartbeats, place
         )
 
     @register_fault
     def name_limit(self, place: Place) -> None:
         """Make a target announce a limit for a while, or until its next start."""
         holder = place.holder
-        limit = self._random.choice(TARGET_LIMITS_PER_S)
+        limit = self.random.choice(TARGET_LIMITS_PER_S)
         target, from_ns = holder.target, self.mesh.clock.now_ns()
         holder.limits = (str(limit),)
-        gevent.sleep(self._random.uniform(4.0, 8.0))
+        gevent.sleep(self.random.uniform(4.0, 8.0))
         holder.limits = ()
         until_ns = self.mesh.clock.now_ns()
         self.limits.add_span(LimitSpan(target, limit, from_ns, until_ns))
@@ -360,17 +371,17 @@
     def leave_by_answers(self, place: Place) -> None:
         """Make a target announce in its responses that it leaves, then restart it."""
         place.holder.leaving = True
-        gevent.sleep(self._random.uniform(1.0, 4.0))
+        gevent.sleep(self.random.uniform(1.0, 4.0))
         self.crash_target(place)
 
     @register_fault
     def repeat_refusals(self, place: Place) -> None:
         """Make a target refuse requests and send its refusals a second time, late."""
-        place.holder.shed_share = self._random.uniform(0.1, 0.5)
+        place.holder.shed_share = self.random.uniform(0.1, 0.5)
         proxy = self.proxies[place.settings.node_id]["target"]
-        proxy.repeat_share = self._random.uniform(0.1, 1.0)
+        proxy.repeat_share = self.random.uniform(0.1, 1.0)
         gevent.spawn_later(
-            self._random.uniform(1.0, 5.0), self._end_refusals, place, proxy
+            self.random.uniform(1.0, 5.0), self._end_refusals, place, proxy
         )
 
     def _end_refusals(self, place: Place, proxy: TargetProxy) -> None:
@@ -378,15 +389,15 @@
 
     def _choose_proxy(self, place: Place) -> Proxy:
         proxies = self.proxies[place.settings.node_id]
-        return proxies[self._random.choice(sorted(proxies))]
+        return proxies[self.random.choice(sorted(proxies))]
 
     @register_fault
     def delay_connections(self, place: Place) -> None:
         """Delay the data in one direction of a proxy."""
         proxy = self._choose_proxy(place)
-        direction = self._random.choice(proxy.directions)
-        direction.delay_s = self._random.uniform(0.02, 0.5)
-        gevent.spawn_later(self._random.uniform(0.5, 4.0), proxy.restore)
+        direction = self.random.choice(proxy.directions)
+        direction.delay_s = self.random.uniform(0.02, 0.5)
+        gevent.spawn_later(self.random.uniform(0.5, 4.0), proxy.restore)
 
     @register_fault
     def reset_connections(self, place: Place) -> None:
@@ -398,8 +409,8 @@
     def cut_one_way(self, place: Place) -> None:
         """Hold back the data in one direction of a proxy and deliver it later."""
         proxy = self._choose_proxy(place)
-        self._random.choice(proxy.directions).open.clear()
-        gevent.spawn_later(self._random.uniform(0.5, 7.0), proxy.restore)
+        self.random.choice(proxy.directions).open.clear()
+        gevent.spawn_later(self.random.uniform(0.5, 7.0), proxy.restore)
 
     @register_fault
     def silence_connections(self, place: Place) -> None:
@@ -417,24 +428,24 @@
     @register_fault
     def heat_keys(self, _place: Place) -> None:
         """Direct most of the load to adjacent keys and increase the service time."""
-        self._hot_start = self._random.randrange(KEY_COUNT - HOT_KEYS)
+        self._hot_start = self.random.randrange(KEY_COUNT - HOT_KEYS)
         for place in self.mesh.places:
             place.holder.work_ms = HOT_WORK_MS
-        gevent.spawn_later(self._random.uniform(2.0, 8.0), self._restore_load)
+        gevent.spawn_later(self.random.uniform(2.0, 8.0), self._restore_load)
 
     @register_fault
     def write_configuration(self, _place: Place) -> None:
         """Write a newer configuration, or sometimes two in immediate succession."""
-        for _ in range(self._random.choice((1, 1, 2))):
-            self._version += self._random.randint(1, 5)
-            self.mesh.configure(create_document(self._version))
+        for _ in range(self.random.choice((1, 1, 2))):
+            self.version += self.random.randint(1, 5)
+            self.mesh.configure(create_document(self.version))
 
     @register_fault
     def take_zone_out(self, place: Place) -> None:
         """Take an availability zone out of service for a while."""
         zone = place.settings.zone
         self.mesh.evacuate_zone(zone)
-        gevent.sleep(self._random.uniform(0.5, 6.0))
+        gevent.sleep(self.random.uniform(0.5, 6.0))
         self.mesh.restore_zone(zone)
 
     def _restore_load(self) -> None:
--- a/knapweedrock/mesh/boards.py
+++ b/knapweedrock/mesh/boards.py
@@ -89,6 +89,7 @@
         removed,
         tables,
         old.epoch,
+        new.era,
     )
 
 
@@ -117,7 +118,14 @@
     tables = dict(board.tables)
     for service, data in change.tables.items():
         tables[service] = replace_rows(tables.get(service, []), decode_rows(data))
-    return Board(change.epoch, change.version, change.coordinator, members, tables)
+    return Board(
+        change.epoch,
+        change.version,
+        change.coordinator,
+        members,
+        tables,
+        change.era,
+    )
 
 
 def replace_rows(rows: list[Row], changed: list[Row]) -> list[Row]:
--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -5,15 +5,18 @@
 from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
+import gevent
 from gevent.event import Event
 from logbook import Logger
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import Code
 from knapweedrock.counters import Counters
+from knapweedrock.eras.recovery import KeptRows, Recovery, strip_mark
 from knapweedrock.errors import LinkError, PlatformError
 from knapweedrock.mesh import ownership
 from knapweedrock.mesh.config_publishing import ConfigurationPublisher
+from knapweedrock.mesh.holds import overlaps
 from knapweedrock.mesh.leader_records import read_leader_record
 from knapweedrock.mesh.messages import Board, Member, Renew, Renewed, Row
 from knapweedrock.mesh.moves import list_started_moves
@@ -22,7 +25,15 @@
 from knapweedrock.mesh.row_loads import measure_row_load
 from knapweedrock.mesh.snapshots import Snapshot, list_eligible_members
 from knapweedrock.mesh.tasks import spawn_supervised
-from knapweedrock.mesh.terms import MAX_OUTAGE_MS, TERM_MS, Term
+from knapweedrock.mesh.terms import (
+    LEADER_NAME,
+    MAX_OUTAGE_MS,
+    RENEW_RETRY_S,
+    TERM_MS,
+    Memory,
+    Term,
+)
+from knapweedrock.platform.documents import LEADER_KIND
 from knapweedrock.platform.store import Store
 from knapweedrock.platform.stored_objects import StoredObject
 
@@ -104,6 +115,9 @@
         # Key ranges that targets have released, as (start, end, handover), by service.
         self._released: dict[str, list[tuple[int, int, str]]] = {}
         self._planners: dict[str, Planner] = {}
+        # Set while the term does not know all holders of keys of earlier eras.
+        self._recovery: Recovery | None = None
+        self._kept_rows = KeptRows()
         self._last_push_ns = 0
         self._plan_now = Event()
 
@@ -112,7 +126,12 @@
 
         `leader_record` is the record as last read from the store.
         """
-        if not self.term.claim(leader_record, self._node.board.epoch):
+        board = self._node.board
+        tables = {
+            service: [strip_mark(row) for row in rows]
+            for service, rows in board.tables.items()
+        }
+        if not self.term.claim(leader_record, Memory(board.epoch, tables)):
             return False
         self._begin_term(leader_record)
         return True
@@ -136,6 +155,8 @@
         self._heartbeat_at_ms[name] = now_ns / NS_PER_MS - request.heartbeat_age_ms
         rows = self.board.tables.get(member.service, [])
         self._record_releases(name, rows, request)
+        self._kept_rows.record(member, request.kept)
+        self._record_held(member, rows, request)
         if self.board.members.get(name) != member:
             self._log_member(member)
             self._publish_change(members={**self.board.members, name: member})
@@ -150,11 +171,16 @@
             lease_ms,
             self.board.coordinator,
             missing.change,
-            term.get_revision(),
+            term.get_version().revision,
             term.get_remaining_ms(),
             missing.follows,
+            term.get_version().era,
         )
 
+    def is_recovering(self) -> bool:
+        """Return whether this node leads and does not know all holders of keys."""
+        return self.term.leading and self._recovery is not None
+
     def get_silence_ms(self, node_id: str) -> float:
         """Return the time since a node's last report, `inf` if it never reported."""
         contact = self._contacts.get(node_id)
@@ -174,6 +200,7 @@
             try:
                 for service in self._list_services():
                     self._plan_service(service)
+                self._end_recovery_if_over()
             except PlatformError as error:
                 log.warning("table not written", reason=error.detail)
 
@@ -202,23 +229,78 @@
         tables = self.term.list_tables()
         owners = {row.node_id for rows in tables.values() for row in rows}
         names = {*known, *owners}
-        self._contacts = assume_leases(
-            leader_record, names, self._node.settings.node_id, now_ns
-        )
+        if self.term.recovering:
+            self._contacts = assume_longest_leases(names, now_ns)
+        else:
+            self._contacts = assume_leases(
+                leader_record, names, self._node.settings.node_id, now_ns
+            )
         self._max_lease_until_ns = max(
             (contact.lease_until_ns for contact in self._contacts.values()), default=0
         )
         self._loads, self._unheld, self._released = {}, {}, {}
         self._planners = {}
+        self._kept_rows = KeptRows()
+        self._recovery = None
+        if self.term.recovering:
+            longest_ms = MAX_OUTAGE_MS + LEASE_MARGIN_MS
+            until_ns = now_ns + longest_ms * NS_PER_MS
+            self._recovery = Recovery(self.term.era, until_ns)
+        epoch = self.term.epoch
+        log.info(
+            "elected",
+            epoch=epoch,
+            members=len(known),
+            era=self.term.era,
+            recovering=self.term.recovering,
+        )
+        self._start_term(dict(known), tables)
+
+    def _start_term(
+        self, members: dict[str, Member], tables: dict[str, list[Row]]
+    ) -> None:
+        """Publish the first board of a term, and start the term's tasks."""
         epoch = self.term.epoch
-        self.board = Board(epoch, 1, self._node.peer, dict(known), tables)
-        log.info("elected", epoch=epoch, members=len(known))
+        self.board = Board(epoch, 1, self._node.peer, members, tables, self.term.era)
         former_boards = list(self._node.recent_boards)
         self._node.accept_board(self.board)
-        spawn_supervised(partial(self.term.run, epoch))
+        spawn_supervised(partial(self._run_term, epoch))
         spawn_supervised(partial(self.run_planning, epoch))
         self._publisher.start_term(self.board, former_boards)
 
+    def _run_term(self, epoch: int) -> None:
+        """Renew the term; claim again when the store has come back from a copy."""
+        self.term.run(epoch)
+        while self.term.is_current(epoch) and self.term.has_era_ended():
+            try:
+                self._claim_in_new_era()
+            except PlatformError as error:
+                log.warning("term not claimed again", reason=error.detail)
+            if self.term.is_current(epoch):
+                gevent.sleep(RENEW_RETRY_S)
+
+    def _claim_in_new_era(self) -> None:
+        """Claim the leadership in a new era, unless another node has done so."""
+        store, term = self._node.store, self.term
+        record = store.get(LEADER_KIND, LEADER_NAME)
+        if record is not None and self._is_claimed_by_other(record):
+            log.warning("term lost", epoch=term.epoch, era=record.era)
+            term.leading = False
+            return
+        if not term.had_authority_in_next_era():
+            # Another node may have led since, and only its targets know.
+            self.claim(record)
+            return
+        board = self.board
+        if term.claim(record, Memory(board.epoch, board.tables, is_complete=True)):
+            log.warning("term claimed again", epoch=term.epoch, era=term.era)
+            tables = term.list_tables() | self.board.tables
+            self._start_term(dict(self.board.members), tables)
+
+    def _is_claimed_by_other(self, record: StoredObject) -> bool:
+        leader = read_leader_record(record)
+        return leader.era >= record.era and leader.process != self._node.process
+
     def _list_services(self) -> list[str]:
         configuration = self._node.configuration
         if configuration is None:
@@ -228,16 +310,39 @@
     def _record_releases(self, name: str, rows: list[Row], request: Renew) -> None:
         released = self._released.setdefault(request.member.service, [])
         released += [tuple(item) for item in request.released]
+        if request.kept:
+            self._plan_now.set()
         if not request.unheld:
             self._unheld.pop(name, None)
             return
-        unheld_ranges = {tuple(item) for item in request.unheld}
-        self._unheld[name] = [
+        own_rows = [row for row in rows if row.node_id == name]
+        self._unheld[name] = list_parts(own_rows, request.unheld)
+        self._plan_now.set()
+
+    def _record_held(self, member: Member, rows: list[Row], request: Renew) -> None:
+        """Record which rows a target holds, from a heartbeat during a recovery."""
+        age_ms = (self._clock.now_ns() - self._term_started_ns) / NS_PER_MS
+        if self._recovery is None or request.epoch != self.board.epoch:
+            return
+        if request.heartbeat_age_ms >= age_ms:
+            return
+        unheld = self._unheld.get(member.node_id, [])
+        self._recovery.record_held(
             row
             for row in rows
-            if row.node_id == name and (row.start, row.end, row.token) in unheld_ranges
-        ]
-        self._plan_now.set()
+            if (row.node_id, row.target) == (member.node_id, member.target)
+            and not any(overlaps(row, other) for other in unheld)
+        )
+
+    def _end_recovery_if_over(self) -> None:
+        now_ns = self._clock.now_ns()
+        rows = [row for rows in self.board.tables.values() for row in rows]
+        if self._recovery is None or not self._recovery.is_over(rows, now_ns):
+            return
+        self._recovery = None
+        self.term.end_recovery()
+        elapsed_ms = (now_ns - self._term_started_ns) // NS_PER_MS
+        log.info("recovery ended", epoch=self.term.epoch, ms=elapsed_ms)
 
     def _mark_silent_members(self) -> None:
         """Mark silent members absent and remove them after `MEMBER_EXPIRY_MS`."""
@@ -267,11 +372,20 @@
 
     def _plan_service(self, service: str) -> None:
         rows = self.board.tables.get(service)
-        if rows is None:
+        names = [n for n, m in self.board.members.items() if m.service == service]
+        if rows is None and not self._kept_rows.has_any(names):
             self._create_initial_table(service)
             return
+        if rows is None:
+            # The copy of the store is older than the first table.
+            rows = ownership.create_unowned_rows()
         snapshot = self._create_snapshot(service, rows)
         now_ms = self._clock.now_ns() / NS_PER_MS
+        adopted = self._kept_rows.adopt(rows, names)
+        if adopted != rows:
+            self._adopt_rows(service, rows, adopted)
+            return
+        rows = ownership.split_unheld(rows, snapshot)
         reassigned = ownership.reassign_rows(rows, snapshot)
         if reassigned != rows:
             self._write_table(service, ownership.merge_rows(reassigned))
@@ -283,15 +397,26 @@
             planned = ownership.evacuate_rows(rows, snapshot)
             planned = self._plan_moves(service, planned, snapshot, now_ms)
         planned = ownership.merge_rows(ownership.mark_unheld_rows(planned, snapshot))
-        if planned != rows:
+        if planned != self.board.tables.get(service):
             self._publish_change(tables={**self.board.tables, service: planned})
 
+    def _adopt_rows(self, service: str, rows: list[Row], adopted: list[Row]) -> None:
+        """Assign keys to targets that hold them under a higher token than the board's.
+
+        Raises `PlatformError` if the write fails.
+        """
+        count = len(set(adopted) - set(rows))
+        log.warning("keys adopted", service=service, rows=count)
+        self._counters.count("keys_adopted", count)
+        self._write_table(service, adopted)
+
     def _create_initial_table(self, service: str) -> None:
         if self._clock.now_ns() - self._term_started_ns < INITIAL_REPORT_MS * NS_PER_MS:
             return
         eligible = list_eligible_members(self._create_snapshot(service, []))
         if eligible:
-            self._write_table(service, ownership.create_initial_table(eligible))
+            rows = ownership.create_initial_table(eligible, self.term.era)
+            self._write_table(service, rows)
 
     def _plan_moves(
         self, service: str, rows: list[Row], snapshot: Snapshot, now_ms: float
@@ -317,6 +442,8 @@
             contact = self._contacts.get(row.node_id, Contact(0, 0))
             if contact.lease_until_ns + LEASE_MARGIN_MS * NS_PER_MS < now_ns:
                 unheld.append(row)
+        if self._recovery is not None:
+            unheld = [r for r in unheld if self._recovery.may_reassign(r, now_ns)]
         members = {
             name: self._get_confirmed_member(name, member)
             for name, member in self.board.members.items()
@@ -331,6 +458,7 @@
             self._heartbeat_at_ms,
             self._node.settings.heartbeat_interval_ms,
             self._list_returning(members),
+            era=self.term.era,
         )
 
     def _list_returning(self, members: dict[str, Member]) -> Collection[str]:
@@ -432,6 +560,22 @@
     }
 
 
+def assume_longest_leases(names: Collection[str], now_ns: int) -> dict[str, Contact]:
+    """Return contacts with the longest leases of a term that may run until now."""
+    until_ns = now_ns + MAX_OUTAGE_MS * NS_PER_MS
+    return dict.fromkeys(names, Contact(now_ns, until_ns))
+
+
+def list_parts(rows: list[Row], ranges: Collection[tuple[int, int, int]]) -> list[Row]:
+    """List the parts of rows in ranges `(start, end, token)` of the same token."""
+    return [
+        row._replace(start=max(row.start, start), end=min(row.end, end))
+        for start, end, token in ranges
+        for row in rows
+        if row.token == token and row.start <= end and start <= row.end
+    ]
+
+
 def list_lost_nodes(contacts: dict[str, Contact], now_ns: int) -> list[str]:
     """List silent nodes whose leases expire within the length of a term."""
     return [
--- a/knapweedrock/mesh/holds.py
+++ b/knapweedrock/mesh/holds.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from knapweedrock.clock import NS_PER_MS
+from knapweedrock.eras.numbers import is_from_earlier_era
 from knapweedrock.mesh.definitions import (
     Grant,
     Heartbeat,
@@ -55,6 +56,8 @@
         self.granted = GrantedRows("", (), 0)
         self.released: list[ReleasedRange] = []
         self.lease_until_ns = 0
+        # Era of the board from which rows are granted.
+        self.era = 0
         self.max_hold_ms = max_hold_ms
         self._heartbeat: Heartbeat | None = None
         self._last_expiry_ns = 0
@@ -86,9 +89,10 @@
         )
         if hold_ms < MIN_HOLD_MS:
             return HeartbeatReply(None, 0)
-        own_rows = (
-            () if heartbeat.draining else self.list_own_rows(rows, heartbeat.target)
-        )
+        own_rows = ()
+        if not heartbeat.draining:
+            own_rows = self.list_own_rows(rows, heartbeat.target)
+            own_rows += self._list_kept_rows(rows, heartbeat)
         own_rows, grants = self._choose_grants(own_rows, sorted(heartbeat.held))
         until_ns = now_ns + hold_ms * NS_PER_MS
         self.granted = GrantedRows(heartbeat.target, own_rows, until_ns)
@@ -112,16 +116,44 @@
         return tuple(sorted(rows[:count])), tuple(sorted(grants[:count]))
 
     def list_own_rows(self, rows: list[Row], target: str) -> tuple[Row, ...]:
-        """List the rows that a target incarnation owns and is not about to lose."""
+        """List the rows that a target incarnation owns and is not about to lose.
+
+        Of rows that were given out in an earlier era only the parts that the target
+        still holds are listed: another target may have held the rest since.
+        """
         return tuple(
-            row
+            part
             for row in rows
             if row.node_id == self.node_id
             and row.target == target
             and not row.next_node
             and not self._is_partly_withdrawn(row)
+            for part in self._list_grantable_parts(row)
+        )
+
+    def list_kept(self, rows: list[Row]) -> list[HeldRange]:
+        """List what the target holds under a token above that of the board's rows.
+
+        The coordinator of a new era may not know of it yet.
+        """
+        heartbeat = self._heartbeat
+        if heartbeat is None or heartbeat.draining:
+            return []
+        return list_above(heartbeat.held, rows)
+
+    def _list_kept_rows(self, rows: list[Row], heartbeat: Heartbeat) -> tuple[Row, ...]:
+        return tuple(
+            Row(start, end, self.node_id, heartbeat.target, token, "", "")
+            for start, end, token in list_above(heartbeat.held, rows)
         )
 
+    def _list_grantable_parts(self, row: Row) -> list[Row]:
+        """List the parts of a row that may be granted; see `list_own_rows`."""
+        if not is_from_earlier_era(row.token, self.era):
+            return [row]
+        held = self._heartbeat.held if self._heartbeat is not None else ()
+        return list_held_parts(row, held)
+
     def may_serve(self, key: int, target: str, rows: list[Row], now_ns: int) -> bool:
         """Return whether the target holds a key, as far as this node knows.
 
@@ -174,8 +206,24 @@
             elif self._is_unheld(row, ended_target, now_ns):
                 self._withdrawn.append(row)
                 unheld.append(row)
+            elif is_from_earlier_era(row.token, self.era):
+                parts = self._list_parts_not_held(row)
+                if parts == [row]:
+                    self._withdrawn.append(row)
+                # Parts of a row are never granted, so they need no withdrawal.
+                unheld += parts
         return unheld
 
+    def _list_parts_not_held(self, row: Row) -> list[Row]:
+        """List the parts of a row that the target does not hold under its token."""
+        heartbeat = self._heartbeat
+        if heartbeat is None or row.target != heartbeat.target:
+            return []
+        held = list_held_parts(row, heartbeat.held)
+        if self.granted.target == heartbeat.target:
+            held += [r for r in self.granted.rows if r.token == row.token]
+        return subtract_ranges(row, held)
+
     def _is_fully_withdrawn(self, row: Row) -> bool:
         """Return whether all keys of a row were withdrawn."""
         return any(
@@ -230,6 +278,63 @@
     return held[index].token == row.token and covers(held[index], row)
 
 
+def list_held_parts(row: Row, held: Sequence[HeldRange]) -> list[Row]:
+    """List the parts of a row that are held under the row's token."""
+    parts = [
+        row._replace(start=max(row.start, span.start), end=min(row.end, span.end))
+        for span in sorted(held)
+        if span.token == row.token and overlaps(row, span)
+    ]
+    return [row] if subtract_ranges(row, parts) == [] else parts
+
+
+def subtract_ranges(row: Row, others: Sequence[Row]) -> list[Row]:
+    """List the parts of a row that none of the other rows contains."""
+    parts = []
+    start = row.start
+    for other in sorted(others):
+        if other.start > row.end:
+            break
+        if other.start > start:
+            parts.append(row._replace(start=start, end=other.start - 1))
+        start = max(start, other.end + 1)
+    if start <= row.end:
+        parts.append(row._replace(start=start))
+    return parts
+
+
+def list_above(held: Sequence[HeldRange], rows: list[Row]) -> list[HeldRange]:
+    """List the parts of held ranges whose token is above that of the row there."""
+    found = []
+    for span in held:
+        start = span.start
+        while start <= span.end:
+            row = find_row(rows, start)
+            end = min(span.end, row.end) if row else find_gap_end(rows, start, span.end)
+            if row is None or row.token < span.token:
+                found.append(HeldRange(start, end, span.token))
+            start = end + 1
+    return merge_ranges(found)
+
+
+def find_gap_end(rows: list[Row], start: int, last: int) -> int:
+    """Return the last key, at most `last`, of a gap between rows that has a key."""
+    index = bisect_right(rows, start, key=get_start)
+    return min(last, rows[index].start - 1) if index < len(rows) else last
+
+
+def merge_ranges(ranges: list[HeldRange]) -> list[HeldRange]:
+    """Merge adjacent ranges with the same token."""
+    merged: list[HeldRange] = []
+    for span in ranges:
+        last = merged[-1] if merged else None
+        if last and last.token == span.token and last.end + 1 == span.start:
+            merged[-1] = last._replace(end=span.end)
+        else:
+            merged.append(span)
+    return merged
+
+
 def overlaps(row, other) -> bool:
     """Return whether two key ranges share a key."""
     return row.start <= other.end and other.start <= row.end
--- a/knapweedrock/mesh/inspection.py
+++ b/knapweedrock/mesh/inspection.py
@@ -109,3 +109,4 @@
     counters.gauge("coordinating", int(node.coordinator.term.has_authority()))
     counters.gauge("configuration_version", node.config_watcher.version)
     counters.gauge("store_era", node.store.eras.era)
+    counters.gauge("recovering", int(node.coordinator.is_recovering()))
--- a/knapweedrock/mesh/leader_records.py
+++ b/knapweedrock/mesh/leader_records.py
@@ -20,7 +20,9 @@
 
     `number` counts the renewals. `lost` lists nodes whose leases have expired or will
     expire with the term. `lease_ms` is how long the longest lease outlasts a released
-    term, or None while the term runs.
+    term, or None while the term runs. `era` is the era of the store in which the term
+    began; while `recovering`, the term does not know all holders of keys of earlier
+    eras.
     """
 
     epoch: int
@@ -31,6 +33,8 @@
     released: bool
     lost: tuple[str, ...]
     lease_ms: int | None = None
+    era: int = 0
+    recovering: bool = False
 
     def to_value(self) -> dict[str, Any]:
         """Return the value to store."""
@@ -51,6 +55,8 @@
     released: bool
     lost: tuple[Name, ...] = ()
     lease_ms: Count | None = None
+    era: Count = 0
+    recovering: bool = False
 
 
 NO_RECORD = LeaderRecord(0, "", "", "", 0, False, ())
--- a/knapweedrock/mesh/membership.py
+++ b/knapweedrock/mesh/membership.py
@@ -9,6 +9,7 @@
 
 from knapweedrock.clock import NS_PER_MS, NS_PER_S
 from knapweedrock.codes import Code
+from knapweedrock.eras.versions import NO_VERSION
 from knapweedrock.errors import (
     KnapweedrockError,
     LinkError,
@@ -88,16 +89,16 @@
         # Events of `request_renewal`, set once the coordinator answers a later renewal.
         self._renewal_waiters: list[Event] = []
         self._coordinator_peer = ""
-        # Leader record as last read, and when its revision was first read.
+        # Leader record as last read, and when its version was first read.
         self._leader_record: StoredObject | None = None
         self._leader_record_since_ns = 0
         self._leader_read_at_ns = 0
         # Whether the last read of the record failed, and when a read succeeded again.
         self._is_store_lost = False
         self._store_regained_ns = 0
-        # Revision of the leader record under which the coordinator last answered, and
+        # Version of the leader record under which the coordinator last answered, and
         # the end of that term.
-        self._term_revision = 0
+        self._term_version = NO_VERSION
         self._term_end_ns = 0
         self._renewed_at_ns = node.clock.now_ns()
         # Whether the store was read because no coordinator answers.
@@ -175,6 +176,7 @@
             self._node.target.get_heartbeat_age_ms(),
             self._node.config_watcher.zones_version.era,
             self._node.config_watcher.list_kept_zones(),
+            [tuple(item) for item in self._node.holds.list_kept(rows)],
         )
         coordinator_peer = self._coordinator_peer or self._node.board.coordinator
         try:
@@ -221,7 +223,7 @@
     def _record_term(self, answer: Renewed) -> None:
         """Record when the coordinator's term ends unless it is renewed."""
         remaining_ms = answer.term_ms * MAX_CLOCK_DRIFT + TERM_GRACE_MS
-        self._term_revision = answer.lock_revision
+        self._term_version = answer.lock_version
         self._term_end_ns = self._node.clock.now_ns() + int(remaining_ms * NS_PER_MS)
 
     def _read_leader_record(self) -> StoredObject | None:
@@ -290,10 +292,7 @@
             # The task that renews the term detects whether the term is lost.
             return False
         now_ns = self._node.clock.now_ns()
-        if (
-            self._leader_record is None
-            or record.revision != self._leader_record.revision
-        ):
+        if self._leader_record is None or record.version != self._leader_record.version:
             self._leader_record = record
             self._leader_record_since_ns = now_ns
         unchanged_ms = (now_ns - self._leader_record_since_ns) / NS_PER_MS
@@ -305,7 +304,7 @@
         is_new_node = not self._node.board.members
         if leader.released:
             return not is_new_node or unchanged_ms > NEW_NODE_CLAIM_DELAY_MS
-        if record.revision == self._term_revision and now_ns > self._term_end_ns:
+        if record.version == self._term_version and now_ns > self._term_end_ns:
             # The coordinator announced when its term ends and has not renewed it since.
             return True
         return unchanged_ms > TERM_MS * MAX_CLOCK_DRIFT + TERM_GRACE_MS
--- a/knapweedrock/mesh/messages.py
+++ b/knapweedrock/mesh/messages.py
@@ -149,7 +149,7 @@
     """Members and tables that the coordinator publishes.
 
     Of two boards the one with the higher epoch is newer, and within an epoch the one
-    with the higher version.
+    with the higher version. `era` is the era of the store in which the term began.
     """
 
     epoch: int
@@ -157,6 +157,7 @@
     coordinator: str
     members: dict[str, Member]
     tables: dict[str, list[Row]]
+    era: int = 0
 
 
 class BoardChange(NamedTuple):
@@ -176,6 +177,7 @@
     removed_members: list[str]
     tables: dict[str, bytes]
     base_epoch: int = 0
+    era: int = 0
 
 
 @register_message(50)
@@ -249,7 +251,8 @@
     hold and that the node does not grant to it again, as `(start, end, token)`.
     `heartbeat_age_ms` is the age of the target's last heartbeat. `kept_zones` lists the
     zones that the node keeps out of service although the store does not list them, with
-    the remaining time in ms.
+    the remaining time in ms. `kept` lists keys, as `(start, end, token)`, that the
+    target holds under a token above that of the node's board.
     """
 
     member: Member
@@ -263,6 +266,7 @@
     heartbeat_age_ms: int
     zones_era: int = 0
     kept_zones: list[tuple[str, int]] = []
+    kept: list[tuple[int, int, int]] = []
 
     @property
     def zones_version(self) -> StoreVersion:
@@ -277,8 +281,8 @@
     `change` is None if the node has the newest board, or if `change_follows`: it is
     pushed later, and the node gets no lease until then. A `lease_ms` of 0 grants no
     lease. `coordinator` is the peer address of the coordinator that the answering node
-    knows. `lock_revision` is the revision of the leader record in the store, and
-    `term_ms` is the remaining time of the coordinator's term.
+    knows. `lock_revision` is the revision of the leader record in the store, in the era
+    `lock_era`, and `term_ms` is the remaining time of the coordinator's term.
     """
 
     epoch: int
@@ -288,6 +292,12 @@
     lock_revision: int
     term_ms: float
     change_follows: bool = False
+    lock_era: int = 0
+
+    @property
+    def lock_version(self) -> StoreVersion:
+        """Return the version of the leader record in the store."""
+        return StoreVersion(self.lock_era, self.lock_revision)
 
 
 @register_message(54)
--- a/knapweedrock/mesh/node.py
+++ b/knapweedrock/mesh/node.py
@@ -225,6 +225,7 @@
         if (board.epoch, board.version) <= (self.board.epoch, self.board.version):
             return
         self.board = board
+        self.holds.era = board.era
         self.recent_boards.append(board)
         self.router.budgets.record_member_count(len(board.members))
         self.quotas.set_members(board.members)
@@ -323,6 +324,7 @@
 
     def _handle_new_era(self) -> None:
         """Read anew what the store has, which has come back from a copy."""
+        self.coordinator.term.renew_at_once()
         gevent.spawn(self.config_watcher.restart)
 
     def _run_load_decay(self) -> None:
--- a/knapweedrock/mesh/overview.py
+++ b/knapweedrock/mesh/overview.py
@@ -43,13 +43,17 @@
 
 
 class Overview(TypedDict):
-    """State of a mesh; `lease_ms` is the remaining lease of the node that answers."""
+    """State of a mesh; `lease_ms` is the remaining lease of the node that answers.
+
+    `era` is the era of the store in which the coordinator's term began.
+    """
 
     node_id: str
     process: str
     coordinator: str
     epoch: int
     version: int
+    era: int
     lease_ms: int
     configuration_version: int
     zones_out: list[str]
@@ -79,6 +83,7 @@
         "coordinator": get_coordinator_name(node),
         "epoch": board.epoch,
         "version": board.version,
+        "era": board.era,
         "lease_ms": max(node.get_remaining_lease_ms(), 0),
         "configuration_version": node.config_watcher.version,
         "zones_out": sorted(node.zones_out),
--- a/knapweedrock/mesh/ownership.py
+++ b/knapweedrock/mesh/ownership.py
@@ -6,7 +6,8 @@
 
 from collections.abc import Collection
 
-from knapweedrock.mesh.holds import covers
+from knapweedrock.eras.numbers import next_number
+from knapweedrock.mesh.holds import covers, overlaps
 from knapweedrock.mesh.messages import Member, Row
 from knapweedrock.mesh.row_loads import (
     measure_member_loads,
@@ -28,26 +29,36 @@
 MAX_INITIAL_ROWS_PER_TARGET = 40
 
 
-def create_initial_table(members: list[Member]) -> list[Row]:
+def create_initial_table(members: list[Member], era: int = 0) -> list[Row]:
     """Divide all keys evenly among members, in small rows assigned round-robin.
 
     Hot keys tend to be adjacent, so small rows give them several owners before any
-    load is measured.
+    load is measured. `era` is the store's.
     """
     ordered = sorted(members, key=lambda member: member.node_id)
     rows_per_member = min(
         max(1, INITIAL_ROWS // len(ordered)), MAX_INITIAL_ROWS_PER_TARGET
     )
     row_count = len(ordered) * rows_per_member
+    token = next_number(0, era)
     rows = []
     for index in range(row_count):
         member = ordered[index % len(ordered)]
         start = index * KEY_COUNT // row_count
         end = (index + 1) * KEY_COUNT // row_count - 1
-        rows.append(Row(start, end, member.node_id, member.target, 1, "", ""))
+        rows.append(Row(start, end, member.node_id, member.target, token, "", ""))
     return rows
 
 
+def create_unowned_rows() -> list[Row]:
+    """Divide all keys into rows without an owner."""
+    borders = [index * KEY_COUNT // INITIAL_ROWS for index in range(INITIAL_ROWS + 1)]
+    return [
+        Row(start, after - 1, "", "", 0, "", "")
+        for start, after in zip(borders, borders[1:], strict=False)
+    ]
+
+
 def choose_least_loaded(
     totals: dict[str, float], snapshot: Snapshot, at_row_limit: Collection[str]
 ) -> str:
@@ -147,13 +158,42 @@
                 part._replace(
                     node_id=row.next_node,
                     target=eligible[row.next_node].target,
-                    token=row.token + 1,
+                    token=next_number(row.token, snapshot.era),
                     next_node="",
                 )
             )
     return result
 
 
+def split_unheld(rows: list[Row], snapshot: Snapshot) -> list[Row]:
+    """Split rows of which only a part is held, so that the rest can be reassigned."""
+    if not snapshot.unheld:
+        return rows
+    unheld = group_unheld(snapshot)
+    result = []
+    for row in rows:
+        parts = [
+            other
+            for other in unheld.get(row.node_id, ())
+            if (row.target, row.token) == (other.target, other.token)
+            and overlaps(row, other)
+            and not covers(other, row)
+        ]
+        result += split_at_borders(row, parts)
+    return result
+
+
+def split_at_borders(row: Row, parts: list[Row]) -> list[Row]:
+    """Split a row wherever one of the parts begins or ends."""
+    starts = {row.start, *(p.start for p in parts), *(p.end + 1 for p in parts)}
+    starts = sorted(start for start in starts if row.start <= start <= row.end)
+    ends = [start - 1 for start in starts[1:]] + [row.end]
+    return [
+        row._replace(start=start, end=end)
+        for start, end in zip(starts, ends, strict=True)
+    ]
+
+
 def group_unheld(snapshot: Snapshot) -> dict[str, list[Row]]:
     """Group the rows that no target holds by their owners."""
     rows_by_owner: dict[str, list[Row]] = {}
--- a/knapweedrock/mesh/snapshots.py
+++ b/knapweedrock/mesh/snapshots.py
@@ -45,6 +45,8 @@
     returning: Collection[str] = ()
     # Recently completed moves by destination node.
     completed_moves: Mapping[str, list[CompletedMove]] = {}
+    # Era of the store in which the coordinator's term began.
+    era: int = 0
 
 
 def list_at_row_limit(rows: list[Row]) -> set[str]:
--- a/knapweedrock/mesh/tables.py
+++ b/knapweedrock/mesh/tables.py
@@ -41,13 +41,18 @@
     epoch: Count
     owners: list[tuple[str, str]]
     rows: list[PackedRow]
+    era: Count = 0
 
 
 class StoredTable(NamedTuple):
-    """The rows of a service, and the epoch of the coordinator that stored them."""
+    """The rows of a service, and the epoch of the coordinator that stored them.
+
+    `era` is the era of the store in which its term began.
+    """
 
     epoch: int
     rows: list[Row]
+    era: int = 0
 
 
 # zlib level for rows on links, where each node that reconnects gets a whole table.
@@ -100,9 +105,9 @@
         raise LinkError(Code.BAD_FRAME, f"rows: {error}") from error
 
 
-def encode_stored_table(epoch: int, rows: list[Row]) -> dict[str, Any]:
+def encode_stored_table(epoch: int, rows: list[Row], era: int = 0) -> dict[str, Any]:
     """Return the value to store for the rows of a service."""
-    return {"epoch": epoch, **pack_rows(rows)._asdict()}
+    return {"epoch": epoch, **pack_rows(rows)._asdict(), "era": era}
 
 
 def decode_stored_table(stored: StoredObject) -> StoredTable:
@@ -114,4 +119,4 @@
         rows = unpack_rows(PackedTable(fields.owners, fields.rows))
     except (msgspec.ValidationError, IndexError) as error:
         raise InputError(str(error)) from error
-    return StoredTable(fields.epoch, rows)
+    return StoredTable(fields.epoch, rows, fields.era)
--- a/knapweedrock/mesh/terms.py
+++ b/knapweedrock/mesh/terms.py
@@ -1,7 +1,7 @@
 """Leadership terms: a record in the platform's store that the coordinator renews."""
 
-from collections.abc import Callable, Collection
-from typing import Any
+from collections.abc import Callable, Collection, Mapping
+from typing import Any, NamedTuple
 
 import gevent
 from gevent.event import Event
@@ -9,6 +9,8 @@
 
 from knapweedrock.clock import NS_PER_MS, Clock
 from knapweedrock.codes import Code
+from knapweedrock.eras.numbers import next_number
+from knapweedrock.eras.recovery import merge_by_token
 from knapweedrock.eras.versions import StoreVersion
 from knapweedrock.errors import PlatformError
 from knapweedrock.json_input import InputError
@@ -26,7 +28,7 @@
     encode_stored_table,
 )
 from knapweedrock.platform.documents import LEADER_KIND, TABLE_KIND
-from knapweedrock.platform.store import ConflictError, Store
+from knapweedrock.platform.store import ConflictError, EraEndedError, Store
 from knapweedrock.platform.stored_objects import StoredObject
 
 LEADER_NAME = "coordinator"
@@ -48,10 +50,27 @@
 log = Logger("coordinator")
 
 
+class Memory(NamedTuple):
+    """What a node that claims the leadership knows besides the store.
+
+    `epoch` is the latest epoch that it has heard of, and `tables` the rows of its
+    board. `is_complete` says that no other node can have led since the claimant did.
+    """
+
+    epoch: int = 0
+    tables: Mapping[str, list[Row]] = {}
+    is_complete: bool = False
+
+
+NO_MEMORY = Memory()
+
+
 class Term:
     """One node's leadership term, with the tables as it last wrote them.
 
-    `on_write` gets the store's version after each write of the term.
+    A term belongs to one era of the store. While `recovering`, it does not know all
+    holders of keys of earlier eras. `on_write` gets the store's version after each
+    write of the term.
     """
 
     def __init__(
@@ -65,6 +84,8 @@
     ) -> None:
         self.leading = False
         self.epoch = 0
+        self.era = 0
+        self.recovering = False
         self._node_id = node_id
         self._process = process
         self._peer = peer
@@ -87,9 +108,22 @@
         """Return whether the term is still valid."""
         return self.leading and self._clock.now_ns() < self._valid_until_ns
 
-    def get_revision(self) -> int:
-        """Return the store revision of the leader record."""
-        return self._leader_record.revision
+    def get_version(self) -> StoreVersion:
+        """Return the store's version of the leader record."""
+        return self._leader_record.version
+
+    def has_era_ended(self) -> bool:
+        """Return whether the store has come back from a copy since the term began."""
+        return self._store.eras.era != self.era
+
+    def had_authority_in_next_era(self) -> bool:
+        """Return whether the term was still valid when the store came back.
+
+        No other node can then have led since its last renewal, in the era of the term.
+        """
+        eras = self._store.eras
+        is_next = eras.era == self.era + 1
+        return self.leading and is_next and eras.since_ns < self._valid_until_ns
 
     def get_remaining_ms(self) -> float:
         """Return the time in ms for which the term is still valid."""
@@ -130,39 +164,57 @@
             # These nodes get no lease until the store no longer lists them as lost.
             self._renew_now.set()
 
-    def claim(self, leader_record: StoredObject | None, known_epoch: int = 0) -> bool:
-        """Try to start a term; `leader_record` is the record as last read.
-
-        `known_epoch` is the latest epoch that this node has heard of, in case the
-        record is not readable.
-        """
+    def claim(
+        self, leader_record: StoredObject | None, memory: Memory = NO_MEMORY
+    ) -> bool:
+        """Try to start a term; `leader_record` is the record as last read."""
         sent_ns = self._clock.now_ns()
+        era = leader_record.era if leader_record else self._store.eras.era
         former = read_leader_record(leader_record) if leader_record else NO_RECORD
-        self._lost_nodes = self._stored_lost_nodes = frozenset(former.lost)
-        epoch = former.epoch + 1
+        epoch = next_number(former.epoch, era)
         try:
-            if former is UNREADABLE_RECORD:
-                epoch = max(known_epoch, self._find_latest_epoch()) + 1
+            stored = self._read_tables()
+            is_first = is_first_of_era(former, stored, era)
+            if is_first or former is UNREADABLE_RECORD:
+                epochs = [former.epoch, memory.epoch, self.epoch]
+                epochs += [table.epoch for _, table in stored]
+                epoch = next_number(max(epochs), era)
+            if not memory.is_complete:
+                lost = frozenset() if is_first else frozenset(former.lost)
+                self._lost_nodes = self._stored_lost_nodes = lost
+            # Also a claimant that remembers all may end before it has written it.
+            self.recovering = is_first
             record = self._store.put(
                 LEADER_KIND,
                 LEADER_NAME,
-                self._build_record(epoch, 0),
+                self._build_record(epoch, era, 0),
                 leader_record,
                 WRITE_TIMEOUT_S,
             )
-            self._tables = self._fence_tables(epoch)
+            known = memory.tables if is_first else {}
+            self._tables = self._fence_tables(epoch, era, stored, known)
+            self.recovering = is_first and not memory.is_complete
         except PlatformError as error:
             log.info("claim failed", epoch=epoch, reason=error.detail)
             return False
         self._leader_record = record
         self._on_write(record.version)
-        self.epoch = epoch
+        self.epoch, self.era = epoch, era
         self._unconfirmed_sent_ns.clear()
         self._valid_until_ns = 0
         self.leading = True
         self._record_renewal(sent_ns)
         return True
 
+    def renew_at_once(self) -> None:
+        """Make the next renewal now, as the store may have come back from a copy."""
+        self._renew_now.set()
+
+    def end_recovery(self) -> None:
+        """Record with the next renewal that all holders of keys are known."""
+        self.recovering = False
+        self._renew_now.set()
+
     def resign(self, lease_ms: int) -> None:
         """Release the term, so that another node can start one at once.
 
@@ -171,7 +223,7 @@
         if not self.leading:
             return
         self.leading = False
-        value = self._build_record(self.epoch, 0, lease_ms)
+        value = self._build_record(self.epoch, self.era, 0, lease_ms)
         try:
             self._store.replace(
                 LEADER_KIND,
@@ -189,9 +241,12 @@
         return self.leading and self.epoch == epoch
 
     def run(self, epoch: int) -> None:
-        """Renew the term of an epoch until it is lost or another one starts."""
+        """Renew the term of an epoch until it is lost or another one starts.
+
+        Also returns when the era of the term has ended; the term is then not renewed.
+        """
         renewal_number = 0
-        while self.is_current(epoch):
+        while self.is_current(epoch) and not self.has_era_ended():
             renewal_number += 1
             sent_ns = self._unconfirmed_sent_ns[renewal_number] = self._clock.now_ns()
             lost_nodes = self._lost_nodes
@@ -201,7 +256,7 @@
                 record = self._store.replace(
                     LEADER_KIND,
                     LEADER_NAME,
-                    self._build_record(epoch, renewal_number),
+                    self._build_record(epoch, self.era, renewal_number),
                     self._leader_record,
                     RENEW_TIMEOUT_S,
                 )
@@ -213,6 +268,9 @@
                 log.warning("term lost", epoch=epoch)
                 self.leading = False
                 return
+            except EraEndedError as error:
+                log.warning("term not renewed", reason=error.detail)
+                return
             except PlatformError as error:
                 log.warning("term not renewed", reason=error.detail)
                 self._read_back_renewal()
@@ -240,8 +298,10 @@
         Raises `PlatformError` when the write fails. A table that holds another epoch
         ends the term.
         """
+        if self.has_era_ended():
+            raise EraEndedError(self.era, self._store.eras.era)
         epoch = self.epoch
-        value = encode_stored_table(epoch, rows)
+        value = encode_stored_table(epoch, rows, self.era)
         known = self._tables.get(service)
         try:
             written = self._store.put(
@@ -262,7 +322,7 @@
             self._renewed_ns, self._valid_until_ns = sent_ns, until_ns
 
     def _build_record(
-        self, epoch: int, renewal_number: int, lease_ms: int | None = None
+        self, epoch: int, era: int, renewal_number: int, lease_ms: int | None = None
     ) -> dict[str, Any]:
         """Build the record of a term; with `lease_ms` the term is released."""
         record = LeaderRecord(
@@ -274,17 +334,37 @@
             lease_ms is not None,
             tuple(sorted(self._lost_nodes)),
             lease_ms,
+            era,
+            self.recovering,
         )
         return record.to_value()
 
-    def _fence_tables(self, epoch: int) -> dict[str, StoredObject]:
-        """Store the epoch in each table, so that a former coordinator cannot write."""
+    def _fence_tables(
+        self,
+        epoch: int,
+        era: int,
+        stored: list[tuple[StoredObject, StoredTable]],
+        known: Mapping[str, list[Row]],
+    ) -> dict[str, StoredObject]:
+        """Store the epoch in each table, so that a former coordinator cannot write.
+
+        In a new era the known rows, which the copy may lack, are written again.
+        """
         tables = {}
-        for item, table in self._read_tables():
-            value = encode_stored_table(epoch, table.rows)
+        for item, table in stored:
+            rows = merge_by_token(table.rows, known.get(item.name, []))
+            value = encode_stored_table(epoch, rows, era)
             tables[item.name] = self._store.replace(
                 TABLE_KIND, item.name, value, item, WRITE_TIMEOUT_S
             )
+        for service in known.keys() - tables.keys():
+            value = encode_stored_table(epoch, known[service], era)
+            try:
+                tables[service] = self._store.create(
+                    TABLE_KIND, service, value, WRITE_TIMEOUT_S
+                )
+            except ConflictError as error:
+                log.error("table not written", service=service, reason=error.detail)
         return tables
 
     def _read_tables(self) -> list[tuple[StoredObject, StoredTable]]:
@@ -299,11 +379,6 @@
                 )
         return tables
 
-    def _find_latest_epoch(self) -> int:
-        """Return the latest epoch in the stored tables and of this node's terms."""
-        epochs = [table.epoch for _, table in self._read_tables()]
-        return max([self.epoch, *epochs])
-
     def _read_back_renewal(self) -> None:
         """Check whether a renewal without a response has taken effect."""
         try:
@@ -316,10 +391,17 @@
     def _adopt_late_renewal(self, current: StoredObject | None) -> bool:
         """Continue from an earlier renewal of this term that took effect late.
 
-        Returns whether the stored record belongs to this term.
+        So does a write of an earlier era that found its revision given out again.
+        Returns whether the stored record belongs to this term or to an earlier era.
         """
         record = decode_leader_record(current) if current is not None else None
-        if record is None or record.released:
+        if current is None or record is None or current.era != self.era:
+            return False
+        if record.era < self.era:
+            log.warning("record of an earlier era", epoch=record.epoch, era=record.era)
+            self._leader_record = current
+            return True
+        if record.released:
             return False
         if (record.process, record.epoch) != (self._process, self.epoch):
             return False
@@ -335,14 +417,17 @@
     def _adopt_late_table(self, service: str, current: StoredObject | None) -> None:
         """Continue from an earlier write of this term that took effect late.
 
-        The late table was never published, so the next write may replace it.
+        The late table was never published, so the next write may replace it. So may it
+        replace a late write of an earlier era.
         """
         try:
             table = decode_stored_table(current) if current is not None else None
         except InputError as error:
             log.error("stored table not readable", service=service, reason=str(error))
             return
-        if table is not None and table.epoch == self.epoch:
+        if current is not None and current.era != self.era:
+            return
+        if table is not None and (table.epoch == self.epoch or table.era < self.era):
             self._tables[service] = current
             self._on_write(current.version)
         else:
@@ -350,3 +435,16 @@
                 "table owned by another term", service=service, epoch=self.epoch
             )
             self.leading = False
+
+
+def is_first_of_era(
+    former: LeaderRecord, stored: list[tuple[StoredObject, StoredTable]], era: int
+) -> bool:
+    """Return whether a claim has to recover what a store of earlier eras has lost.
+
+    That is so until a term of this era has recovered, and if a late write of an earlier
+    era has replaced a table.
+    """
+    if former.recovering or former.era < era:
+        return True
+    return any(table.era < era for _, table in stored)
--- a/knapweedrock/operators/story.py
+++ b/knapweedrock/operators/story.py
@@ -12,7 +12,7 @@
 MAX_CONTEXT_LINES = 12
 # Parts of a node whose log lines show how the node sees the rest of the mesh.
 CONTEXT_PARTS = frozenset(
-    {"coordinator", "target", "links", "following", "gateway", "node"}
+    {"coordinator", "target", "links", "following", "gateway", "node", "store"}
 )
 REQUEST_PART = "requests"
 # A request that is sent more often than this has waited for an owner of its key.
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -14,6 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+import features.support.soak_drills  # noqa: E402, F401 (registers faults)
 from features.support.mesh_soak import Soak  # noqa: E402
 
 VM_COUNT = 4
