Show that a coordinator that lives leads in the new era with all it knew

Change: a scenario of its own: the same node coordinates in the new era within 1 s, its stored table has the rows of its board, and it recovers nothing.

--- a/features/steps/store_recovery.py
+++ b/features/steps/store_recovery.py
@@ -5,6 +5,7 @@
 
 from features.support.hold_monitor import HoldMonitor, list_unheld_keys
 from features.support.mesh_builders import (
+    SERVICE,
     FakeClock,
     create_heartbeat,
     create_row,
@@ -15,6 +16,8 @@
 from knapweedrock.eras.recovery import Recovery, merge_by_token
 from knapweedrock.mesh.definitions import HeldRange
 from knapweedrock.mesh.holds import Holds
+from knapweedrock.mesh.tables import PackedRow, PackedTable, unpack_rows
+from knapweedrock.platform.documents import TABLE_KIND
 
 SAMPLE_S = 0.01
 MOVE_TIMEOUT_S = 8.0
@@ -50,7 +53,8 @@
 def let_target_leave(context) -> None:
     """Drain a target, and end it with its node once its keys have moved."""
     mesh = context.mesh
-    name = choose_other_node(mesh, mesh.find_coordinator())
+    context.coordinator = mesh.find_coordinator()
+    name = choose_other_node(mesh, context.coordinator)
     holder = mesh.find_place(name).holder
     holder.draining = True
     mesh.wait_until(
@@ -59,6 +63,34 @@
     mesh.lose_vm(name)
 
 
+@then(
+    "the same node coordinates in era {era:d} within {ms:d} ms and has written its rows"
+    " again"
+)
+def check_coordinator(context, era: int, ms: int) -> None:
+    """Check the coordinator's term and the stored table against its board."""
+    mesh = context.mesh
+    node = mesh.nodes[context.coordinator]
+    mesh.wait_until(
+        lambda: node.board.era == era and node.coordinator.term.has_authority(),
+        ms / 1000,
+    )
+    stored = context.mesh.objects.get(TABLE_KIND, SERVICE)["specification"]
+    rows = unpack_rows(
+        PackedTable(stored["owners"], [PackedRow(*r) for r in stored["rows"]])
+    )
+    owners = {(row.start, row.node_id, row.token) for row in rows}
+    known = {(row.start, row.node_id, row.token) for row in node.get_rows(SERVICE)}
+    assert owners == known, owners ^ known
+    assert stored["era"] == era, stored["era"]
+
+
+@then("it recovers nothing")
+def check_not_recovering(context) -> None:
+    """Check that the coordinator's memory counts as complete."""
+    assert not context.mesh.nodes[context.coordinator].coordinator.is_recovering()
+
+
 @when("{ms:d} ms later the coordinator's node is killed and started again")
 def restart_coordinator(context, ms: int) -> None:
     """Restart the node that coordinates."""
--- a/features/store_recovery.feature
+++ b/features/store_recovery.feature
@@ -34,6 +34,14 @@
     Then for 3000 ms every watched key is held
     And tokens rose with each owner, and no key had two holders
 
+  Scenario: A coordinator that lives leads in the new era with all it knew
+    Given a mesh of 5 keyed targets whose holds are watched
+    When the store is copied
+    And a target that does not coordinate leaves, and others hold its keys
+    And the store goes away for 800 ms and comes back from the copy
+    Then the same node coordinates in era 2 within 1000 ms and has written its rows again
+    And it recovers nothing
+
   Scenario Outline: Drills in series beside killed and cut nodes, seed <seed>
     When the drills of seed <seed> are played for 30 s in the model
     Then no rule was broken in the model
