Copy no rows in a planning round without a recovery

Cause: the check for the end of a recovery listed all rows of all tables in each planning round, ten times a second, also where there is none.

Change: it returns first.

--- a/knapweedrock/mesh/coordinator.py
+++ b/knapweedrock/mesh/coordinator.py
@@ -335,9 +335,11 @@
         )
 
     def _end_recovery_if_over(self) -> None:
+        if self._recovery is None:
+            return
         now_ns = self._clock.now_ns()
         rows = [row for rows in self.board.tables.values() for row in rows]
-        if self._recovery is None or not self._recovery.is_over(rows, now_ns):
+        if not self._recovery.is_over(rows, now_ns):
             return
         self._recovery = None
         self.term.end_recovery()
